--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -10,8 +10,11 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
+	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/metrics"
 	"mossproxy.example/mossproxy/internal/router"
 )
 
@@ -42,14 +45,30 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	m := metrics.New()
+	r, err := router.New(cfg, ln, m)
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	alive, end := context.WithCancel(context.Background()) // the second address answers as long as the router works
+	defer end()
+	if cfg.AdminAddr != "" {
+		second, err := net.Listen("tcp", cfg.AdminAddr)
+		if err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+		wg.Go(func() { admin.Serve(alive, second, r) })
+	}
 	updates := make(chan *router.Config)
-	go reload(ctx, path, hup, updates)
-	return router.Serve(ctx, cfg, ln, updates)
+	wg.Go(func() { reload(alive, path, hup, updates, m) })
+	return r.Run(ctx, updates)
 }
 
 // reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
 // nothing.
-func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config) {
+func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config, m *metrics.Router) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -58,9 +77,11 @@
 		}
 		cfg, err := router.LoadConfig(path, os.Getenv)
 		if err != nil {
+			m.Refused.Add(1)
 			log.Printf("SIGHUP: the configuration is kept: %v", err)
 			continue
 		}
+		m.Reloads.Add(1)
 		select {
 		case updates <- cfg:
 		case <-ctx.Done():
--- a/cmd/cottonyoke/main_test.go
+++ b/cmd/cottonyoke/main_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"mossproxy.example/mossproxy/internal/metrics"
 	"mossproxy.example/mossproxy/internal/router"
 )
 
@@ -23,7 +24,7 @@
 		}
 	}
 	hup, updates := make(chan os.Signal), make(chan *router.Config)
-	go reload(t.Context(), path, hup, updates)
+	go reload(t.Context(), path, hup, updates, metrics.New())
 	write("{")
 	for range 2 {
 		hup <- syscall.SIGHUP // the second is taken once the first has been carried out
--- a/decide/api.go
+++ b/decide/api.go
@@ -249,7 +249,7 @@
 		spare: 10, fetches: min(8, 32/float64(cfg.Routers)), bear: 0.2, keep: cfg.ConnIdle,
 		portion: 1 / float64(cfg.Routers),
 		turn:    int(seed % 4096), watchAt: math.Inf(1), classes: map[string]*Class{}, quota: map[string]float64{},
-		used: map[string]*rate{}, servers: map[uint32]*server{}, keys: map[uint64]*flow{},
+		used: map[string]*rate{}, servers: map[uint32]*server{}, bans: map[uint32]float64{}, keys: map[uint64]*flow{},
 		reqs: map[uint32]*request{}}
 	for i, c := range cfg.Classes {
 		b.classes[c.Name], b.maxWorth = &cfg.Classes[i], max(b.maxWorth, c.Worth)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,7 @@
 // usable says whether a request, or with nil the solver, may use a server. An ejected one gets single trials.
 func (b *Balancer) usable(s *server, r *request) bool {
 	trial := s.ejected && r != nil && b.now >= s.trial && s.out == 0 && r.class.Effect == Repeatable
-	return s.listed && s.State == Ready && (trial || !s.ejected) && (r == nil || b.afford(s, r.work))
+	return s.listed && s.open() && (trial || !s.ejected) && (r == nil || b.afford(s, r.work))
 }
 
 // observe draws from an outcome what it tells of the server's health.
@@ -247,7 +247,7 @@
 	for sick := 0; sick < 2 && any == nil; sick++ {
 		for _, s := range list {
 			if s == nil || s != r.missed && r.tried(s) || !b.mayRun(r, s) ||
-				!b.usable(s, r) && (sick == 0 || s.State != Ready || !b.afford(s, r.work)) {
+				!b.usable(s, r) && (sick == 0 || !s.open() || !b.afford(s, r.work)) {
 				continue
 			}
 			wait := b.waitAt(s)
@@ -485,7 +485,7 @@
 			s.held = false
 			b.host.Close(s.ID)
 		}
-		if b.cfg.ByProbe && b.cfg.Probes && b.probes >= 1 && b.now-s.probed >= 700 {
+		if b.cfg.ByProbe && b.cfg.Probes && b.probes >= 1 && b.now-s.probed >= 700 && !s.banned {
 			b.probes, b.turn, s.probed = b.probes-1, turn+i+1, b.now
 			b.host.Probe(s.ID)
 		}
@@ -512,7 +512,7 @@
 		case !r.Write && k.stored > r.held:
 			r.missed, r.held = k.storeAt, 0
 			b.try(r)
-		case b.cfg.Aside && (o == nil || o.State != Ready || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
+		case b.cfg.Aside && (o == nil || !o.open() || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
 			b.end(r)
 		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
 			return false
--- /dev/null
+++ b/decide/operate.go
@@ -0,0 +1,58 @@
+package decide
+
+// What operators ask of a running router. They may ask at any time, and what they ask for holds whatever the list says.
+
+// open says whether new work may go to a server, as far as the list and the operators are concerned.
+func (s *server) open() bool { return s.State == Ready && !s.banned }
+
+// Disable leaves a server out from now on, as though it were draining, until Enable. A repeated call changes nothing.
+func (b *Balancer) Disable(now float64, id uint32) {
+	b.begin(now)
+	if _, out := b.bans[id]; out {
+		return
+	}
+	b.bans[id] = now
+	if s := b.servers[id]; s != nil {
+		s.banned, s.held, b.dirty = true, false, true
+		b.host.Close(id)
+	}
+	b.pump()
+}
+
+// Enable puts a server back, however often it was disabled. Meanwhile it was most likely started anew, though the list
+// may not say so yet: unless the list has told of a start since, it counts as just started, and so as cold.
+func (b *Balancer) Enable(now float64, id uint32) {
+	b.begin(now)
+	since, out := b.bans[id]
+	if !out {
+		return
+	}
+	delete(b.bans, id)
+	if s := b.servers[id]; s != nil {
+		s.banned, b.dirty = false, true
+		b.renew(s, max(s.fresh, now))
+		if s.Started > since {
+			s.fresh = s.Started
+		}
+	}
+	b.pump()
+}
+
+// renew gives a server the record of a new process that started at the given time.
+func (b *Balancer) renew(s *server, started float64) {
+	s.fresh, s.budget, s.ejected, s.strikes, s.accept = started, rate{0, b.now}, false, 0, 1
+	s.doubt, s.fails, s.pause = 0, b.usual, 0
+}
+
+// Targets counts the servers on the list, and those of them that are left out, by hand, by the list or by choice.
+func (b *Balancer) Targets() (listed, avoided int) {
+	for _, s := range b.servers {
+		if !s.listed {
+			continue
+		}
+		if listed++; !s.open() || s.ejected {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,10 +24,11 @@
 	used       map[string]*rate // by tenant
 	maxWorth   float64
 	servers    map[uint32]*server
-	order      []*server // cache servers on the list, by id
-	origin     *server   // never a candidate
-	table      []*server // buckets of the memento-hash; nil = removed
-	epoch      int       // of the table
+	bans       map[uint32]float64 // servers left out by hand, listed or not, and since when
+	order      []*server          // cache servers on the list, by id
+	origin     *server            // never a candidate
+	table      []*server          // buckets of the memento-hash; nil = removed
+	epoch      int                // of the table
 	keys       map[uint64]*flow
 	keyList    []*flow
 	reqs       map[uint32]*request
@@ -65,6 +66,7 @@
 type server struct {
 	Entry
 	listed       bool
+	banned       bool    // left out by hand
 	out          int     // own attempts outstanding,
 	sentAt       float64 // when the last was sent,
 	held         bool    // and whether a connection may be open since
@@ -164,7 +166,8 @@
 	for _, e := range entries {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{accept: 1, reply: b.now, fresh: math.Inf(-1), probed: math.Inf(-1), heard: math.Inf(-1)}
+			_, banned := b.bans[e.ID]
+			s = &server{banned: banned, accept: 1, reply: b.now, fresh: math.Inf(-1), probed: math.Inf(-1), heard: math.Inf(-1)}
 			b.servers[e.ID] = s
 		}
 		if e.Started > 0 && e.Started != s.Started {
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,199 @@
+// Package admin serves the operators' calls at a second address. It knows the router by a small interface only, and
+// no caller, however slow or silent, keeps another one waiting.
+package admin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"path"
+	"sync"
+	"time"
+)
+
+// Router is what the operators' calls reach.
+type Router interface {
+	// Ready reports whether this process is ready to serve.
+	Ready() bool
+	// Metrics is the report in JSON. It waits for nothing.
+	Metrics() ([]byte, error)
+	// SetDisabled leaves a cache server out, or puts it back. ErrUnknown tells that its id was never listed.
+	SetDisabled(ctx context.Context, id string, disabled bool) error
+}
+
+// ErrUnknown tells that an id was never listed.
+var ErrUnknown = errors.New("no such cache server")
+
+// Bounds. An answer is owed within a second, beside callers that keep a connection for four without a whole call.
+const (
+	callTime  = 2 * time.Second        // for a call to come whole
+	workTime  = 900 * time.Millisecond // for what it asks for
+	writeTime = 4 * time.Second        // from the end of its head until the answer is taken
+	maxHead   = 4 << 10                // bytes; the library adds some
+	maxBody   = 1 << 10
+	// MaxConns is how many connections are open at once. One more drives out the one that has been without a whole
+	// call for longest.
+	MaxConns = 16
+)
+
+// Serve answers calls that come to ln, which it closes, until ctx ends.
+func Serve(ctx context.Context, ln net.Listener, r Router) {
+	door := &door{Listener: ln, open: map[*caller]struct{}{}}
+	s := &http.Server{Handler: handler(r), ReadTimeout: callTime, WriteTimeout: writeTime, IdleTimeout: callTime,
+		MaxHeaderBytes: maxHead, ErrorLog: log.New(io.Discard, "", 0), // callers that leave are no news
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, c)
+		}}
+	s.SetKeepAlivesEnabled(false) // one call per connection
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Serve(door); !errors.Is(err, http.ErrServerClosed) {
+			log.Printf("admin_addr: %v", err)
+		}
+	}()
+	<-ctx.Done()
+	end, cancel := context.WithTimeout(context.Background(), workTime)
+	defer cancel()
+	if s.Shutdown(end) != nil {
+		s.Close() //nolint:errcheck // the listener is closed already
+	}
+	<-done
+}
+
+func handler(r Router) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n") //nolint:errcheck // the caller has left
+	})
+	mux.HandleFunc("GET /-/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		text, err := r.Metrics()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(append(text, '\n')) //nolint:errcheck // as above
+	})
+	set := func(disabled bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			ctx, cancel := context.WithTimeout(q.Context(), workTime)
+			defer cancel()
+			switch err := r.SetDisabled(ctx, q.PathValue("id"), disabled); {
+			case err == nil:
+				w.WriteHeader(http.StatusNoContent)
+			case errors.Is(err, ErrUnknown):
+				http.Error(w, err.Error(), http.StatusNotFound)
+			default: // it may be done all the same, and may be asked for again
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			}
+		}
+	}
+	mux.HandleFunc("PUT /-/cache-servers/{id}/disable", set(true))
+	mux.HandleFunc("PUT /-/cache-servers/{id}/enable", set(false))
+	return whole(mux)
+}
+
+// whole lets only a call through that has come whole: half of one asks for nothing.
+func whole(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, q.Body, maxBody)); err != nil {
+			code := http.StatusBadRequest
+			if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
+				code = http.StatusRequestEntityTooLarge
+			}
+			http.Error(w, "the body can't be read", code)
+			return
+		}
+		if c, ok := q.Context().Value(callerKey{}).(*caller); ok {
+			c.called()
+		}
+		if p := q.URL.Path; p == "" || p[0] != '/' || path.Clean(p) != p { // the library would redirect: neither yes nor no
+			http.NotFound(w, q)
+			return
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+// door bounds the connections that are open at once.
+type door struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*caller]struct{} // those without a whole call, and those whose call is being answered
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	d     *door
+	since time.Time
+	whole bool // guarded by d.mu: its call has come
+	once  sync.Once
+}
+
+type callerKey struct{}
+
+func (d *door) Accept() (net.Conn, error) {
+	for {
+		nc, err := d.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil, err
+			}
+			time.Sleep(50 * time.Millisecond) // no descriptor is left: the address must outlive that
+			continue
+		}
+		c := &caller{Conn: nc, d: d, since: time.Now()}
+		if out := d.enter(c); out != nil {
+			out.Close()
+			if out == c {
+				continue
+			}
+		}
+		return c, nil
+	}
+}
+
+// enter takes a connection in and returns the one that must go for it, if any: itself where all others have asked.
+func (d *door) enter(c *caller) (out *caller) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.open) >= MaxConns {
+		out = c
+		for o := range d.open {
+			if !o.whole && o.since.Before(out.since) {
+				out = o
+			}
+		}
+	}
+	if out != c {
+		delete(d.open, out)
+		d.open[c] = struct{}{}
+	}
+	return out
+}
+
+func (c *caller) called() {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	c.whole = true
+}
+
+// Close closes the connection, which no longer counts.
+func (c *caller) Close() (err error) {
+	c.once.Do(func() {
+		c.d.mu.Lock()
+		delete(c.d.open, c)
+		c.d.mu.Unlock()
+		err = c.Conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,94 @@
+// Package metrics holds the figures that a router reports. Whoever sees a thing happen counts it here; readers take a
+// snapshot and wait for nobody.
+package metrics
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+)
+
+// End says how a request ended.
+type End int
+
+// The ways a request can end.
+const (
+	Success  End = iota // served
+	Overload            // refused
+	Error               // failed
+	ends
+)
+
+// Class holds the counts of one class. They only grow, as readers take differences.
+type Class struct {
+	ended      [ends]atomic.Int64
+	dispatches atomic.Int64
+}
+
+// Ended counts the end of a request.
+func (c *Class) Ended(how End) { c.ended[how].Add(1) }
+
+// Dispatched counts an attempt that was written whole.
+func (c *Class) Dispatched() { c.dispatches.Add(1) }
+
+// Router holds the figures of one process. Every count starts at 0 with it.
+type Router struct {
+	mu      sync.RWMutex
+	classes map[string]*Class // also those that a reload has dropped: what they counted is not undone
+
+	Concurrent       atomic.Int64 // requests taken and not ended
+	Targets          atomic.Int64 // cache servers in the list
+	TargetsDisabled  atomic.Int64 // and those of them that are avoided
+	Reloads, Refused atomic.Int64 // files taken and turned down at SIGHUP
+}
+
+// New returns the figures of a process that has done nothing yet.
+func New() *Router { return &Router{classes: map[string]*Class{}} }
+
+// Class returns the counts of a class, which is reported from then on. Only configured classes may be named, as each
+// is kept for good.
+func (m *Router) Class(name string) *Class {
+	m.mu.RLock()
+	c := m.classes[name]
+	m.mu.RUnlock()
+	if c != nil {
+		return c
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c = m.classes[name]; c == nil {
+		c = new(Class)
+		m.classes[name] = c
+	}
+	return c
+}
+
+// Snapshot is the report, under the names that operators know.
+type Snapshot struct {
+	Success         map[string]int64 `json:"success"`
+	Overload        map[string]int64 `json:"overload"`
+	Error           map[string]int64 `json:"error"`
+	Dispatches      map[string]int64 `json:"dispatches"`
+	Concurrent      int64            `json:"concurrent"`
+	Targets         int64            `json:"targets"`
+	TargetsDisabled int64            `json:"targets_disabled"`
+	ReloadSuccess   int64            `json:"reload_success"`
+	ReloadFailure   int64            `json:"reload_failure"`
+}
+
+// Snapshot reads all figures.
+func (m *Router) Snapshot() Snapshot {
+	s := Snapshot{Success: map[string]int64{}, Overload: map[string]int64{}, Error: map[string]int64{},
+		Dispatches: map[string]int64{}, Concurrent: m.Concurrent.Load(), Targets: m.Targets.Load(),
+		TargetsDisabled: m.TargetsDisabled.Load(), ReloadSuccess: m.Reloads.Load(), ReloadFailure: m.Refused.Load()}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for name, c := range m.classes {
+		s.Success[name], s.Overload[name] = c.ended[Success].Load(), c.ended[Overload].Load()
+		s.Error[name], s.Dispatches[name] = c.ended[Error].Load(), c.dispatches.Load()
+	}
+	return s
+}
+
+// JSON is the report as text.
+func (m *Router) JSON() ([]byte, error) { return json.Marshal(m.Snapshot()) }
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,57 @@
+package metrics
+
+import (
+	"encoding/json"
+	"reflect"
+	"sync"
+	"testing"
+)
+
+func TestReportHasTheOperatorsNames(t *testing.T) {
+	m := New()
+	c := m.Class("fetch")
+	c.Ended(Success)
+	c.Ended(Success)
+	c.Ended(Overload)
+	c.Ended(Error)
+	c.Dispatched()
+	m.Class("publish") // known, and nothing has happened yet
+	m.Concurrent.Store(14)
+	m.Targets.Store(12)
+	m.TargetsDisabled.Store(1)
+	m.Reloads.Store(3)
+	m.Refused.Store(2)
+	text, err := m.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, want any
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal([]byte(`{"success":{"fetch":2,"publish":0},"overload":{"fetch":1,"publish":0},
+		"error":{"fetch":1,"publish":0},"dispatches":{"fetch":1,"publish":0},"concurrent":14,"targets":12,
+		"targets_disabled":1,"reload_success":3,"reload_failure":2}`), &want); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %s", text)
+	}
+}
+
+func TestCountsFromManyGoroutinesAddUp(t *testing.T) {
+	m := New()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				m.Class("fetch").Ended(Success)
+				m.Snapshot()
+			}
+		})
+	}
+	wg.Wait()
+	if got := m.Snapshot().Success["fetch"]; got != 8000 {
+		t.Errorf("got %d, want 8000", got)
+	}
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
@@ -262,6 +264,7 @@
 			sl.answer([]byte("CLIENT_ERROR " + err.Error() + "\r\n"))
 			return true
 		case refuse: // many large writes at once must not cost the router its life
+			c.s.l.metrics.Class(cmd.class).Ended(metrics.Overload)
 			sl.answer(refused(0))
 		case cmd.verb == "mg" || cmd.verb == "ms":
 			c.s.l.post(func() { c.s.l.arrive(cmd, read, sl) })
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // parts is a router whose loop the test can look at.
@@ -15,7 +17,7 @@
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", list{})
 	cfg.Limits.MemoryMB = memoryMB
-	l, err := newLoop(cfg, newUpstreams(10*time.Second, time.Second, 100))
+	l, err := newLoop(cfg, newUpstreams(10*time.Second, time.Second, 100), metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 
+	"mossproxy.example/mossproxy/internal/admin"
 	"mossproxy.example/mossproxy/internal/settings"
 )
 
@@ -17,6 +18,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	AdminAddr string `json:"admin_addr"` // "" = no second address
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB int64 `json:"memory_mb"`
@@ -29,8 +31,9 @@
 	settings settings.Settings
 }
 
-// fdReserve is what the process holds beside connections: standard streams, the listener, the poller, discovery.
-const fdReserve = 32
+// fdReserve is what the process holds beside connections of clients and cache servers: standard streams, the listeners,
+// the poller, discovery, the second address.
+const fdReserve = 24 + admin.MaxConns
 
 // LoadConfig reads the configuration at path; getenv fills in what the file leaves out. An error is one line that
 // names the setting.
@@ -54,7 +57,13 @@
 			return nil, fmt.Errorf("%s: missing, and %s is not set", v.name, v.env)
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	if c.AdminAddr == "" {
+		c.AdminAddr = getenv("GW_ADMIN_ADDR")
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "admin_addr": c.AdminAddr} {
+		if name == "admin_addr" && addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %q is no host:port", name, addr)
 		}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // clock is one monotonic clock in milliseconds on which the starts of servers lie too: it counts from 1970 but steps
@@ -26,10 +27,12 @@
 	b          *decide.Balancer
 	up         *upstreams
 	disc       *discovery // the one that is heard
+	metrics    *metrics.Router
 	copies     bool
 	originKind string
 	maxTry     int
 	events     chan func()
+	urgent     chan func()   // goes before events: what operators ask for
 	done       chan struct{} // closed when the loop has ended: events no longer count
 	ctx        context.Context
 	timers     timerHeap
@@ -41,6 +44,7 @@
 	held       budget // bytes of the values of requests in hand
 	queued     budget // bytes of answers that no client has taken yet
 	targets    map[uint32]*target
+	names      names
 	ready      atomic.Bool // a list is held
 }
 
@@ -53,6 +57,7 @@
 	due   *timer // the last moment for an answer
 	over  bool   // has its final answer, or its client has gone
 	tries []*attempt
+	count *metrics.Class
 	out   int
 }
 
@@ -96,13 +101,14 @@
 // grace after a client's deadline within which the answer to a time-out at the deadline comes.
 const grace = 15
 
-func newLoop(cfg *Config, up *upstreams) (*loop, error) {
+func newLoop(cfg *Config, up *upstreams, m *metrics.Router) (*loop, error) {
 	s := cfg.settings.Config
-	l := &loop{clock: clock{time.Now()}, up: up, copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
+	l := &loop{clock: clock{time.Now()}, up: up, metrics: m, urgent: make(chan func(), 32), copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
 		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{},
 		classes: map[string]decide.Class{}}
 	for _, c := range s.Classes {
 		l.classes[c.Name] = c
+		m.Class(c.Name)
 	}
 	// A value is in memory up to three times, as it came and as it goes out.
 	l.held.limit, l.queued.limit = cfg.Limits.MemoryMB<<20/16, cfg.Limits.MemoryMB<<20/8
@@ -125,13 +131,22 @@
 	l.ctx = ctx
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
+	l.report()
 	for {
+		select {
+		case event := <-l.urgent:
+			event()
+			l.settle()
+		default:
+		}
 		if len(l.timers) > 0 {
 			alarm.Reset(time.Duration(max(0, l.timers[0].at-l.now()) * float64(time.Millisecond)))
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case event := <-l.urgent:
+			event()
 		case event := <-l.events:
 			event()
 		case <-alarm.C:
@@ -186,7 +201,8 @@
 	now := l.now()
 	// No client waits longer than its class allows: nor does the record of one that says so.
 	left := max(0, min(cmd.wait, l.classes[cmd.class].Deadline)-(now-read))
-	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s}
+	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s, count: l.metrics.Class(cmd.class)}
+	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
 	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
 		log.Printf("request %s: no answer by its deadline", r.cmd.id)
@@ -203,19 +219,26 @@
 	if r == nil || r.over {
 		return
 	}
-	l.finish(r, nil)
+	l.finish(r, nil, leftEarly)
 	l.b.Gone(l.now(), r.id)
 	for _, a := range r.tries { // where the Balancer cancels nothing, nobody waits all the same
 		a.cancel(l)
 	}
 }
 
+// leftEarly is the end of a request whose client has gone: it counts as none.
+const leftEarly metrics.End = -1
+
 // finish ends a request: the only place where one is answered, so none is answered twice.
-func (l *loop) finish(r *request, answer []byte) {
+func (l *loop) finish(r *request, answer []byte, how metrics.End) {
 	if r.over {
 		return
 	}
 	r.over = true
+	l.metrics.Concurrent.Add(-1)
+	if how != leftEarly {
+		r.count.Ended(how)
+	}
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
 	l.timers.stop(r.due)
@@ -242,7 +265,7 @@
 	r := a.r
 	r.out--
 	if got.status == decide.OK {
-		l.finish(r, served(&r.cmd, got.body))
+		l.finish(r, served(&r.cmd, got.body), metrics.Success)
 	}
 	l.forget(r)
 	now := l.now()
@@ -286,6 +309,7 @@
 			continue
 		}
 		entries, named[d.ID] = append(entries, d), true
+		l.names.add(e.ID, d.ID)
 		t := l.targets[d.ID]
 		if t == nil && d.State == decide.Ready {
 			entries = append(entries, l.replaced(d, e.Addr)...)
@@ -310,11 +334,27 @@
 		}
 	}
 	l.b.Servers(l.now(), kind, entries)
+	l.count()
 	if len(l.targets) > 0 {
 		l.ready.Store(true)
 	}
 }
 
+// reportEvery is how old the figures of servers get, in milliseconds.
+const reportEvery = 200
+
+// report keeps the figures of servers up to date.
+func (l *loop) report() {
+	l.count()
+	l.after(reportEvery, l.report)
+}
+
+func (l *loop) count() {
+	listed, avoided := l.b.Targets()
+	l.metrics.Targets.Store(int64(listed))
+	l.metrics.TargetsDisabled.Store(int64(avoided))
+}
+
 // replaced is the end of the servers that were at the address of a new one: it has come in their place, though the news
 // of their end may be late, and what is meant for them would reach it, cold as it is.
 func (l *loop) replaced(by decide.Entry, addr string) (gone []decide.Entry) {
@@ -367,7 +407,8 @@
 	a.due = l.after(left, func() { l.timeOut(a) })
 	go func() {
 		defer stop()
-		got := l.up.attempt(ctx, t, &r.cmd, left, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
+		got := l.up.attempt(ctx, t, &r.cmd, left,
+			func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) }, r.count.Dispatched)
 		l.post(func() { l.outcome(a, got) })
 	}()
 }
@@ -382,14 +423,14 @@
 // Refuse answers that trying again is harmless.
 func (l *loop) Refuse(id uint32, wait float64) {
 	if r := l.reqs[id]; r != nil {
-		l.finish(r, refused(wait))
+		l.finish(r, refused(wait), metrics.Overload)
 	}
 }
 
 // Fail answers with no promise.
 func (l *loop) Fail(id uint32) {
 	if r := l.reqs[id]; r != nil {
-		l.finish(r, failed())
+		l.finish(r, failed(), metrics.Error)
 	}
 }
 
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // A configuration that names another discovery: the list that is held serves until the new one tells the whole, the
@@ -54,7 +56,7 @@
 // An answer of the old discovery that is on its way when the new one is named is not heard.
 func TestLateAnswerOfTheOldDiscoveryIsPassedOver(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", list{})
-	l, err := newLoop(cfg, newUpstreams(time.Second, time.Second, 10))
+	l, err := newLoop(cfg, newUpstreams(time.Second, time.Second, 10), metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,31 +2,51 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"sync"
 	"time"
 
 	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
 const comeAfterStop = 500 * time.Millisecond
 
-// Serve is a router: it serves the clients of ln, which it closes, until ctx ends. Then it answers what it has taken
-// and returns nil. From a configuration that comes in updates it takes the address of discovery.
-func Serve(ctx context.Context, cfg *Config, ln net.Listener, updates <-chan *Config) error {
-	defer ln.Close()
-	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+// Router is one real router.
+type Router struct {
+	cfg     *Config
+	metrics *metrics.Router
+	up      *upstreams
+	l       *loop
+	s       *clients
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// New returns a router that serves the clients of ln, once it runs.
+func New(cfg *Config, ln net.Listener, m *metrics.Router) (*Router, error) {
 	sockets := cfg.Limits.Sockets - fdReserve
 	// Each attempt may hold a value of full length: all together a quarter of the memory.
 	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/maxValue))
-	up := newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), attempts)
-	l, err := newLoop(cfg, up)
-	if err != nil {
-		return err
+	r := &Router{cfg: cfg, metrics: m}
+	r.up = newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), attempts)
+	var err error
+	if r.l, err = newLoop(cfg, r.up, m); err != nil {
+		return nil, err
 	}
+	r.s = newClients(r.l, ln, sockets*11/20)
+	return r, nil
+}
 
+// Run serves until ctx ends, then answers what it has taken and returns nil. It closes the listener. From a
+// configuration that comes in updates it takes the address of discovery.
+func (r *Router) Run(ctx context.Context, updates <-chan *Config) error {
+	cfg, l, up, s := r.cfg, r.l, r.up, r.s
+	defer s.ln.Close()
 	work, stop := context.WithCancel(context.Background()) // outlives ctx: what was taken is still served
 	defer stop()
 	var wg sync.WaitGroup
@@ -36,13 +56,12 @@
 	wg.Go(func() { up.sweep(work) })
 	l.post(func() { l.list(decide.Remembered, cfg.Known) })
 	wg.Go(func() { l.discover(work, cfg, updates) })
-	s := newClients(l, ln, sockets*11/20)
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
-	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
+	log.Printf("%s: listening at %s", cfg.Name, s.ln.Addr())
 
 	<-ctx.Done()
 	time.Sleep(comeAfterStop)
-	ln.Close()
+	s.ln.Close()
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
 	for _, k := range cfg.settings.Config.Classes {
 		longest = max(longest, k.Deadline)
@@ -53,6 +72,49 @@
 	return nil
 }
 
+// The calls of operators, as the second address knows them. They may come from any goroutine, until Run returns.
+
+var errNotDone = errors.New("the router was too busy to do it in time")
+
+// Ready reports whether the router can serve.
+func (r *Router) Ready() bool { return r.l.ready.Load() && !r.s.draining.Load() }
+
+// Metrics is the report of the figures.
+func (r *Router) Metrics() ([]byte, error) { return r.metrics.JSON() }
+
+// SetDisabled leaves a cache server out, or puts it back.
+func (r *Router) SetDisabled(ctx context.Context, name string, disabled bool) error {
+	done := make(chan error, 1)
+	event := func() { done <- r.l.setDisabled(name, disabled) }
+	select {
+	case r.l.urgent <- event:
+	case <-ctx.Done():
+		return errNotDone
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errNotDone
+	}
+}
+
+// setDisabled carries out a call of the operators.
+func (l *loop) setDisabled(name string, disabled bool) error {
+	id, known := l.names.ids[name]
+	switch {
+	case !known:
+		return admin.ErrUnknown
+	case disabled:
+		l.b.Disable(l.now(), id)
+	default:
+		l.b.Enable(l.now(), id)
+	}
+	l.count()
+	log.Printf("cache server %s: disabled %t", name, disabled)
+	return nil
+}
+
 // discover follows the discovery that the configuration names, until ctx ends.
 func (l *loop) discover(ctx context.Context, cfg *Config, updates <-chan *Config) {
 	var wg sync.WaitGroup
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // Where the module may cancel, it gives up a read that takes some 15 ms at first: a slow machine would change verdicts.
@@ -246,6 +248,7 @@
 
 // running is a router under test.
 type running struct {
+	router  *Router
 	addr    string
 	stop    context.CancelFunc
 	done    chan error
@@ -274,11 +277,15 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	ln := listenLocal(t)
-	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), updates: make(chan *Config)}
+	router, err := New(cfg, ln, metrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &running{router: router, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), updates: make(chan *Config)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.done <- Serve(ctx, cfg, ln, r.updates)
+		r.done <- r.router.Run(ctx, r.updates)
 	}()
 	t.Cleanup(func() { stop(); <-ended })
 	return r
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -260,8 +260,8 @@
 }
 
 // attempt writes c to t once, never twice, and says how that ended. The end of ctx gives the attempt up by closing
-// its connection. begin is asked once, before the first byte: false calls the attempt off.
-func (u *upstreams) attempt(ctx context.Context, t *target, c *command, wait float64, begin func() bool) reply {
+// its connection. begin is asked once, before the first byte: false calls the attempt off. wrote is told of the last one.
+func (u *upstreams) attempt(ctx context.Context, t *target, c *command, wait float64, begin func() bool, wrote func()) reply {
 	a := reply{load: decide.NoLoad}
 	wire, read := c.append(nil, wait), readReply
 	if t.origin {
@@ -292,6 +292,7 @@
 		a.status = decide.ConnectError
 		return a
 	}
+	wrote()
 	err = conn.begun()
 	answered := err == nil
 	if answered {
