--- /dev/null
+++ b/decide/operate_test.go
@@ -0,0 +1,124 @@
+package decide
+
+import "testing"
+
+// homeOf is where a request of the key goes when nothing is wrong.
+func homeOf(t *testing.T, b *Balancer, h *fakeHost, now float64, id uint32, key uint64) uint32 {
+	t.Helper()
+	n := len(h.sends)
+	ask(b, now, id, "read", key)
+	if len(h.sends) != n+1 {
+		t.Fatalf("request %d was not sent", id)
+	}
+	b.Outcome(now+10, Outcome{ID: id, Server: h.last().server, Status: OK, Latency: 10, Final: true, Load: NoLoad})
+	return h.last().server
+}
+
+func TestDisabledServerGetsNothingWhateverTheListSays(t *testing.T) {
+	es := fleet(6)
+	b, h := start(t, testConfig(), es)
+	out := homeOf(t, b, h, 100000, 1, 77)
+	b.Disable(100100, out)
+	b.Disable(100100, out) // repeated calls are harmless
+	id, now := uint32(2), 100100.0
+	for _, news := range []func(){
+		func() {},
+		func() { b.Servers(now, Full, es) },
+		func() { b.Servers(now, Changes, []Entry{{ID: out, State: Gone}}) },
+		func() { b.Servers(now, Changes, []Entry{{ID: out, Size: 1, Started: now}}) }, // back under its id
+	} {
+		now += 1000
+		news()
+		for range 20 {
+			id++
+			if got := homeOf(t, b, h, now, id, 77); got == out {
+				t.Fatal("sent to a disabled server")
+			}
+		}
+	}
+	if listed, avoided := b.Targets(); listed != 6 || avoided != 1 {
+		t.Errorf("targets: got %d, %d avoided", listed, avoided)
+	}
+	b.Enable(now, out) // one call ends what two have begun
+	if _, avoided := b.Targets(); avoided != 0 {
+		t.Errorf("after the call back: %d avoided", avoided)
+	}
+	if got := homeOf(t, b, h, now+1000, id+1, 77); got != out {
+		t.Errorf("after the call back: sent to %d, want %d", got, out)
+	}
+}
+
+// With every server out by hand a request is refused at once: none goes to one that is left out as a last resort.
+func TestAllDisabledRefuses(t *testing.T) {
+	es := fleet(3)
+	b, h := start(t, testConfig(), es)
+	for _, e := range es {
+		b.Disable(100000, e.ID)
+	}
+	ask(b, 100001, 1, "read", 5)
+	if len(h.sends) != 0 || h.refused[1] != 1 {
+		t.Errorf("sent %d, refused %d", len(h.sends), h.refused[1])
+	}
+}
+
+// sent counts the requests that a server gets at one moment, of many that have their home there.
+func sentAtOnce(b *Balancer, h *fakeHost, now float64, id *uint32, key uint64, to uint32) (n int) {
+	was := len(h.sends)
+	for range 200 {
+		*id++
+		ask(b, now, *id, "read", key)
+	}
+	for _, s := range h.sends[was:] {
+		if s.server == to {
+			n++
+		}
+	}
+	return n
+}
+
+// A server that was out by hand was restarted meanwhile. Its cold budget holds also while the list has not said so yet,
+// and the list's word counts where there is one.
+func TestEnabledServerIsCold(t *testing.T) {
+	cfg := testConfig()
+	for _, told := range []bool{false, true} {
+		es := fleet(6)
+		b, h := start(t, cfg, es)
+		out := homeOf(t, b, h, 100000, 1, 77)
+		id := uint32(10)
+		b.Disable(101000, out)
+		now := 101000 + 2*cfg.Cold
+		if told { // it came back as soon as it was out, and is warm by now
+			e := *b.servers[out]
+			e.Started = 101001
+			b.Servers(102000, Changes, []Entry{e.Entry})
+		}
+		b.Enable(now, out)
+		got := sentAtOnce(b, h, now+1000, &id, 77, out)
+		if cold := now < b.servers[out].fresh+cfg.Cold; cold == told {
+			t.Errorf("told %t: cold %t", told, cold)
+		}
+		if !told && (got < 1 || got > 20) {
+			t.Errorf("%d of 200 requests at once at a server that may be cold", got)
+		}
+	}
+}
+
+func TestDisabledServerIsNotProbed(t *testing.T) {
+	cfg := testConfig()
+	cfg.ByProbe, cfg.Probes = true, true
+	es := fleet(2)
+	b, h := start(t, cfg, es)
+	b.Disable(100000, es[0].ID)
+	b.probes = 4
+	for i := range 20 {
+		b.Timer(100000+float64(i)*500, tickToken)
+	}
+	if len(h.probes) == 0 {
+		t.Error("the other server was not probed")
+	}
+	for _, p := range h.probes {
+		if p == es[0].ID {
+			t.Fatal("a disabled server was probed")
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,21 +21,18 @@
 
 // Class holds the counts of one class. They only grow, as readers take differences.
 type Class struct {
-	ended      [ends]atomic.Int64
-	dispatches atomic.Int64
+	ended [ends]atomic.Int64
 }
 
 // Ended counts the end of a request.
 func (c *Class) Ended(how End) { c.ended[how].Add(1) }
 
-// Dispatched counts an attempt that was written whole.
-func (c *Class) Dispatched() { c.dispatches.Add(1) }
-
 // Router holds the figures of one process. Every count starts at 0 with it.
 type Router struct {
 	mu      sync.RWMutex
 	classes map[string]*Class // also those that a reload has dropped: what they counted is not undone
 
+	Dispatches       atomic.Int64 // attempts written whole
 	Concurrent       atomic.Int64 // requests taken and not ended
 	Targets          atomic.Int64 // cache servers in the list
 	TargetsDisabled  atomic.Int64 // and those of them that are avoided
@@ -68,7 +65,7 @@
 	Success         map[string]int64 `json:"success"`
 	Overload        map[string]int64 `json:"overload"`
 	Error           map[string]int64 `json:"error"`
-	Dispatches      map[string]int64 `json:"dispatches"`
+	Dispatches      int64            `json:"dispatches"`
 	Concurrent      int64            `json:"concurrent"`
 	Targets         int64            `json:"targets"`
 	TargetsDisabled int64            `json:"targets_disabled"`
@@ -79,13 +76,13 @@
 // Snapshot reads all figures.
 func (m *Router) Snapshot() Snapshot {
 	s := Snapshot{Success: map[string]int64{}, Overload: map[string]int64{}, Error: map[string]int64{},
-		Dispatches: map[string]int64{}, Concurrent: m.Concurrent.Load(), Targets: m.Targets.Load(),
+		Dispatches: m.Dispatches.Load(), Concurrent: m.Concurrent.Load(), Targets: m.Targets.Load(),
 		TargetsDisabled: m.TargetsDisabled.Load(), ReloadSuccess: m.Reloads.Load(), ReloadFailure: m.Refused.Load()}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	for name, c := range m.classes {
 		s.Success[name], s.Overload[name] = c.ended[Success].Load(), c.ended[Overload].Load()
-		s.Error[name], s.Dispatches[name] = c.ended[Error].Load(), c.dispatches.Load()
+		s.Error[name] = c.ended[Error].Load()
 	}
 	return s
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -14,7 +14,7 @@
 	c.Ended(Success)
 	c.Ended(Overload)
 	c.Ended(Error)
-	c.Dispatched()
+	m.Dispatches.Add(5)
 	m.Class("publish") // known, and nothing has happened yet
 	m.Concurrent.Store(14)
 	m.Targets.Store(12)
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	if err := json.Unmarshal([]byte(`{"success":{"fetch":2,"publish":0},"overload":{"fetch":1,"publish":0},
-		"error":{"fetch":1,"publish":0},"dispatches":{"fetch":1,"publish":0},"concurrent":14,"targets":12,
+		"error":{"fetch":1,"publish":0},"dispatches":5,"concurrent":14,"targets":12,
 		"targets_disabled":1,"reload_success":3,"reload_failure":2}`), &want); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -408,7 +408,7 @@
 	go func() {
 		defer stop()
 		got := l.up.attempt(ctx, t, &r.cmd, left,
-			func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) }, r.count.Dispatched)
+			func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) }, func() { l.metrics.Dispatches.Add(1) })
 		l.post(func() { l.outcome(a, got) })
 	}()
 }
--- /dev/null
+++ b/internal/router/operate_test.go
@@ -0,0 +1,108 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/metrics"
+)
+
+func (r *running) figures(t *testing.T) (s metrics.Snapshot) {
+	t.Helper()
+	text, err := r.router.Metrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestFiguresCountEachEndOnce(t *testing.T) {
+	a, o := startFake(t, func(line string) string {
+		return map[string]string{"a": hit(line), "b": "SERVER_ERROR failed\r\n"}[idOf(line)[:1]]
+	}), startFake(t, func(string) string { return httpAnswer("500 Internal Server Error", "") })
+	r, _ := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	for i := range 3 {
+		c.ask(read(fmt.Sprint("a", i), 5000))
+	}
+	if got := c.ask(bill("w", 5000)); got != "SERVER_ERROR failed" {
+		t.Fatalf("got %q", got)
+	}
+	if err := r.router.SetDisabled(t.Context(), "s-0000000b", true); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.ask(read("a9", 5000)); got != "SERVER_ERROR busy" {
+		t.Fatalf("with its only server out: got %q", got)
+	}
+	s := r.figures(t)
+	if s.Success["read"] != 3 || s.Overload["read"] != 1 || s.Error["read"] != 0 || s.Error["bill"] != 1 ||
+		s.Dispatches != 4 || s.Concurrent != 0 || s.Targets != 2 || s.TargetsDisabled != 1 {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestDisableOverTheList(t *testing.T) {
+	a, o := startFake(t, hit), startFake(t, originOK)
+	r, d := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+	if err := r.router.SetDisabled(t.Context(), "s-000000bb", true); !errors.Is(err, admin.ErrUnknown) {
+		t.Errorf("an id that was never listed: got %v", err)
+	}
+	if err := r.router.SetDisabled(t.Context(), "x-0000000b", true); !errors.Is(err, admin.ErrUnknown) {
+		t.Errorf("an id that only ends like a listed one: got %v", err)
+	}
+	if err := r.router.SetDisabled(t.Context(), "s-0000000b", true); err != nil {
+		t.Fatal(err)
+	}
+	d.change(box("s-0000000b", a.addr))
+	next(t, d.calls, "watch")
+	c := dial(t, r.addr)
+	if got := c.ask(read("a1", 5000)); got != "SERVER_ERROR busy" {
+		t.Errorf("got %q", got)
+	}
+	if err := r.router.SetDisabled(t.Context(), "s-0000000b", false); err != nil {
+		t.Fatal(err)
+	}
+	for i := 2; ; i++ { // at first its cold budget may have no room
+		if got := c.ask(read(fmt.Sprint("a", i), 5000)); got == fmt.Sprintf("VA 5 Oa%d hello", i) {
+			break
+		} else if got != "SERVER_ERROR busy" {
+			t.Fatalf("after the call back: got %q", got)
+		}
+	}
+}
+
+// A call that the loop has no time for is answered all the same.
+func TestCallToABusyLoop(t *testing.T) {
+	r, err := New(testConfig(t, "127.0.0.1:1", list{}), listenLocal(t), metrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := r.SetDisabled(ctx, "s-0000000b", true); !errors.Is(err, errNotDone) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestForgottenIDsAreTheOldest(t *testing.T) {
+	var n names
+	n.add("first", 1)
+	for i := range maxNames - 1 {
+		n.add(fmt.Sprint("s-", i), uint32(i))
+	}
+	n.add("first", 1) // listed again
+	n.add("one more", 2)
+	if len(n.ids) != maxNames || n.ids["first"] != 1 || n.ids["one more"] != 2 {
+		t.Errorf("%d ids", len(n.ids))
+	}
+	if _, kept := n.ids["s-0"]; kept {
+		t.Error("the one that was listed longest ago is kept")
+	}
+}
