--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -81,7 +81,6 @@
 			log.Printf("SIGHUP: the configuration is kept: %v", err)
 			continue
 		}
-		m.Reloads.Add(1)
 		select {
 		case updates <- cfg:
 		case <-ctx.Done():
--- a/decide/api.go
+++ b/decide/api.go
@@ -177,8 +177,16 @@
 	Log(text string)
 }
 
-// validate reports the first setting that is missing or impossible.
-func (c *Config) validate() error {
+// ClassNames lists the classes.
+func (c *Config) ClassNames() (names []string) {
+	for _, k := range c.Classes {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
+// Validate reports the first setting that is missing or impossible.
+func (c *Config) Validate() error {
 	bad := func(name string, v any) error { return fmt.Errorf("decide: setting %s: impossible value %v", name, v) }
 	pos := func(v float64) bool { return v > 0 && !math.IsInf(v, 1) }
 	nonneg := func(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
@@ -242,22 +250,31 @@
 
 // New returns a Balancer for the settings, or an error that names the setting that is missing or impossible.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.validate(); err != nil {
+	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 1)), began: -1,
 		spare: 10, fetches: min(8, 32/float64(cfg.Routers)), bear: 0.2, keep: cfg.ConnIdle,
 		portion: 1 / float64(cfg.Routers),
-		turn:    int(seed % 4096), watchAt: math.Inf(1), classes: map[string]*Class{}, quota: map[string]float64{},
+		turn:    int(seed % 4096), watchAt: math.Inf(1),
 		used: map[string]*rate{}, servers: map[uint32]*server{}, bans: map[uint32]float64{}, keys: map[uint64]*flow{},
 		reqs: map[uint32]*request{}}
+	b.take(cfg)
+	return b, nil
+}
+
+// take has requests that arrive from now on come under the settings.
+func (b *Balancer) take(cfg Config) {
+	b.cfg, b.maxWorth = cfg, 0
+	b.classes, b.quota = map[string]*Class{}, map[string]float64{}
 	for i, c := range cfg.Classes {
 		b.classes[c.Name], b.maxWorth = &cfg.Classes[i], max(b.maxWorth, c.Worth)
 	}
 	for _, t := range cfg.Tenants {
-		b.quota[t.Name], b.used[t.Name] = t.Quota, &rate{}
+		if b.quota[t.Name] = t.Quota; b.used[t.Name] == nil {
+			b.used[t.Name] = &rate{}
+		}
 	}
-	return b, nil
 }
 
 func (b *Balancer) begin(now float64) {
@@ -307,7 +324,7 @@
 		b.host.Fail(q.ID)
 		return
 	}
-	r := &request{Request: q, class: c, until: now + q.Left, worth: c.Worth, work: b.workOf(q.Hint), key: b.flow(q)}
+	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts, until: now + q.Left, worth: c.Worth, work: b.workOf(q.Hint), key: b.flow(q)}
 	r.aim = now + min(q.Left, c.Aim+c.Stretch*q.Hint)
 	b.reqs[q.ID] = r
 	b.arrive(r)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -330,7 +330,7 @@
 			return false
 		}
 	}
-	return len(r.tries) < b.cfg.MaxAttempts && (r.out == 0 || b.cfg.Copies)
+	return len(r.tries) < r.most && (r.out == 0 || b.cfg.Copies)
 }
 
 func (b *Balancer) mayRefuse(r *request) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -91,7 +91,7 @@
 
 // read is a request for a key that has time and worth to spare.
 func read(b *Balancer, k *flow) *request {
-	return &request{class: &b.cfg.Classes[0], key: k, work: 1, worth: 1, until: b.now + 600, aim: b.now + 300}
+	return &request{most: b.cfg.MaxAttempts, class: &b.cfg.Classes[0], key: k, work: 1, worth: 1, until: b.now + 600, aim: b.now + 300}
 }
 
 func ask(b *Balancer, now float64, id uint32, class string, key uint64) {
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -1,5 +1,7 @@
 package decide
 
+import "errors"
+
 // What operators ask of a running router. They may ask at any time, and what they ask for holds whatever the list says.
 
 // open says whether new work may go to a server, as far as the list and the operators are concerned.
@@ -44,15 +46,32 @@
 	s.doubt, s.fails, s.pause = 0, b.usual, 0
 }
 
-// Targets counts the servers on the list, and those of them that are left out, by hand, by the list or by choice.
+// Targets counts the servers on the list, and those of them that are avoided, by hand or by choice: what the list takes out is no choice.
 func (b *Balancer) Targets() (listed, avoided int) {
 	for _, s := range b.servers {
 		if !s.listed {
 			continue
 		}
-		if listed++; !s.open() || s.ejected {
+		if listed++; s.banned || s.ejected && s.State == Ready {
 			avoided++
 		}
 	}
 	return listed, avoided
 }
+
+// Reconfigure takes new settings, or returns an error and changes nothing. Requests that have arrived keep the class and
+// the number of attempts that they arrived under.
+func (b *Balancer) Reconfigure(now float64, cfg Config) error {
+	b.begin(now)
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	// All that was learnt rests on these.
+	if cfg.Aside != b.cfg.Aside || cfg.OriginKind != b.cfg.OriginKind || cfg.AskList != b.cfg.AskList {
+		return errors.New("decide: settings Aside, OriginKind and AskList can't change while a router runs")
+	}
+	b.take(cfg)
+	b.keep, b.dirty = cfg.ConnIdle, true
+	b.pump()
+	return nil
+}
--- a/decide/operate_test.go
+++ b/decide/operate_test.go
@@ -122,3 +122,60 @@
 		}
 	}
 }
+
+// What has arrived keeps its rules; what arrives later comes under the new ones.
+func TestReconfigure(t *testing.T) {
+	cfg := testConfig()
+	cfg.MaxAttempts = 3
+	b, h := start(t, cfg, fleet(6))
+	b.spare = 20
+	ask(b, 100000, 1, "read", 77)
+	next := cfg
+	next.MaxAttempts = 1
+	next.Classes = []Class{{Name: "read", Effect: Once, Aim: 300, Deadline: 600, Worth: 1}, {Name: "new", Aim: 300, Deadline: 600, Worth: 1}}
+	if err := b.Reconfigure(100010, next); err != nil {
+		t.Fatal(err)
+	}
+	ask(b, 100020, 2, "read", 78)
+	for id, more := range map[uint32]int{1: 1, 2: 0} {
+		n := len(h.sends)
+		server := h.sends[id-1].server
+		b.Outcome(100030, Outcome{ID: id, Server: server, Status: Failed, Latency: 10, Load: NoLoad})
+		if got := len(h.sends) - n; got != more {
+			t.Errorf("request %d: %d more attempts, want %d", id, got, more)
+		}
+	}
+	if h.failed[2] != 1 || h.refused[2] != 0 {
+		t.Errorf("a write that may have run: failed %d, refused %d", h.failed[2], h.refused[2])
+	}
+	ask(b, 100040, 3, "dear", 79) // dropped
+	if h.failed[3] != 1 {
+		t.Error("a class that was dropped was served")
+	}
+	ask(b, 100050, 4, "new", 80)
+	if h.answers(4) != 0 {
+		t.Error("a new class was not served")
+	}
+}
+
+func TestBadReconfigurationChangesNothing(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	for _, spoil := range []func(*Config){
+		func(c *Config) { c.MaxAttempts = 0 },
+		func(c *Config) { c.Classes = nil },
+		func(c *Config) { c.Classes = []Class{{Name: "read", Aim: 300, Worth: 1}} },
+		func(c *Config) { c.Aside, c.OriginKind = true, "origin" },
+	} {
+		cfg := testConfig()
+		cfg.Classes = append(cfg.Classes, Class{Name: "new", Aim: 300, Deadline: 600, Worth: 1})
+		spoil(&cfg)
+		if b.Reconfigure(100000, cfg) == nil {
+			t.Errorf("taken: %+v", cfg)
+		}
+	}
+	ask(b, 100001, 1, "new", 5)
+	ask(b, 100001, 2, "dear", 5)
+	if h.failed[1] != 1 || h.answers(2) != 0 {
+		t.Error("something of a bad configuration was taken")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -130,7 +130,8 @@
 // request is a request of a client until its answer is given and its attempts are back.
 type request struct {
 	Request
-	class       *Class
+	class       *Class // as it was when the request arrived,
+	most        int    // and how many attempts it may have
 	key         *flow
 	until, aim  float64 // when the client leaves, and when the answer loses its worth
 	work, worth float64
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -27,6 +27,7 @@
 	Known    list            `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	text     []byte // the file
 	seed     uint64
 	settings settings.Settings
 }
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c := new(Config)
+	c := &Config{text: text}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
@@ -83,5 +84,25 @@
 	if c.settings, err = settings.Parse(c.Settings); err != nil {
 		return nil, err
 	}
+	if err := c.settings.Config.Validate(); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
+
+// replaces tells why a configuration can't take the place of another while the router runs.
+func (c *Config) replaces(old *Config) error {
+	key, err := settings.Lost(old.text, c.text, "known") // the list may be any
+	switch {
+	case err != nil:
+		return fmt.Errorf("GW_CONFIG: %w", err)
+	case key != "":
+		return fmt.Errorf("%s: missing", key)
+	}
+	for _, v := range []struct{ name, was, is string }{{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}} {
+		if v.was != v.is {
+			return fmt.Errorf("%s: changes from %q to %q, which takes a restart", v.name, v.was, v.is)
+		}
+	}
+	return nil
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -28,9 +28,8 @@
 	up         *upstreams
 	disc       *discovery // the one that is heard
 	metrics    *metrics.Router
-	copies     bool
 	originKind string
-	maxTry     int
+	rules      atomic.Pointer[rules] // what requests that arrive now come under
 	events     chan func()
 	urgent     chan func()   // goes before events: what operators ask for
 	done       chan struct{} // closed when the loop has ended: events no longer count
@@ -40,9 +39,8 @@
 	reqs       map[uint32]*request
 	lastID     uint32
 	open       map[string]*request // those that are not answered, by their client's id
-	classes    map[string]decide.Class
-	held       budget // bytes of the values of requests in hand
-	queued     budget // bytes of answers that no client has taken yet
+	held       budget              // bytes of the values of requests in hand
+	queued     budget              // bytes of answers that no client has taken yet
 	targets    map[uint32]*target
 	names      names
 	ready      atomic.Bool // a list is held
@@ -57,7 +55,9 @@
 	due   *timer // the last moment for an answer
 	over  bool   // has its final answer, or its client has gone
 	tries []*attempt
-	count *metrics.Class
+	rule  *rule
+	most  int  // attempts, and
+	two   bool // whether two may be out at once: as the settings were on arrival
 	out   int
 }
 
@@ -98,18 +98,45 @@
 func (b *budget) add(n int)  { b.used.Add(int64(n)) }
 func (b *budget) give(n int) { b.used.Add(-int64(n)) }
 
+// rules are what the settings say of requests. They are replaced as a whole.
+type rules struct {
+	classes map[string]*rule
+	most    int
+	copies  bool
+}
+
+// rule is what the settings say of a class, and its counts.
+type rule struct {
+	decide.Class
+	count *metrics.Class
+}
+
+func newRules(s decide.Config, m *metrics.Router) *rules {
+	r := &rules{classes: map[string]*rule{}, most: s.MaxAttempts, copies: s.Copies}
+	for _, c := range s.Classes {
+		r.classes[c.Name] = &rule{c, m.Class(c.Name)}
+	}
+	return r
+}
+
+// reconfigure takes the settings of a new configuration, or tells why not.
+func (l *loop) reconfigure(cfg *Config) error {
+	if err := l.b.Reconfigure(l.now(), cfg.settings.Config); err != nil {
+		return err
+	}
+	l.rules.Store(newRules(cfg.settings.Config, l.metrics))
+	l.up.retime(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout))
+	return nil
+}
+
 // grace after a client's deadline within which the answer to a time-out at the deadline comes.
 const grace = 15
 
 func newLoop(cfg *Config, up *upstreams, m *metrics.Router) (*loop, error) {
 	s := cfg.settings.Config
-	l := &loop{clock: clock{time.Now()}, up: up, metrics: m, urgent: make(chan func(), 32), copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
-		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{},
-		classes: map[string]decide.Class{}}
-	for _, c := range s.Classes {
-		l.classes[c.Name] = c
-		m.Class(c.Name)
-	}
+	l := &loop{clock: clock{time.Now()}, up: up, metrics: m, urgent: make(chan func(), 32), originKind: s.OriginKind, events: make(chan func(), 1024),
+		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{}}
+	l.rules.Store(newRules(s, m))
 	// A value is in memory up to three times, as it came and as it goes out.
 	l.held.limit, l.queued.limit = cfg.Limits.MemoryMB<<20/16, cfg.Limits.MemoryMB<<20/8
 	var err error
@@ -173,9 +200,9 @@
 	if cmd.verb != "mg" && cmd.verb != "ms" {
 		return nil
 	}
-	c, ok := l.classes[cmd.class]
+	c := l.rules.Load().classes[cmd.class]
 	switch {
-	case !ok:
+	case c == nil:
 		return malformed("class %.40q", cmd.class)
 	case c.Effect == decide.Keyed && cmd.idem == "":
 		return malformed("class %s takes k", cmd.class)
@@ -196,12 +223,19 @@
 		s.answer([]byte("CLIENT_ERROR the id of an open request\r\n"))
 		return
 	}
+	rules := l.rules.Load()
+	rule := rules.classes[cmd.class]
+	if rule == nil || rule.Effect == decide.Keyed && cmd.idem == "" { // the settings have just changed
+		l.held.give(cmd.length)
+		s.answer([]byte("CLIENT_ERROR the class has changed\r\n"))
+		return
+	}
 	for l.lastID++; l.reqs[l.lastID] != nil; l.lastID++ { // ids are reused after 2^32 requests
 	}
 	now := l.now()
 	// No client waits longer than its class allows: nor does the record of one that says so.
-	left := max(0, min(cmd.wait, l.classes[cmd.class].Deadline)-(now-read))
-	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s, count: l.metrics.Class(cmd.class)}
+	left := max(0, min(cmd.wait, rule.Deadline)-(now-read))
+	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s, rule: rule, most: rules.most, two: rules.copies}
 	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
 	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
@@ -237,7 +271,7 @@
 	r.over = true
 	l.metrics.Concurrent.Add(-1)
 	if how != leftEarly {
-		r.count.Ended(how)
+		r.rule.count.Ended(how)
 	}
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
@@ -400,7 +434,7 @@
 	a.stop = stop
 	r.tries, r.out = append(r.tries, a), r.out+1
 	t := l.targets[server]
-	if r.over || t == nil || left <= 0 || a.n >= l.maxTry || !l.copies && r.out > 1 {
+	if r.over || t == nil || left <= 0 || a.n >= r.most || !r.two && r.out > 1 {
 		l.later = append(l.later, func() { l.outcome(a, ends(decide.Ignored)) })
 		return
 	}
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -74,3 +76,70 @@
 		t.Error("the new discovery is not heard")
 	}
 }
+
+// retuned is the test configuration with a part of its text replaced.
+func retuned(t *testing.T, cfg *Config, from, to string) *Config {
+	t.Helper()
+	text := strings.Replace(string(cfg.text), from, to, 1)
+	if text == string(cfg.text) {
+		t.Fatalf("%s: not in the configuration", from)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := LoadConfig(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+func (r *running) reloads(t *testing.T) [2]int64 {
+	s := r.figures(t)
+	return [2]int64{s.ReloadSuccess, s.ReloadFailure}
+}
+
+func TestNewClassesAtReload(t *testing.T) {
+	a, o := startFake(t, hit), startFake(t, originOK)
+	d := startDirectory(t, full(box("s-0000000b", a.addr), originAt(o.addr)))
+	cfg := testConfig(t, d.Listener.Addr().String(), list{})
+	r := start(t, cfg)
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+	other := strings.Replace(read("a1", 5000), "c=read", "c=fetch", 1)
+	bad := retuned(t, cfg, `"name":"n0"`, `"name":"n1"`)
+	good := retuned(t, cfg, `"name":"read"`, `"name":"fetch"`)
+	r.updates <- bad
+	r.updates <- retuned(t, cfg, `"hardLimit":2000,"gain":1}`, `"hardLimit":2000,"gain":1}`+" ") // nothing new
+	if got := c.ask(read("a0", 5000)); got != "VA 5 Oa0 hello" {
+		t.Errorf("before: got %q", got)
+	}
+	r.updates <- good
+	r.updates <- good // the one before has been carried out
+	if got := c.ask(other); got != "VA 5 Oa1 hello" {
+		t.Errorf("a new class: got %q", got)
+	}
+	if got := c.ask(read("a2", 5000)); !strings.HasPrefix(got, "CLIENT_ERROR") {
+		t.Errorf("a class that was dropped: got %q", got)
+	}
+	r.updates <- bad
+	if got := r.reloads(t); got[0] < 2 || got[1] < 1 {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestFileThatLacksAKeyReplacesNothing(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", list{})
+	for text, key := range map[string]string{`"connIdle":10000,`: "settings.caps.connIdle", `"cancel":false,`: "settings.caps.cancel",
+		`"weights":"nominal",`: "settings.weights", `"cores":1,`: "limits.cores"} {
+		got := retuned(t, cfg, text, "")
+		if err := got.replaces(cfg); err == nil || err.Error() != key+": missing" {
+			t.Errorf("without %s: got %v", key, err)
+		}
+	}
+	if err := cfg.replaces(cfg); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,7 +63,7 @@
 	time.Sleep(comeAfterStop)
 	s.ln.Close()
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
-	for _, k := range cfg.settings.Config.Classes {
+	for _, k := range l.rules.Load().classes {
 		longest = max(longest, k.Deadline)
 	}
 	end, cancel := context.WithTimeout(context.Background(), ms(longest))
@@ -124,21 +124,44 @@
 		d := l.newSource(cfg)
 		l.post(func() { l.follow(d) }) // before anything that it tells
 		wg.Go(func() { d.run(life) })
-		next := cfg
-		for next == cfg || next.Discovery == cfg.Discovery {
+		from, next := cfg.Discovery, cfg
+		for ; next.Discovery == from; cfg = next {
 			select {
 			case <-ctx.Done():
 				end()
 				return
-			case next = <-updates:
-				log.Printf("SIGHUP: discovery at %s", next.Discovery)
+			case offer := <-updates:
+				if l.adopt(ctx, cfg, offer) {
+					next = offer
+				}
 			}
 		}
 		end() // the old watch
-		cfg = next
 	}
 }
 
+// adopt takes a new configuration whole or turns it down whole, and counts which.
+func (l *loop) adopt(ctx context.Context, old, cfg *Config) bool {
+	err := cfg.replaces(old)
+	if err == nil {
+		done := make(chan error, 1)
+		l.post(func() { done <- l.reconfigure(cfg) })
+		select {
+		case err = <-done:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if err != nil {
+		l.metrics.Refused.Add(1)
+		log.Printf("SIGHUP: the configuration is kept: %v", err)
+		return false
+	}
+	l.metrics.Reloads.Add(1)
+	log.Printf("SIGHUP: discovery at %s, classes %s", cfg.Discovery, cfg.settings.Config.ClassNames())
+	return true
+}
+
 // newSource is the discovery of a configuration. It is heard while the loop follows it: an answer of one before it
 // that is still on its way is older than what the new one tells, and counts for nothing.
 func (l *loop) newSource(cfg *Config) *discovery {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -84,11 +84,18 @@
 
 func newUpstreams(connIdle, connectTimeout time.Duration, limit int) *upstreams {
 	u := &upstreams{limit: limit, targets: map[*target]struct{}{}}
-	u.dialer.Timeout = connectTimeout
 	u.dialer.KeepAlive = -1
+	u.retime(connIdle, connectTimeout)
+	return u
+}
+
+// retime sets how long connections may stand idle at a server, and how long one may take to come up.
+func (u *upstreams) retime(connIdle, connectTimeout time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dialer.Timeout = connectTimeout
 	// A request written to a connection that the server has just closed ends as a reset: be well ahead of it.
 	u.maxIdle = connIdle - min(connIdle/4, time.Second)
-	return u
 }
 
 func (u *upstreams) add(addr string, origin bool) *target {
@@ -216,8 +223,9 @@
 		return nil, errNoSocket
 	}
 	u.open++
+	dialer := u.dialer
 	u.mu.Unlock()
-	c, err := u.dialer.DialContext(ctx, "tcp", t.addr)
+	c, err := dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,145 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Every settings object holds these keys. Where one is missing, a zero would stand in for it and might pass for a value.
+var (
+	needed      = []string{"balancers", "myNumber", "categories", "caps", "rules"}
+	neededCaps  = []string{"maxAttempts"}
+	neededRules = []string{"cold", "coldFrom", "overloadFactor", "overloadFor"}
+	neededClass = []string{"name", "effect", "target", "hardLimit", "gain"}
+	neededKeyed = []string{"window", "keyScope"}
+)
+
+// checkKeys names the first key that a settings object lacks.
+func checkKeys(text []byte) error {
+	var s struct {
+		Categories []map[string]json.RawMessage
+		Caps       map[string]json.RawMessage
+		Rules      map[string]json.RawMessage
+	}
+	var top map[string]json.RawMessage
+	if err := json.Unmarshal(text, &top); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	lacks := func(at string, o map[string]json.RawMessage, keys []string) error {
+		for _, k := range keys {
+			if v, ok := o[k]; !ok || string(v) == "null" {
+				return fmt.Errorf("settings: %s%s: missing", at, k)
+			}
+		}
+		return nil
+	}
+	if err := lacks("", top, needed); err != nil {
+		return err
+	}
+	if err := lacks("caps.", s.Caps, neededCaps); err != nil {
+		return err
+	}
+	if err := lacks("rules.", s.Rules, neededRules); err != nil {
+		return err
+	}
+	for i, c := range s.Categories {
+		keys := neededClass
+		if string(c["effect"]) == `"by_key"` {
+			keys = slices.Concat(neededClass, neededKeyed)
+		}
+		if err := lacks(fmt.Sprintf("categories[%d].", i), c, keys); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Lost names the first key that one JSON object holds and a later form of it lacks, as "limits.memory_mb", or returns
+// "" where there is none. Of a list of objects, the later ones must each have what all of the earlier ones had. Inside the
+// keys named as data, anything may differ.
+func Lost(was, is []byte, data ...string) (string, error) {
+	var a, b any
+	if err := json.Unmarshal(was, &a); err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(is, &b); err != nil {
+		return "", err
+	}
+	return lost("", a, b, data), nil
+}
+
+func lost(at string, was, is any, data []string) string {
+	if slices.Contains(data, at) {
+		return ""
+	}
+	switch was := was.(type) {
+	case map[string]any:
+		is, ok := is.(map[string]any)
+		if !ok {
+			return at
+		}
+		keys := make([]string, 0, len(was))
+		for k := range was {
+			keys = append(keys, k)
+		}
+		slices.Sort(keys) // the same message every time
+		for _, k := range keys {
+			name := k
+			if at != "" {
+				name = at + "." + k
+			}
+			v, ok := is[k]
+			if !ok {
+				return name
+			}
+			if l := lost(name, was[k], v, data); l != "" {
+				return l
+			}
+		}
+	case []any:
+		is, ok := is.([]any)
+		if !ok {
+			return at
+		}
+		common := shared(was)
+		if common == nil {
+			return ""
+		}
+		for i, v := range is {
+			if l := lost(fmt.Sprintf("%s[%d]", at, i), common, v, data); l != "" {
+				return l
+			}
+		}
+	}
+	return ""
+}
+
+// shared holds the keys that all objects of a list have; nil where it holds anything else, or nothing.
+func shared(list []any) any {
+	var common map[string]any
+	for i, v := range list {
+		o, ok := v.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			common = map[string]any{}
+			for k := range o {
+				common[k] = nil // of what is inside, nothing is asked
+			}
+		}
+		for k := range common {
+			if _, ok := o[k]; !ok {
+				delete(common, k)
+			}
+		}
+	}
+	if common == nil {
+		return nil
+	}
+	return common
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,9 @@
 
 // Parse reads the settings of one instance.
 func Parse(text []byte) (Settings, error) {
+	if err := checkKeys(text); err != nil {
+		return Settings{}, err
+	}
 	var s object
 	if err := json.Unmarshal(text, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
@@ -86,7 +89,12 @@
 		}
 		c.OriginKind = s.Kinds[*k]
 	}
+	seen := map[string]bool{}
 	for _, k := range s.Categories {
+		if seen[k.Name] {
+			return Settings{}, fmt.Errorf("settings: categories[%s]: named twice", k.Name)
+		}
+		seen[k.Name] = true
 		e, ok := effects[k.Effect]
 		if !ok {
 			return Settings{}, fmt.Errorf("settings: categories[%s].effect: unknown value %q", k.Name, k.Effect)
