--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -11,9 +12,12 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/handover"
 	"mossproxy.example/mossproxy/internal/metrics"
 	"mossproxy.example/mossproxy/internal/router"
 )
@@ -38,34 +42,94 @@
 	}
 	log.SetFlags(log.Lmicroseconds)
 	runtime.GOMAXPROCS(1) // the router has one core, which it may share
-	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
+	share := func(processes int) { debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10 / int64(processes)) }
+	share(1)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	m := metrics.New()
-	r, err := router.New(cfg, ln, m)
-	if err != nil {
-		return err
-	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	alive, end := context.WithCancel(context.Background()) // the second address answers as long as the router works
 	defer end()
+	m := metrics.New()
+	front := &front{metrics: m}
 	if cfg.AdminAddr != "" {
 		second, err := net.Listen("tcp", cfg.AdminAddr)
 		if err != nil {
 			return fmt.Errorf("admin_addr: %w", err)
 		}
-		wg.Go(func() { admin.Serve(alive, second, r) })
+		wg.Go(func() { admin.Serve(alive, second, front) })
+	}
+
+	// The process that serves already hands its socket over; where there is none, or it does not, the address is bound.
+	dir := os.TempDir()
+	share(2) // until it is known that there is no other process
+	link, ln, state, err := handover.Join(ctx, dir, cfg.Listen)
+	if err != nil {
+		log.Printf("starting alone: %v", err)
+		if ln, err = bind(ctx, cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	share(1)
+	r, err := router.New(cfg, ln, m)
+	if err != nil {
+		return err
+	}
+	r.OnShare(share)
+	if link != nil {
+		if err := r.Inherit(state, link); err != nil {
+			log.Print(err)
+		}
 	}
+	front.router.Store(r)
+	wg.Go(func() {
+		if err := handover.Serve(alive, dir, cfg.Listen, ln.(*net.TCPListener), r); err != nil {
+			log.Printf("no process can take over from this one: %v", err)
+		}
+	})
 	updates := make(chan *router.Config)
 	wg.Go(func() { reload(alive, path, hup, updates, m) })
 	return r.Run(ctx, updates)
 }
 
+// bindTime is how long an address may be held by a process that shares it with nobody, as one of an older version
+// does until it has ended.
+const bindTime = 20 * time.Second
+
+// bind listens at addr, waiting for a process that holds it.
+func bind(ctx context.Context, addr string) (ln net.Listener, err error) {
+	for began := time.Now(); ; {
+		if ln, err = handover.Listen(ctx, addr); !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > bindTime {
+			return ln, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// front answers the second address from the start on: until the router is there, it is not ready.
+type front struct {
+	metrics *metrics.Router
+	router  atomic.Pointer[router.Router]
+}
+
+func (f *front) Ready() bool {
+	r := f.router.Load()
+	return r != nil && r.Ready()
+}
+
+func (f *front) Metrics() ([]byte, error) { return f.metrics.JSON() }
+
+func (f *front) SetDisabled(ctx context.Context, id string, disabled bool) error {
+	if r := f.router.Load(); r != nil {
+		return r.SetDisabled(ctx, id, disabled)
+	}
+	return errors.New("not ready")
+}
+
 // reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
 // nothing.
 func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config, m *metrics.Router) {
--- /dev/null
+++ b/decide/carry_test.go
@@ -0,0 +1,131 @@
+package decide
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// moved hands a Balancer's state to a new one, as text.
+func moved(t *testing.T, b *Balancer, now float64) (*Balancer, *fakeHost) {
+	t.Helper()
+	text, err := json.Marshal(b.HandOver(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var st Carried
+	if err := json.Unmarshal(text, &st); err != nil {
+		t.Fatal(err)
+	}
+	h := newHost()
+	n, err := New(b.cfg, 8, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.TakeOver(now, st); err != nil {
+		t.Fatal(err)
+	}
+	return n, h
+}
+
+func TestBansDrainsAndHealthGoOver(t *testing.T) {
+	es := fleet(6)
+	es[2].State = Draining
+	b, h := start(t, testConfig(), es)
+	out := homeOf(t, b, h, 100000, 1, 77)
+	b.Disable(100100, out)
+	sick := b.order[0]
+	if sick.ID == out || sick.ID == es[2].ID {
+		sick = b.order[1]
+	}
+	sick.ejected, sick.trial, sick.overdue = true, 1e9, 1e9
+	n, h2 := moved(t, b, 100200)
+	for id := range uint32(300) {
+		homeOf(t, n, h2, 100300+float64(id)*20, id+1, uint64(id)*7919)
+	}
+	for _, s := range h2.sends {
+		if s.server == out || s.server == es[2].ID || s.server == sick.ID {
+			t.Fatalf("sent to %d", s.server)
+		}
+	}
+	n.Servers(100400, Full, fleet(6)) // which knows nothing of the ban
+	if !n.servers[out].banned {
+		t.Error("the ban is gone")
+	}
+	if n.arrivals.v == 0 && b.arrivals.v != 0 {
+		t.Error("the rate of arrivals is gone")
+	}
+}
+
+// The old and the new process together send a cold server no more than one alone would have.
+func TestColdBudgetHoldsOverAHandover(t *testing.T) {
+	cfg := testConfig()
+	cold := func() (*Balancer, *fakeHost, uint32) {
+		es := fleet(6)
+		b, h := start(t, cfg, es)
+		home := homeOf(t, b, h, 100000, 1, 77)
+		e := b.servers[home].Entry
+		e.Started = 101000
+		b.Servers(101000, Changes, []Entry{e})
+		return b, h, home
+	}
+	sends := func(now float64, to uint32, b *Balancer, h *fakeHost, id *uint32) int {
+		return sentAtOnce(b, h, now, id, 77, to)
+	}
+	alone, h, home := cold()
+	id, single, both := uint32(1000), 0, 0
+	for now := 101200.0; now < 103200; now += 100 {
+		single += sends(now, home, alone, h, &id)
+	}
+	old, oh, _ := cold()
+	both += sends(101200, home, old, oh, &id)
+	young, yh := moved(t, old, 101200)
+	old.Share(101200, 2)
+	young.Share(101200, 2)
+	for now := 101300.0; now < 103200; now += 100 {
+		both += sends(now, home, old, oh, &id) + sends(now, home, young, yh, &id)
+	}
+	if single == 0 || both == 0 || both > single+2 { // each rounds up once
+		t.Errorf("two processes sent %d, one alone %d", both, single)
+	}
+}
+
+func TestStateThatCantBeTrueChangesNothing(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(3))
+	good := b.HandOver(100000)
+	for name, spoil := range map[string]func(*Carried){
+		"fetches": func(c *Carried) { c.Fetches = -1 },
+		"future":  func(c *Carried) { c.Began = 1e12 },
+		"bear":    func(c *Carried) { c.Bear = 7 },
+	} {
+		bad := good
+		spoil(&bad)
+		n, err := New(testConfig(), 1, newHost())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.TakeOver(100000, bad) == nil || len(n.servers) != 0 {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if b.TakeOver(100001, good) == nil {
+		t.Error("taken in the middle of things")
+	}
+}
+
+func TestHandingOverIsDeterministic(t *testing.T) {
+	var states [2]string
+	for i := range states {
+		b, _ := start(t, testConfig(), fleet(9))
+		for id := range uint32(50) {
+			ask(b, 100000, id+1, "read", uint64(id%7))
+		}
+		text, err := json.Marshal(b.HandOver(100100))
+		if err != nil {
+			t.Fatal(err)
+		}
+		states[i] = string(text)
+	}
+	if states[0] != states[1] {
+		t.Errorf("two states after the same events differ: %s\n%s", states[0], states[1])
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -570,7 +570,7 @@
 		return true
 	}
 	c := b.typical(s, 10) // a report made amid cheap misses overstates what the server can do
-	fill := 0.4 * b.cfg.FallMult * c * b.warmth(s) / float64(b.cfg.Routers) / 1000
+	fill := 0.4 * b.cfg.FallMult * c * b.warmth(s) / b.shares() / 1000
 	most := max(1, fill*b.cfg.FallFor/6)
 	s.budget.v = min(most, s.budget.v+fill*(b.now-s.budget.at))
 	s.budget.at = b.now
--- a/decide/state.go
+++ b/decide/state.go
@@ -55,6 +55,7 @@
 	sized      bool    // whether sizes are told
 	portion    float64 // own part of all traffic, as far as reports tell
 	watchAt    float64 // when to ask for the list again
+	processes  int     // that work as this router; 0 = this one only
 }
 
 // perSecond reads a rate, corrected for a memory that has not filled yet.
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,293 @@
+package handover
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// process is one that serves and hands over.
+type process struct {
+	ln     net.Listener
+	state  string
+	err    error
+	joined chan *Link
+	heard  chan Message
+	answer func(Message) error
+}
+
+func (p *process) State(context.Context, *Link) (any, error) { return p.state, p.err }
+
+func (p *process) Joined(ctx context.Context, l *Link) {
+	p.joined <- l
+	l.Run(ctx, func(m Message) error {
+		p.heard <- m
+		if p.answer != nil {
+			return p.answer(m)
+		}
+		return nil
+	})
+}
+
+func serve(t *testing.T, dir, addr string, state string) (*process, context.CancelFunc) {
+	t.Helper()
+	ln, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{ln: ln, state: state, joined: make(chan *Link, 10), heard: make(chan Message, 10)}
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := Serve(ctx, dir, addr, ln.(*net.TCPListener), p); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() { stop(); wg.Wait(); ln.Close() })
+	return p, stop
+}
+
+// join waits until somebody listens for a successor.
+func join(t *testing.T, dir, addr, want string) (*Link, net.Listener) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; {
+		l, ln, text, err := Join(t.Context(), dir, addr)
+		if err != nil {
+			if time.Now().After(end) {
+				t.Fatal(err)
+			}
+			continue
+		}
+		if string(text) != `"`+want+`"` { // the one before still has the path
+			l.Close()
+			ln.Close()
+			continue
+		}
+		t.Cleanup(func() { l.Close(); ln.Close() })
+		return l, ln
+	}
+}
+
+func TestSocketAndStateGoOver(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), strings.Repeat("long", 40)) // longer than a Unix socket's path may be
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	old, _ := serve(t, dir, "a:1", "first")
+	link, ln := join(t, dir, "a:1", "first")
+	if ln.Addr().String() != old.ln.Addr().String() {
+		t.Fatalf("got %v, want %v", ln.Addr(), old.ln.Addr())
+	}
+	// A connection that waits in the queue while the old one closes is the new one's.
+	c, err := net.Dial("tcp", old.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	old.ln.Close()
+	got, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Close()
+	if got.RemoteAddr().String() != c.LocalAddr().String() {
+		t.Errorf("accepted %v", got.RemoteAddr())
+	}
+
+	// Calls go both ways and are answered.
+	oldLink := <-old.joined
+	old.answer = func(Message) error { return errors.New("not here") }
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	heard := make(chan Message, 1)
+	wg.Go(func() { link.Run(t.Context(), func(m Message) error { heard <- m; return nil }) })
+	if err := oldLink.Call(t.Context(), "ban", "x"); err != nil {
+		t.Error(err)
+	}
+	if m := <-heard; m.Kind != "ban" || string(m.Body) != `"x"` {
+		t.Errorf("got %+v", m)
+	}
+	if err := link.Call(t.Context(), "ban", "y"); err == nil || err.Error() != "not here" {
+		t.Errorf("got %v", err)
+	}
+	oldLink.Close()
+	if err := link.Call(t.Context(), "ban", "z"); !errors.Is(err, ErrEnded) {
+		t.Errorf("with the peer gone: got %v", err)
+	}
+}
+
+// Each process in its turn has the path, and what a dead one left there is in nobody's way.
+func TestNewestProcessHasThePath(t *testing.T) {
+	dir := t.TempDir()
+	path, d, err := place(dir, "a:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	dead, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.SetUnlinkOnClose(false)
+	dead.Close()
+	if _, _, _, err := Join(t.Context(), dir, "a:1"); err == nil {
+		t.Error("joined a dead process")
+	}
+	_, stop := serve(t, dir, "a:1", "first")
+	join(t, dir, "a:1", "first")
+	serve(t, dir, "a:1", "second")
+	join(t, dir, "a:1", "second")
+	stop() // the old one's end leaves the path to the new one
+	join(t, dir, "a:1", "second")
+}
+
+// Whatever stands at the path, the start goes on, and soon.
+func TestPeersThatCantHandOver(t *testing.T) {
+	frame := func(text string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	}
+	for name, say := range map[string][]byte{
+		"silent":          nil,
+		"another version": frame(`{"kind":"state","version":99}`),
+		"no socket":       frame(`{"kind":"state","version":1,"body":{}}`),
+		"noise":           []byte("HTTP/1.1 400 Bad Request\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			path, d, err := place(dir, "a:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Close()
+			u, err := net.Listen("unix", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer u.Close()
+			wg.Go(func() {
+				c, err := u.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				c.Write(say)
+				io.Copy(io.Discard, c)
+			})
+			if _, _, _, err := Join(t.Context(), dir, "a:1"); err == nil {
+				t.Error("joined")
+			}
+		})
+	}
+	if _, _, _, err := Join(t.Context(), filepath.Join(t.TempDir(), "none"), "a:1"); err == nil {
+		t.Error("joined where there is no folder")
+	}
+}
+
+func TestStrangersGetNothing(t *testing.T) {
+	dir := t.TempDir()
+	p, _ := serve(t, dir, "a:1", "first")
+	join(t, dir, "a:1", "first")
+	<-p.joined
+	path, d, err := place(dir, "a:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	for _, say := range []string{"", "noise", `{"kind":"hello","version":99}`, `{"kind":"ban"}`} {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if say != "" {
+			c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(say))), say...))
+		}
+		c.(*net.UnixConn).CloseWrite()
+		if got, _ := io.ReadAll(c); len(got) > 0 {
+			t.Errorf("%q got %q", say, got)
+		}
+		c.Close()
+	}
+	p.err = errors.New("no state")
+	if _, _, _, err := Join(t.Context(), dir, "a:1"); err == nil {
+		t.Error("joined a process without a state")
+	}
+	select {
+	case <-p.joined:
+		t.Error("a stranger joined")
+	default:
+	}
+}
+
+// A call ends with its context, whatever the peer does.
+func TestCallToASilentPeer(t *testing.T) {
+	a, b := pipe(t)
+	defer b.Close()
+	l := newLink(a)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { readMessage(b); stop() }()
+	if err := l.Call(ctx, "ban", "x"); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func pipe(t *testing.T) (a, b *net.UnixConn) {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "s")
+	u, err := net.Listen("unix", name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	c, err := net.Dial("unix", name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := u.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); d.Close() })
+	return c.(*net.UnixConn), d.(*net.UnixConn)
+}
+
+func TestTwoListenersShareAnAddress(t *testing.T) {
+	a, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := Listen(t.Context(), a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Close()
+}
+
+func FuzzReadMessage(f *testing.F) {
+	for _, text := range []string{`{"kind":"ban","call":1,"body":{"id":"x"}}`, `{}`, `[`, ``} {
+		f.Add(append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...))
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := readMessage(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		if _, err := json.Marshal(m); err != nil {
+			t.Error(fmt.Errorf("%+v: %w", m, err))
+		}
+	})
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -42,8 +42,8 @@
 type clients struct {
 	l        *loop
 	ln       net.Listener
-	room     chan struct{} // a place for each connection that may be open
-	readers  sync.Pool     // of *bufio.Reader: bad clients come and go by hundreds
+	room     places    // one for each connection that may be open
+	readers  sync.Pool // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
 	asked    atomic.Int64 // connections that have asked
 	wg       sync.WaitGroup
@@ -75,7 +75,7 @@
 func (c *clientConn) open() int { return len(c.queue) + c.writing }
 
 func newClients(l *loop, ln net.Listener, limit int) *clients {
-	return &clients{l: l, ln: ln, room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
+	return &clients{l: l, ln: ln, room: places{limit: limit, whole: limit, freed: make(chan struct{}, 1)}, conns: map[*clientConn]struct{}{},
 		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLine) }}}
 }
 
@@ -99,21 +99,64 @@
 // place takes a place for a connection. When all are taken, the connection that has been idle for longest gives way;
 // where each has a request open, the next one waits.
 func (s *clients) place() {
-	for {
-		select {
-		case s.room <- struct{}{}:
-			return
-		default:
-		}
+	for !s.room.take() {
 		s.evict(false)
 		select {
-		case s.room <- struct{}{}:
-			return
+		case <-s.room.freed:
 		case <-time.After(10 * time.Millisecond): // it may have got a request just then
 		}
 	}
 }
 
+// share leaves this process an equal part of the places, while several processes are one router.
+func (s *clients) share(processes int) {
+	for range s.room.share(processes) {
+		s.evict(false)
+	}
+}
+
+// places bounds the connections that are open.
+type places struct {
+	mu           sync.Mutex
+	used         int
+	limit, whole int
+	freed        chan struct{} // of capacity 1
+}
+
+func (p *places) take() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used >= p.limit {
+		return false
+	}
+	p.used++
+	return true
+}
+
+func (p *places) give() {
+	p.mu.Lock()
+	p.used--
+	p.mu.Unlock()
+	select {
+	case p.freed <- struct{}{}:
+	default:
+	}
+}
+
+// share sets the limit and returns how many are over it.
+func (p *places) share(processes int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = p.whole / processes
+	return max(0, p.used-p.limit)
+}
+
+func (p *places) half() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(p.limit / 2)
+}
+
 // evict ends the connection that has been idle for longest. With asked set, only those that have asked and since rested
 // for a moment count.
 func (s *clients) evict(asked bool) {
@@ -139,7 +182,7 @@
 // time comes too late: they would hold all that clients may have, and the next requests had none.
 func (s *clients) crowd(c *clientConn) {
 	c.counted.Store(true)
-	if s.asked.Add(1) > int64(cap(s.room)/2) {
+	if s.asked.Add(1) > s.room.half() {
 		s.evict(true)
 	}
 }
@@ -164,7 +207,7 @@
 		s.mu.Unlock()
 		r.Reset(nil)
 		s.readers.Put(r)
-		<-s.room
+		s.room.give()
 	})
 	if s.draining.Load() {
 		c.drain()
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -212,7 +212,7 @@
 		first = append(first, c)
 	}
 	for full := false; !full; {
-		look(l, func() { full = l.held.used.Load() == l.held.limit })
+		look(l, func() { full = l.held.used.Load() == l.held.limit.Load() })
 	}
 	c := dial(t, addr)
 	write(c, 99)
@@ -232,7 +232,7 @@
 // Answers that a client does not take are bounded too: what comes beyond is refused before it is asked for.
 func TestUntakenAnswersAreBounded(t *testing.T) {
 	l, addr := parts(t, 16, 10, originAt("127.0.0.1:1"))
-	l.queued.add(int(l.queued.limit))
+	l.queued.add(int(l.queued.limit.Load()))
 	c := dial(t, addr)
 	if got := c.ask(read("a1", 2000)); got != "SERVER_ERROR busy" {
 		t.Errorf("got %q", got)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -30,6 +30,7 @@
 	metrics    *metrics.Router
 	originKind string
 	rules      atomic.Pointer[rules] // what requests that arrive now come under
+	first      func()                // goes before all else
 	events     chan func()
 	urgent     chan func()   // goes before events: what operators ask for
 	done       chan struct{} // closed when the loop has ended: events no longer count
@@ -42,7 +43,11 @@
 	held       budget              // bytes of the values of requests in hand
 	queued     budget              // bytes of answers that no client has taken yet
 	targets    map[uint32]*target
+	entries    map[string]entry // the list as it is held,
+	version    int64            // and its version
+	floor      floor
 	names      names
+	memory     int64       // bytes that the router may take
 	ready      atomic.Bool // a list is held
 }
 
@@ -83,12 +88,12 @@
 // budget bounds the bytes that are kept for one purpose.
 type budget struct {
 	used  atomic.Int64
-	limit int64
+	limit atomic.Int64
 }
 
 // take takes n bytes if there is room.
 func (b *budget) take(n int) bool {
-	if b.used.Add(int64(n)) <= b.limit {
+	if b.used.Add(int64(n)) <= b.limit.Load() {
 		return true
 	}
 	b.give(n)
@@ -137,13 +142,21 @@
 	l := &loop{clock: clock{time.Now()}, up: up, metrics: m, urgent: make(chan func(), 32), originKind: s.OriginKind, events: make(chan func(), 1024),
 		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{}}
 	l.rules.Store(newRules(s, m))
-	// A value is in memory up to three times, as it came and as it goes out.
-	l.held.limit, l.queued.limit = cfg.Limits.MemoryMB<<20/16, cfg.Limits.MemoryMB<<20/8
+	l.memory = cfg.Limits.MemoryMB << 20
+	l.share(1)
 	var err error
 	l.b, err = decide.New(s, cfg.seed, l)
 	return l, err
 }
 
+// share leaves this process an equal part of the memory, while several processes are one router. A value is in memory
+// up to three times, as it came and as it goes out.
+func (l *loop) share(processes int) {
+	part := l.memory / int64(processes)
+	l.held.limit.Store(part / 16)
+	l.queued.limit.Store(part / 8)
+}
+
 // post hands an event to the loop.
 func (l *loop) post(event func()) {
 	select {
@@ -158,6 +171,9 @@
 	l.ctx = ctx
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
+	if l.first != nil {
+		l.first()
+	}
 	l.report()
 	for {
 		select {
@@ -213,7 +229,7 @@
 // room takes the bytes that a request's value needs, and tells whether there are any. It may be called from any
 // goroutine.
 func (l *loop) room(cmd *command) bool {
-	return l.queued.used.Load() < l.queued.limit && l.held.take(cmd.length)
+	return l.queued.used.Load() < l.queued.limit.Load() && l.held.take(cmd.length)
 }
 
 // arrive takes a request of a client that was read at the given time.
@@ -334,6 +350,7 @@
 
 // list takes a list of servers.
 func (l *loop) list(kind decide.ListKind, got list) {
+	l.keep(kind, got)
 	entries := make([]decide.Entry, 0, len(got.Servers))
 	named := map[uint32]bool{}
 	for _, e := range got.Servers {
@@ -406,7 +423,7 @@
 	if l.disc != nil {
 		d.watch() // the Balancer has asked already, of the one before
 	}
-	l.disc = d
+	l.disc, l.floor = d, floor{} // its versions may be others
 }
 
 func (l *loop) drop(id uint32) {
--- a/internal/router/operate_test.go
+++ b/internal/router/operate_test.go
@@ -99,10 +99,10 @@
 	}
 	n.add("first", 1) // listed again
 	n.add("one more", 2)
-	if len(n.ids) != maxNames || n.ids["first"] != 1 || n.ids["one more"] != 2 {
-		t.Errorf("%d ids", len(n.ids))
+	if len(n.IDs) != maxNames || n.IDs["first"] != 1 || n.IDs["one more"] != 2 {
+		t.Errorf("%d ids", len(n.IDs))
 	}
-	if _, kept := n.ids["s-0"]; kept {
+	if _, kept := n.IDs["s-0"]; kept {
 		t.Error("the one that was listed longest ago is kept")
 	}
 }
--- /dev/null
+++ b/internal/router/pair.go
@@ -0,0 +1,273 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/handover"
+)
+
+// While an old and a new process live, they are one router: what one is told, the other is told.
+
+// handed is what a process gets from the one before it.
+type handed struct {
+	Module decide.Carried
+	List   list
+	Names  names
+}
+
+// ban is a call of the operators, as it goes from one process to the other.
+type ban struct {
+	ID       string `json:"id"`
+	Disabled bool   `json:"disabled"`
+	Known    bool   `json:"known"` // the sender's list had the id
+}
+
+const (
+	banKind  = "ban"
+	listKind = "list"
+)
+
+// peers are the links to the processes that are this router too.
+type peers struct {
+	onShare func(processes int) // may be nil
+
+	mu    sync.Mutex
+	links map[*handover.Link]bool // true = it counts
+}
+
+func (p *peers) add(k *handover.Link, counts bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.links == nil {
+		p.links = map[*handover.Link]bool{}
+	}
+	p.links[k] = counts
+}
+
+func (p *peers) remove(k *handover.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, k)
+}
+
+// all lists the links that live.
+func (p *peers) all() (ks []*handover.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k := range p.links {
+		if k.Ended() {
+			delete(p.links, k)
+		} else {
+			ks = append(ks, k)
+		}
+	}
+	return ks
+}
+
+// count is the number of other processes that are this router.
+func (p *peers) count() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, counts := range p.links {
+		if counts {
+			n++
+		}
+	}
+	return n
+}
+
+// OnShare has f called with the number of processes that are this router, whenever it changes. It must be set before
+// the first peer joins.
+func (r *Router) OnShare(f func(processes int)) { r.peers.onShare = f }
+
+// share splits the limits among the processes that are this router now.
+func (r *Router) share() {
+	n := 1 + r.peers.count()
+	if r.peers.onShare != nil {
+		r.peers.onShare(n)
+	}
+	r.l.share(n)
+	r.up.share(n)
+	r.s.share(n)
+	r.l.post(func() { r.l.b.Share(r.l.now(), n) })
+	log.Printf("%s: %d processes are this router", r.cfg.Name, n)
+}
+
+// State is what a successor is to know. From then on it is told what this process is told.
+func (r *Router) State(ctx context.Context, k *handover.Link) (any, error) {
+	var h handed
+	err := r.l.do(ctx, func() error {
+		r.peers.add(k, false)
+		h = handed{Module: r.l.b.HandOver(r.l.now()), List: r.l.known(), Names: r.l.names.copied()}
+		return nil
+	})
+	return h, err
+}
+
+// Inherit takes the state of the process before this one, and the link to it. It is called before Run.
+func (r *Router) Inherit(text []byte, k *handover.Link) error {
+	r.link = k
+	h := new(handed)
+	if err := json.Unmarshal(text, h); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if h.Names.IDs == nil || h.Names.Seen == nil || len(h.Names.IDs) > maxNames {
+		return errors.New("handover: a state without names")
+	}
+	r.before = h
+	return nil
+}
+
+// begin gives the loop the list that the router starts with, on the loop.
+func (r *Router) begin() {
+	l, known := r.l, r.cfg.Known
+	if h := r.before; h != nil {
+		r.before = nil
+		if err := l.b.TakeOver(l.now(), h.Module); err != nil {
+			log.Printf("what the process before knew is of no use: %v", err)
+		} else {
+			l.names, known = h.Names, h.List
+			l.floor.raise(known.Version)
+		}
+	}
+	l.list(decide.Remembered, known)
+}
+
+// Joined keeps a link to another process of this router until it ends.
+func (r *Router) Joined(ctx context.Context, k *handover.Link) {
+	r.peers.add(k, true)
+	r.share()
+	k.Run(ctx, func(m handover.Message) error { return r.told(ctx, k, m) })
+	r.peers.remove(k)
+	r.share()
+}
+
+// told takes a message of another process.
+func (r *Router) told(ctx context.Context, from *handover.Link, m handover.Message) error {
+	switch m.Kind {
+	case banKind:
+		var o ban
+		if err := json.Unmarshal(m.Body, &o); err != nil {
+			return fmt.Errorf("handover: %w", err)
+		}
+		ctx, cancel := context.WithTimeout(ctx, banTime)
+		defer cancel()
+		return r.disable(ctx, o, from)
+	case listKind:
+		var got list
+		if err := json.Unmarshal(m.Body, &got); err != nil {
+			return fmt.Errorf("handover: %w", err)
+		}
+		r.l.post(func() {
+			if got.Version <= r.l.version {
+				return
+			}
+			kind := decide.Changes
+			if got.Full {
+				kind = decide.Full
+			}
+			r.l.list(kind, got)
+			r.l.floor.raise(got.Version)
+		})
+	}
+	return nil
+}
+
+// banTime is how long another process takes at most for a ban: the caller has less than a second.
+const banTime = 700 * time.Millisecond
+
+// disable carries out a call of the operators here and in all other processes of this router but the one it came from.
+// The answer is yes only if it holds in all of them.
+func (r *Router) disable(ctx context.Context, o ban, from *handover.Link) error {
+	here := r.l.do(ctx, func() error { return r.l.setDisabled(o) })
+	if here != nil && !errors.Is(here, admin.ErrUnknown) {
+		return here
+	}
+	o.Known = o.Known || here == nil
+	found := here == nil
+	for _, k := range r.peers.all() {
+		if k == from {
+			continue
+		}
+		switch err := k.Call(ctx, banKind, o); {
+		case err == nil:
+			found = true
+		case errors.Is(err, handover.ErrEnded) || err.Error() == admin.ErrUnknown.Error():
+		default:
+			return errNotDone
+		}
+	}
+	switch {
+	case !found:
+		return admin.ErrUnknown
+	case here != nil: // only another process's list has had it so far
+		o.Known = true
+		return r.l.do(ctx, func() error { return r.l.setDisabled(o) })
+	}
+	return nil
+}
+
+// tellList tells the other processes what discovery has told this one.
+func (r *Router) tellList(got list) {
+	if len(got.Servers) == 0 && !got.Full {
+		return
+	}
+	ks := r.peers.all()
+	if len(ks) == 0 {
+		return
+	}
+	body, err := json.Marshal(got)
+	if err != nil {
+		return
+	}
+	for _, k := range ks {
+		k.Send(handover.Message{Kind: listKind, Body: body}) //nolint:errcheck // a peer that is gone needs no list
+	}
+}
+
+// keep holds on to a list for a successor.
+func (l *loop) keep(kind decide.ListKind, got list) {
+	if kind == decide.Refused {
+		return
+	}
+	if kind != decide.Changes || l.entries == nil {
+		l.entries = make(map[string]entry, len(got.Servers))
+	}
+	l.version = got.Version
+	for _, e := range got.Servers {
+		if e.State == "left" {
+			delete(l.entries, e.ID)
+		} else {
+			l.entries[e.ID] = e
+		}
+	}
+}
+
+// known is the list as it is held.
+func (l *loop) known() list {
+	got := list{Version: l.version, Full: true}
+	for _, e := range l.entries {
+		got.Servers = append(got.Servers, e)
+	}
+	return got
+}
+
+// floor is a version that another process has told of: for a while discovery may still answer with what was before.
+type floor struct {
+	version int64
+	until   time.Time
+}
+
+const floorTime = 10 * time.Second // after that a lower version is no old answer, but another count
+
+func (f *floor) raise(version int64) { f.version, f.until = version, time.Now().Add(floorTime) }
+
+func (f *floor) above(version int64) bool { return version < f.version && time.Now().Before(f.until) }
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	old, fresh := l.newSource(cfg), l.newSource(cfg)
+	old, fresh := l.newSource(cfg, func(list) {}), l.newSource(cfg, func(list) {})
 	l.follow(old)
 	old.tell(full(box("s-0000000b", "127.0.0.1:1")))
 	l.follow(fresh)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,12 +10,16 @@
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/handover"
 	"mossproxy.example/mossproxy/internal/metrics"
 )
 
 // comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
 const comeAfterStop = 500 * time.Millisecond
 
+// leastStop is what the longest deadline counts for at least, in milliseconds, once the router is told to stop.
+const leastStop = 3000.0
+
 // Router is one real router.
 type Router struct {
 	cfg     *Config
@@ -23,6 +27,9 @@
 	up      *upstreams
 	l       *loop
 	s       *clients
+	before  *handed        // from the process before this one,
+	link    *handover.Link // which lives
+	peers   peers
 }
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -52,17 +59,22 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
+	l.first = r.begin
 	wg.Go(func() { l.run(work) })
 	wg.Go(func() { up.sweep(work) })
-	l.post(func() { l.list(decide.Remembered, cfg.Known) })
-	wg.Go(func() { l.discover(work, cfg, updates) })
+	if r.link != nil {
+		wg.Go(func() { r.Joined(work, r.link) })
+	}
+	wg.Go(func() { l.discover(work, cfg, updates, r.tellList) })
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	log.Printf("%s: listening at %s", cfg.Name, s.ln.Addr())
 
 	<-ctx.Done()
-	time.Sleep(comeAfterStop)
+	if r.peers.count() == 0 { // else the other process takes them off the same queue
+		time.Sleep(comeAfterStop)
+	}
 	s.ln.Close()
-	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
+	longest := leastStop // no client waits longer, and SIGKILL comes later than that
 	for _, k := range l.rules.Load().classes {
 		longest = max(longest, k.Deadline)
 	}
@@ -84,10 +96,14 @@
 
 // SetDisabled leaves a cache server out, or puts it back.
 func (r *Router) SetDisabled(ctx context.Context, name string, disabled bool) error {
+	return r.disable(ctx, ban{ID: name, Disabled: disabled}, nil)
+}
+
+// do has the loop carry out what can't wait behind its events.
+func (l *loop) do(ctx context.Context, event func() error) error {
 	done := make(chan error, 1)
-	event := func() { done <- r.l.setDisabled(name, disabled) }
 	select {
-	case r.l.urgent <- event:
+	case l.urgent <- func() { done <- event() }:
 	case <-ctx.Done():
 		return errNotDone
 	}
@@ -100,28 +116,32 @@
 }
 
 // setDisabled carries out a call of the operators.
-func (l *loop) setDisabled(name string, disabled bool) error {
-	id, known := l.names.ids[name]
+func (l *loop) setDisabled(o ban) error {
+	id, known := l.names.IDs[o.ID]
+	if !known && o.Known {
+		id, known = serverID(o.ID), true
+		l.names.add(o.ID, id)
+	}
 	switch {
 	case !known:
 		return admin.ErrUnknown
-	case disabled:
+	case o.Disabled:
 		l.b.Disable(l.now(), id)
 	default:
 		l.b.Enable(l.now(), id)
 	}
 	l.count()
-	log.Printf("cache server %s: disabled %t", name, disabled)
+	log.Printf("cache server %s: disabled %t", o.ID, o.Disabled)
 	return nil
 }
 
 // discover follows the discovery that the configuration names, until ctx ends.
-func (l *loop) discover(ctx context.Context, cfg *Config, updates <-chan *Config) {
+func (l *loop) discover(ctx context.Context, cfg *Config, updates <-chan *Config, tell func(list)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
 		life, end := context.WithCancel(ctx)
-		d := l.newSource(cfg)
+		d := l.newSource(cfg, tell)
 		l.post(func() { l.follow(d) }) // before anything that it tells
 		wg.Go(func() { d.run(life) })
 		from, next := cfg.Discovery, cfg
@@ -164,7 +184,7 @@
 
 // newSource is the discovery of a configuration. It is heard while the loop follows it: an answer of one before it
 // that is still on its way is older than what the new one tells, and counts for nothing.
-func (l *loop) newSource(cfg *Config) *discovery {
+func (l *loop) newSource(cfg *Config, tell func(list)) *discovery {
 	var d *discovery
 	ask := cfg.settings.Config.AskList
 	heard := func(do func()) {
@@ -180,7 +200,12 @@
 			if got.Full {
 				kind = decide.Full
 			}
-			heard(func() { l.list(kind, got) })
+			heard(func() {
+				if !l.floor.above(got.Version) {
+					l.list(kind, got)
+				}
+			})
+			tell(got)
 		},
 		func() {
 			if ask {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -275,17 +275,22 @@
 
 func start(t testing.TB, cfg *Config) *running {
 	t.Helper()
-	ctx, stop := context.WithCancel(t.Context())
 	ln := listenLocal(t)
-	router, err := New(cfg, ln, metrics.New())
+	r, err := New(cfg, ln, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
+	return run(t, r, ln)
+}
+
+func run(t testing.TB, router *Router, ln net.Listener) *running {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
 	r := &running{router: router, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), updates: make(chan *Config)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.done <- r.router.Run(ctx, r.updates)
+		r.done <- router.Run(ctx, r.updates)
 	}()
 	t.Cleanup(func() { stop(); <-ended })
 	return r
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -72,9 +72,10 @@
 type upstreams struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
-	limit   int
 
 	mu      sync.Mutex
+	limit   int // of this process's part
+	whole   int // of the router
 	open    int // connections open or being opened
 	targets map[*target]struct{}
 }
@@ -83,7 +84,7 @@
 var errNoSocket = errors.New("no socket left")
 
 func newUpstreams(connIdle, connectTimeout time.Duration, limit int) *upstreams {
-	u := &upstreams{limit: limit, targets: map[*target]struct{}{}}
+	u := &upstreams{limit: limit, whole: limit, targets: map[*target]struct{}{}}
 	u.dialer.KeepAlive = -1
 	u.retime(connIdle, connectTimeout)
 	return u
@@ -98,6 +99,15 @@
 	u.maxIdle = connIdle - min(connIdle/4, time.Second)
 }
 
+// share leaves this process an equal part of the sockets, while several processes are one router.
+func (u *upstreams) share(processes int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = u.whole / processes
+	for u.open > u.limit && u.evict() {
+	}
+}
+
 func (u *upstreams) add(addr string, origin bool) *target {
 	t := &target{addr: addr, origin: origin}
 	u.mu.Lock()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -85,7 +85,7 @@
 		"list cut short":   {opening + "SYNC 2\nDIRECTORY_UPDATE 3 all 1 2\nM - 1 11 ready a 0 box\nCOMMIT\n", "line 11: want a list entry"},
 		"bad mode":         {opening + "SYNC 2\nDIRECTORY_UPDATE 3 all 1 1\nM - 1 11 asleep a 0 box\nCOMMIT\n", "bad mode"},
 		"settings no JSON": {"SYNC 1\nOPEN_INSTANCE 3 42 {\nCOMMIT\n", "line 2: settings"},
-		"settings empty":   {"SYNC 1\nOPEN_INSTANCE 3 42 {}\nCOMMIT\n", "setting Routers"},
+		"settings empty":   {"SYNC 1\nOPEN_INSTANCE 3 42 {}\nCOMMIT\n", "settings: balancers"},
 		"settings effect": {"SYNC 1\nOPEN_INSTANCE 3 42 " + strings.Replace(testSettings, "once", "never", 1) +
 			"\nCOMMIT\n", "categories[lock].effect"},
 		"settings origin": {"SYNC 1\nOPEN_INSTANCE 3 42 " + strings.Replace(testSettings, `"originKind":1`, `"originKind":7`, 1) +
