--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -17,24 +17,25 @@
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
 const (
-	maxPipelined = 16                     // commands of a connection that wait for their answer
-	maxUnknown   = 4                      // commands of a connection that the router does not know
-	firstTime    = 2 * time.Second        // for the first command to come whole
-	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
-	idleTime     = 3 * time.Second        // for the next one to begin
-	rest         = 100 * time.Millisecond // a connection that has just been answered is kept for
-	answerTime   = 5 * time.Second        // for a client to take its answers
-	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
-	lingerBytes  = 256 << 10              // of its input that are read meanwhile
-	askSoon      = 200 * time.Millisecond // a connection that has asked nothing after that
-	asksNothing  = time.Second            // counts as idle for that much longer
+	maxPipelined = 16                      // commands of a connection that wait for their answer
+	maxUnknown   = 4                       // commands of a connection that the router does not know
+	firstTime    = 2700 * time.Millisecond // for the first command to come whole
+	commandTime  = 2700 * time.Millisecond // for a later one to come whole once it has begun
+	idleTime     = 3 * time.Second         // for the next one to begin
+	rest         = 100 * time.Millisecond  // a connection that has just been answered is kept for
+	answerTime   = 5 * time.Second         // for a client to take its answers
+	lingerTime   = 500 * time.Millisecond  // for a client that was turned away to close
+	lingerBytes  = 256 << 10               // of its input that are read meanwhile
+	askSoon      = 200 * time.Millisecond  // a connection that has asked nothing after that
+	asksNothing  = time.Second             // counts as idle for that much longer
 )
 
 // slot is the place of a command's answer among those of its connection.
 type slot struct {
 	c     *clientConn
-	req   *request // the loop's
-	text  []byte   // guarded by c.mu, as the others
+	req   *request      // the loop's
+	turn  chan struct{} // closed when a value that is passed through may be written; nil = the answer is text
+	text  []byte        // guarded by c.mu, as the others
 	ready bool
 }
 
@@ -61,14 +62,15 @@
 	counted atomic.Bool // among those that have asked
 
 	mu      sync.Mutex
-	changed sync.Cond // the queue got shorter
-	queue   []*slot   // whose answers are not being written yet
-	writing int       // answers that are
-	broken  bool      // nothing can be written any more
-	asked   bool      // a command has come
-	reading bool      // another has begun
-	closing bool      // ends as soon as nothing waits for its answer
-	since   time.Time // idle since, while nothing is open
+	changed sync.Cond     // the queue got shorter
+	queue   []*slot       // whose answers are not being written yet
+	writing int           // answers that are
+	broken  bool          // nothing can be written any more,
+	dead    chan struct{} // which closes this
+	asked   bool          // a command has come
+	reading bool          // another has begun
+	closing bool          // ends as soon as nothing waits for its answer
+	since   time.Time     // idle since, while nothing is open
 }
 
 // open counts the commands that are not answered. The caller holds mu.
@@ -190,7 +192,7 @@
 func (s *clients) serve(nc net.Conn) {
 	r := s.readers.Get().(*bufio.Reader)
 	r.Reset(nc)
-	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now()}
+	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now(), dead: make(chan struct{})}
 	c.changed.L = &c.mu
 	nc.SetReadDeadline(time.Now().Add(firstTime))
 	s.mu.Lock()
@@ -338,7 +340,8 @@
 	}
 	c.mu.Lock()
 	open := c.queue
-	c.broken, c.queue = true, nil
+	c.queue = nil
+	c.breakOff()
 	for _, sl := range open {
 		if sl.ready {
 			c.s.l.queued.give(len(sl.text))
@@ -351,6 +354,14 @@
 	return false
 }
 
+// breakOff tells that nothing can be written any more. The caller holds mu.
+func (c *clientConn) breakOff() {
+	if !c.broken {
+		c.broken = true
+		close(c.dead)
+	}
+}
+
 // finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
 // destroy answers on their way: a client that was turned away sees the end of the answers first, and is read on for a
 // bounded time.
@@ -390,16 +401,30 @@
 		c.s.l.queued.give(len(text))
 		return
 	}
+	c.begun()
+}
+
+// begun has answers written if some are there and none is being written. The caller holds mu.
+func (c *clientConn) begun() {
 	if c.writing == 0 && c.queue[0].ready {
-		out, size := c.batch()
-		c.s.wg.Go(func() { c.write(out, size) })
+		if out, size := c.batch(); len(out) > 0 {
+			c.s.wg.Go(func() { c.write(out, size) })
+		}
 	}
 }
 
-// batch takes the answers that are there off the queue, in the order of the commands. The caller holds mu.
+// batch takes the answers that are there off the queue, in the order of the commands. Where a value that is passed
+// through comes next, it returns none: the writing is then up to the value's sink. The caller holds mu.
 func (c *clientConn) batch() (out net.Buffers, size int) {
 	c.writing = 0
 	for len(c.queue) > 0 && c.queue[0].ready {
+		if turn := c.queue[0].turn; turn != nil {
+			if len(out) == 0 {
+				c.queue, c.writing = c.queue[1:], 1
+				close(turn)
+			}
+			return out, size
+		}
 		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
 		c.queue, c.writing = c.queue[1:], c.writing+1
 	}
@@ -422,7 +447,7 @@
 	defer c.mu.Unlock()
 	c.changed.Broadcast()
 	if err != nil && !c.broken {
-		c.broken = true
+		c.breakOff()
 		c.Close() // which ends the reader too; it tells the loop
 	}
 	if c.broken {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -201,9 +201,9 @@
 	release := make(chan struct{})
 	o := startFake(t, func(line string) string { <-release; return originOK(line) })
 	l, addr := parts(t, 16, 100, originAt(o.addr)) // a budget of 1 MiB
-	value := strings.Repeat("v", maxValue)
+	value := strings.Repeat("v", maxWhole)
 	write := func(c *client, id int) {
-		c.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow%d Pc=put,t=t,d=2000,k=%d\r\n%s\r\n", maxValue, id, id, value))
+		c.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow%d Pc=put,t=t,d=2000,k=%d\r\n%s\r\n", maxWhole, id, id, value))
 	}
 	var first []*client
 	for i := range 16 {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -296,6 +296,37 @@
 	l.forget(r)
 }
 
+// pass ends the decisions on a request whose value is passed through from now on: the server has done its work, and no
+// deadline applies any more. It returns the slot for the value, or nil where nobody waits for it.
+func (l *loop) pass(a *attempt, got reply) *slot {
+	r := a.r
+	if a.over || r.over {
+		return nil
+	}
+	a.over, r.over = true, true
+	l.timers.stop(a.due)
+	l.timers.stop(r.due)
+	r.out--
+	sl := r.slot
+	r.slot.req, r.slot = nil, nil
+	l.forget(r)
+	now := l.now()
+	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: decide.OK, Latency: now - a.at,
+		Final: true, Note: got.note, Load: got.load})
+	return sl
+}
+
+// passed books the end of a request whose value was passed through.
+func (l *loop) passed(a *attempt, whole bool) {
+	l.metrics.Concurrent.Add(-1)
+	delete(l.open, a.r.cmd.id)
+	if whole {
+		a.r.rule.count.Ended(metrics.Success)
+	} else {
+		a.r.rule.count.Ended(metrics.Error)
+	}
+}
+
 // forget drops the record of a request that is over and has no attempt out.
 func (l *loop) forget(r *request) {
 	if r.over && r.out == 0 && l.reqs[r.id] == r {
@@ -458,9 +489,18 @@
 	a.due = l.after(left, func() { l.timeOut(a) })
 	go func() {
 		defer stop()
-		got := l.up.attempt(ctx, t, &r.cmd, left,
-			func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) }, func() { l.metrics.Dispatches.Add(1) })
-		l.post(func() { l.outcome(a, got) })
+		var passed *sink
+		got := l.up.attempt(ctx, t, &r.cmd, left, hooks{
+			begin:   func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) },
+			wrote:   func() { l.metrics.Dispatches.Add(1) },
+			through: func(got reply) *sink { passed = l.openSink(ctx, a, got); return passed },
+		})
+		if passed == nil {
+			l.post(func() { l.outcome(a, got) })
+			return
+		}
+		l.post(func() { l.passed(a, got.status == decide.OK) })
+		passed.end(got.status == decide.OK)
 	}()
 }
 
--- a/internal/router/meta.go
+++ b/internal/router/meta.go
@@ -20,7 +20,8 @@
 const (
 	maxLine  = 4096     // of a command or an answer
 	maxKey   = 250      // memcache's own limit
-	maxValue = 64 << 10 // of the protocol
+	maxWhole = 64 << 10 // of a value that is read whole before anything is done with it
+	maxValue = 4 << 20  // of the protocol: a longer value is passed through in pieces
 	maxID    = 64
 	maxFacts = 32
 )
@@ -224,7 +225,9 @@
 // reply is what came back for an attempt.
 type reply struct {
 	status decide.Status
-	body   []byte // OK: the value or the receipt
+	body   []byte // OK: the value or the receipt,
+	length int    // or, where this is above 0, the length of a value that is still to be passed through
+	lineIn bool   // behind which a line end comes
 	note   int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
 	load   decide.Load
 	last   bool // the connection carries no further request
@@ -284,7 +287,10 @@
 	case kind == "VA" && c.verb == "mg":
 		if id, err = answerID(flags[1:]); err == nil && id == c.id { // else its value is nobody's, and not read
 			var n int
-			if n, err = readLength(flags[0]); err == nil {
+			if n, err = readLength(flags[0]); err == nil && n > maxWhole {
+				a.length, a.lineIn = n, true
+				_, err = r.Peek(1) // one that does not come is no answer
+			} else if err == nil {
 				a.body, err = readValue(r, n, false)
 			}
 		}
@@ -364,6 +370,9 @@
 
 // The answers that a client gets.
 
+// servedHead is the beginning of an answer whose value is passed through.
+func servedHead(c *command, n int) []byte { return fmt.Appendf(nil, "VA %d O%s\r\n", n, c.id) }
+
 func served(c *command, body []byte) []byte {
 	if c.verb == "ms" {
 		return fmt.Appendf(nil, "HD O%s c%s\r\n", c.id, body)
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -63,7 +63,7 @@
 
 // readResponse reads an answer of the origin with its body. The body is read here, as the library's Close would read
 // an unwanted one to its end, however long that is.
-func readResponse(r *bufio.Reader, method string) (*http.Response, []byte, error) {
+func readResponse(r *bufio.Reader, method string, through bool) (*http.Response, []byte, error) {
 	for range maxProvisional {
 		head, err := readHead(r)
 		if err != nil {
@@ -74,6 +74,10 @@
 		case err != nil:
 			return nil, nil, malformed("origin answer: %v", err)
 		case resp.StatusCode >= 200:
+			if through && resp.StatusCode == http.StatusOK && resp.ContentLength > maxWhole && resp.ContentLength <= maxValue {
+				_, err := r.Peek(1)
+				return resp, nil, err // the body is passed through
+			}
 			body, err := readBody(r, resp)
 			return resp, body, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
@@ -87,7 +91,7 @@
 func readBody(r *bufio.Reader, resp *http.Response) ([]byte, error) {
 	n := resp.ContentLength
 	chunked := slices.Contains(resp.TransferEncoding, "chunked")
-	if n > maxValue || n < 0 && !chunked {
+	if n > maxWhole || n < 0 && !chunked {
 		return nil, malformed("origin value of %d bytes", n)
 	}
 	body := make([]byte, max(n, 0))
@@ -97,8 +101,8 @@
 	if !chunked {
 		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxValue+1))
-	if err != nil || len(body) > maxValue {
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxWhole+1))
+	if err != nil || len(body) > maxWhole {
 		return nil, malformed("origin value in chunks of %d bytes or more: %v", len(body), err)
 	}
 	for { // trailers
@@ -116,14 +120,16 @@
 	if c.verb == "ms" {
 		method = http.MethodPut
 	}
-	resp, body, err := readResponse(r, method)
+	resp, body, err := readResponse(r, method, method == http.MethodGet)
 	if err != nil {
 		return a, err
 	}
 	a.body, a.load, a.last = body, readLoad(resp.Header.Get("X-Backend-Load")), resp.Close
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		a.status = decide.OK
+		if a.status = decide.OK; body == nil && resp.ContentLength > maxWhole {
+			a.length = int(resp.ContentLength)
+		}
 		if c.verb == "ms" && !isReceipt(a.body) {
 			return a, malformed("receipt %.40q", a.body)
 		}
@@ -142,7 +148,7 @@
 }
 
 func readOriginLoad(r *bufio.Reader) (decide.Load, error) {
-	resp, _, err := readResponse(r, http.MethodGet)
+	resp, _, err := readResponse(r, http.MethodGet, false)
 	if err != nil {
 		return decide.NoLoad, err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,8 +37,8 @@
 // New returns a router that serves the clients of ln, once it runs.
 func New(cfg *Config, ln net.Listener, m *metrics.Router) (*Router, error) {
 	sockets := cfg.Limits.Sockets - fdReserve
-	// Each attempt may hold a value of full length: all together a quarter of the memory.
-	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/maxValue))
+	// Each attempt may hold a value that is read whole: all together a quarter of the memory.
+	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/maxWhole))
 	r := &Router{cfg: cfg, metrics: m}
 	r.up = newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), attempts)
 	var err error
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -751,7 +751,7 @@
 			c.verb = "ms"
 		}
 		for _, parse := range []func(*bufio.Reader, *command) (reply, error){readReply, readOriginReply} {
-			if a, err := parse(bufio.NewReaderSize(bytes.NewReader(in), maxLine), c); err == nil && len(a.body) > maxValue {
+			if a, err := parse(bufio.NewReaderSize(bytes.NewReader(in), maxLine), c); err == nil && len(a.body) > maxWhole {
 				t.Errorf("%d bytes of %q", len(a.body), in)
 			}
 		}
--- /dev/null
+++ b/internal/router/through_test.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// bigValue is a value of n bytes in which every part differs.
+func bigValue(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.String()[:n]
+}
+
+// whole reads a value that is passed through, and says whether its end came.
+func (c *client) whole(t *testing.T, id string, n int) (value string, end bool) {
+	t.Helper()
+	want := fmt.Sprintf("VA %d O%s\r\n", n, id)
+	head := make([]byte, len(want))
+	if _, err := io.ReadFull(c.r, head); err != nil || string(head) != want {
+		t.Fatalf("got %q, %v, want %q", head, err, want)
+	}
+	b := make([]byte, n+2)
+	m, err := io.ReadFull(c.r, b)
+	return string(b[:min(m, n)]), err == nil && string(b[n:]) == "\r\n"
+}
+
+func TestLargeValuesArePassedThrough(t *testing.T) {
+	const n = 3 << 20
+	value := bigValue(n)
+	a, o := startFake(t, func(line string) string {
+		if idOf(line)[0] == 'o' {
+			return "EN O{id} h0\r\n"
+		}
+		return fmt.Sprintf("VA %d O{id} h1\r\n%s\r\n", n, value)
+	}), startFake(t, func(string) string { return httpAnswer("200 OK", value) })
+	r, _ := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	// One behind the other on one connection, from a cache server and from the origin, with a short answer between.
+	c.send(read("a1", 5000) + "\r\nmn\r\n")
+	if got, end := c.whole(t, "a1", n); got != value || !end {
+		t.Errorf("from a cache server: %d bytes, end %t", len(got), end)
+	}
+	if got := c.line(); got != "MN" {
+		t.Errorf("behind it: got %q", got)
+	}
+	c.send(read("o1", 5000) + "\r\n")
+	if got, end := c.whole(t, "o1", n); got != value || !end {
+		t.Errorf("from the origin: %d bytes, end %t", len(got), end)
+	}
+	for r.figures(t).Success["read"] != 2 {
+	}
+	if got := r.figures(t); got.Concurrent != 0 || got.Error["read"] != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A value that breaks off, or whose end is not where it was said to be, is never whole to the client.
+func TestLargeValueThatIsNotWhole(t *testing.T) {
+	const n = 300 << 10
+	for name, answer := range map[string]string{
+		"cut":    fmt.Sprintf("VA %d O{id} h1\r\n%s{cut}", n, strings.Repeat("v", n/2)),
+		"no end": fmt.Sprintf("VA %d O{id} h1\r\n%s{cut}", n, strings.Repeat("v", n+100)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, o := startFake(t, func(string) string { return answer }), startFake(t, originOK)
+			r, _ := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+			c := dial(t, r.addr)
+			c.send(read("a1", 5000) + "\r\n")
+			if got, end := c.whole(t, "a1", n); end {
+				t.Errorf("%d bytes passed for a whole value", len(got))
+			}
+			if got := c.line(); got != "EOF" {
+				t.Errorf("behind it: got %q", got)
+			}
+			for r.figures(t).Error["read"] != 1 {
+			}
+		})
+	}
+}
+
+// Where the client does not read, the cache server is not read either: what lies between is bounded.
+func TestClientThatDoesNotReadHoldsBackTheServer(t *testing.T) {
+	const n, step = 1 << 20, 1 << 10
+	server, up := net.Pipe() // without buffers of their own
+	down, reader := net.Pipe()
+	for _, c := range []net.Conn{server, up, down, reader} {
+		t.Cleanup(func() { c.Close() })
+	}
+	from := &upstreamConn{Conn: up}
+	from.r = bufio.NewReaderSize(from, maxLine)
+	turn := make(chan struct{})
+	close(turn)
+	s := &sink{ctx: t.Context(), sl: &slot{c: &clientConn{Conn: down, dead: make(chan struct{})}, turn: turn}}
+	var given atomic.Int64
+	go func() {
+		for range n / step {
+			if _, err := server.Write(make([]byte, step)); err != nil {
+				return
+			}
+			given.Add(step)
+		}
+		io.WriteString(server, "\r\n")
+	}()
+	done := make(chan error, 1)
+	go func() { done <- s.pass(from, reply{length: n, lineIn: true}) }()
+	b := make([]byte, step)
+	for taken := int64(0); taken < n; {
+		m, err := reader.Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken += int64(m)
+		if ahead := given.Load() - taken; ahead > piece+2*maxLine {
+			t.Fatalf("%d bytes lie between", ahead)
+		}
+	}
+	if got, err := io.ReadAll(io.LimitReader(reader, 2)); err != nil || string(got) != "\r\n" {
+		t.Errorf("the end: got %q, %v", got, err)
+	}
+	if err := next(t, done, "end"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -37,7 +37,7 @@
 
 // An answer is bounded in bytes and in time, whatever it says of itself.
 const (
-	maxAnswer  = 2*maxHead + 2*maxValue // with room for chunks and provisional answers
+	maxAnswer  = 2*maxHead + 2*maxWhole // but for a value that is passed through, with room for chunks and provisional answers
 	answerRest = 250 * time.Millisecond // for the rest to come once it has begun; aims are longer, so a read is tried again in time
 )
 
@@ -277,9 +277,19 @@
 	c.Close()
 }
 
+// hooks are what the owner of an attempt has a say in.
+type hooks struct {
+	begin   func() bool           // asked once, before the first byte: false calls the attempt off
+	wrote   func()                // told of the last one
+	through func(got reply) *sink // asked for the client of a value that is to be passed through; nil = there is none
+}
+
+// errUnwanted ends a connection with a value that nobody waits for any more.
+var errUnwanted = errors.New("value unwanted")
+
 // attempt writes c to t once, never twice, and says how that ended. The end of ctx gives the attempt up by closing
-// its connection. begin is asked once, before the first byte: false calls the attempt off. wrote is told of the last one.
-func (u *upstreams) attempt(ctx context.Context, t *target, c *command, wait float64, begin func() bool, wrote func()) reply {
+// its connection.
+func (u *upstreams) attempt(ctx context.Context, t *target, c *command, wait float64, on hooks) reply {
 	a := reply{load: decide.NoLoad}
 	wire, read := c.append(nil, wait), readReply
 	if t.origin {
@@ -298,7 +308,7 @@
 	case err != nil:
 		a.status = decide.ConnectError
 		return a
-	case !begin():
+	case !on.begin():
 		u.put(t, conn, true)
 		a.status = decide.Canceled
 		return a
@@ -310,12 +320,19 @@
 		a.status = decide.ConnectError
 		return a
 	}
-	wrote()
+	on.wrote()
 	err = conn.begun()
 	answered := err == nil
 	if answered {
 		a, err = read(conn.r, c)
 	}
+	if err == nil && a.length > 0 {
+		if sink := on.through(a); sink != nil {
+			err = sink.pass(conn, a)
+		} else {
+			err = errUnwanted // by now
+		}
+	}
 	u.put(t, conn, stop() && err == nil && !a.last && conn.clean())
 	switch {
 	case answered && err != nil: // not understood, or it broke off: it has run, and the server was at work
