--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -63,7 +63,7 @@
 
 // readResponse reads an answer of the origin with its body. The body is read here, as the library's Close would read
 // an unwanted one to its end, however long that is.
-func readResponse(r *bufio.Reader, method string, through bool) (*http.Response, []byte, error) {
+func readResponse(r *bufio.Reader, method string, through bool, room *budget) (*http.Response, []byte, error) {
 	for range maxProvisional {
 		head, err := readHead(r)
 		if err != nil {
@@ -78,7 +78,7 @@
 				_, err := r.Peek(1)
 				return resp, nil, err // the body is passed through
 			}
-			body, err := readBody(r, resp)
+			body, err := readBody(r, resp, bytes.Contains(bytes.ToLower(head), []byte("\nconnection: close\r\n")), room)
 			return resp, body, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, nil, malformed("origin answer: status %d", resp.StatusCode)
@@ -87,23 +87,26 @@
 	return nil, nil, malformed("over %d provisional answers", maxProvisional)
 }
 
-// readBody reads the body that an answer announces; one without a length can't be told from a broken one.
-func readBody(r *bufio.Reader, resp *http.Response) ([]byte, error) {
+// readBody reads the body that an answer announces. One that ends with the connection is whole only where the answer
+// said that it would: else it can't be told from a broken one.
+func readBody(r *bufio.Reader, resp *http.Response, ends bool, room *budget) ([]byte, error) {
 	n := resp.ContentLength
 	chunked := slices.Contains(resp.TransferEncoding, "chunked")
-	if n > maxWhole || n < 0 && !chunked {
+	switch {
+	case n > maxWhole || n < 0 && !chunked && !ends:
 		return nil, malformed("origin value of %d bytes", n)
-	}
-	body := make([]byte, max(n, 0))
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, fmt.Errorf("origin answer: %w", err)
-	}
-	if !chunked {
+	case n < 0 && !chunked:
+		return readUnsized(r, room)
+	case n >= 0:
+		body := make([]byte, n)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, fmt.Errorf("origin answer: %w", err)
+		}
 		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxWhole+1))
-	if err != nil || len(body) > maxWhole {
-		return nil, malformed("origin value in chunks of %d bytes or more: %v", len(body), err)
+	body, err := readUnsized(httputil.NewChunkedReader(r), room)
+	if err != nil {
+		return nil, err
 	}
 	for { // trailers
 		line, err := readLine(r)
@@ -113,14 +116,42 @@
 	}
 }
 
+// readUnsized reads a body whose length shows only at its end. As an answer to a client begins with the length, such a
+// body must be read whole, however long: beyond the usual, as far as there is room.
+func readUnsized(r io.Reader, room *budget) ([]byte, error) {
+	var body []byte
+	taken := 0
+	defer func() { room.give(taken) }()
+	buf := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buf)
+	for {
+		n, err := r.Read(buf[:])
+		if body = append(body, buf[:n]...); len(body) > maxValue {
+			return nil, malformed("origin value of over %d bytes", maxValue)
+		}
+		if more := len(body) - maxWhole - taken; more > 0 {
+			if !room.take(more) {
+				return nil, malformed("origin value of unknown length: no room for more than %d bytes", len(body))
+			}
+			taken += more
+		}
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("origin answer: %w", err)
+		}
+	}
+}
+
 // readOriginReply reads the origin's answer to c.
-func readOriginReply(r *bufio.Reader, c *command) (reply, error) {
+func readOriginReply(r *bufio.Reader, c *command, room *budget) (reply, error) {
 	a := reply{load: decide.NoLoad}
 	method := http.MethodGet
 	if c.verb == "ms" {
 		method = http.MethodPut
 	}
-	resp, body, err := readResponse(r, method, method == http.MethodGet)
+	resp, body, err := readResponse(r, method, method == http.MethodGet, room)
 	if err != nil {
 		return a, err
 	}
@@ -148,7 +179,7 @@
 }
 
 func readOriginLoad(r *bufio.Reader) (decide.Load, error) {
-	resp, _, err := readResponse(r, http.MethodGet, false)
+	resp, _, err := readResponse(r, http.MethodGet, false, new(budget))
 	if err != nil {
 		return decide.NoLoad, err
 	}
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -96,6 +96,7 @@
 	}
 	r.l.share(n)
 	r.up.share(n)
+	r.up.unsized.limit.Store(r.cfg.Limits.MemoryMB << 20 / 16 / int64(n))
 	r.s.share(n)
 	r.l.post(func() { r.l.b.Share(r.l.now(), n) })
 	log.Printf("%s: %d processes are this router", r.cfg.Name, n)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -750,7 +750,8 @@
 		if write {
 			c.verb = "ms"
 		}
-		for _, parse := range []func(*bufio.Reader, *command) (reply, error){readReply, readOriginReply} {
+		for _, parse := range []func(*bufio.Reader, *command) (reply, error){readReply,
+			func(r *bufio.Reader, c *command) (reply, error) { return readOriginReply(r, c, new(budget)) }} {
 			if a, err := parse(bufio.NewReaderSize(bytes.NewReader(in), maxLine), c); err == nil && len(a.body) > maxWhole {
 				t.Errorf("%d bytes of %q", len(a.body), in)
 			}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -37,8 +37,8 @@
 
 // An answer is bounded in bytes and in time, whatever it says of itself.
 const (
-	maxAnswer  = 2*maxHead + 2*maxWhole // but for a value that is passed through, with room for chunks and provisional answers
-	answerRest = 250 * time.Millisecond // for the rest to come once it has begun; aims are longer, so a read is tried again in time
+	maxAnswer  = 2*maxHead + maxWhole + maxValue // with room for chunks and provisional answers
+	answerRest = 250 * time.Millisecond          // for the rest to come once it has begun; aims are longer, so a read is tried again in time
 )
 
 // Read reads from the connection, up to the bound.
@@ -74,9 +74,10 @@
 	maxIdle time.Duration
 
 	mu      sync.Mutex
-	limit   int // of this process's part
-	whole   int // of the router
-	open    int // connections open or being opened
+	unsized budget // bytes of values whose length shows at their end, beyond the usual
+	limit   int    // of this process's part
+	whole   int    // of the router
+	open    int    // connections open or being opened
 	targets map[*target]struct{}
 }
 
@@ -298,7 +299,7 @@
 			a.status = decide.Ignored // it can't be said in HTTP, and was not sent
 			return a
 		}
-		read = readOriginReply
+		read = func(r *bufio.Reader, c *command) (reply, error) { return readOriginReply(r, c, &u.unsized) }
 	}
 	conn, err := u.take(ctx, t)
 	switch {
