Spare discovery in a herd: slots by fleet size, one call from the version held

Ruled out as causes by counting refusals and logging calls: cold budgets, bans, the origin's places; servers were out because the list was 12 s old, as two calls a router and a short wait kept one discovery at more than it can answer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,11 +23,11 @@
 func (b *Balancer) Servers(now float64, kind ListKind, entries []Entry) {
 	b.begin(now)
 	if kind == Refused {
-		b.watchAt = now + 500 + 1000*b.rng.Float64() // spread, or all routers ask at once again
+		b.watchAt = now + b.backOff() // spread, or all routers ask at once again
 		return
 	}
-	if b.watchAt = math.Inf(1); b.cfg.AskList && kind == Remembered {
-		b.watchAt = now // the next housekeeping asks
+	if b.watchAt, b.refused = math.Inf(1), 0; b.cfg.AskList && kind == Remembered {
+		b.watchAt = now + b.firstCall() // the next housekeeping after it asks
 	}
 	for _, s := range b.apply(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process has a new record
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -75,3 +75,25 @@
 	b.pump()
 	return nil
 }
+
+// One discovery serves all routers in turn. With few of them it has time for each every second, with many it has not.
+const (
+	askEvery  = 1000 // ms between two calls of a router that is refused, at least,
+	askSlot   = 250  // and for each router that there is
+	fewEnough = 8    // routers that may all call at once
+)
+
+// backOff is how long to wait after a refused call: longer after each one in a row, and spread, as all were refused.
+func (b *Balancer) backOff() float64 {
+	mean := max(askEvery, askSlot*float64(b.cfg.Routers)) * min(2, 1+float64(b.refused)/4)
+	b.refused++
+	return mean * (0.5 + b.rng.Float64())
+}
+
+// firstCall is how long to wait after a start: in a release most routers start at once.
+func (b *Balancer) firstCall() float64 {
+	if b.cfg.Routers <= fewEnough {
+		return 0
+	}
+	return askSlot * float64(b.cfg.Routers) * b.rng.Float64()
+}
--- a/decide/operate_test.go
+++ b/decide/operate_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // homeOf is where a request of the key goes when nothing is wrong.
 func homeOf(t *testing.T, b *Balancer, h *fakeHost, now float64, id uint32, key uint64) uint32 {
@@ -179,3 +182,51 @@
 		t.Error("something of a bad configuration was taken")
 	}
 }
+
+// A herd of routers that start at once and are refused together asks no faster than one discovery can bear.
+func TestHerdAsksWithinItsSlots(t *testing.T) {
+	for _, routers := range []int{4, 36} {
+		var calls []float64 // of all routers, in the first 20 s, each refused
+		for me := range routers {
+			cfg := testConfig()
+			cfg.Routers, cfg.Me, cfg.AskList = routers, me, true
+			h := newHost()
+			b, err := New(cfg, uint64(me)*977+5, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Servers(100000, Remembered, fleet(6))
+			first := math.Inf(1)
+			for now := 100000.0; now < 120000; now += 100 {
+				n := h.watches
+				if b.Timer(now, tickToken); h.watches > n {
+					first = min(first, now)
+					calls = append(calls, now)
+					b.Servers(now+10, Refused, nil)
+				}
+			}
+			if first > 100000+cfgMustAsk {
+				t.Errorf("%d routers: the first call of one came after %v ms", routers, first-100000)
+			}
+		}
+		perSecond := float64(len(calls)) / 20
+		if perSecond < 2 || perSecond > 6 {
+			t.Errorf("%d routers: %.1f calls a second", routers, perSecond)
+		}
+		burst := 0
+		for _, at := range calls {
+			n := 0
+			for _, other := range calls {
+				if other >= at && other < at+500 {
+					n++
+				}
+			}
+			burst = max(burst, n)
+		}
+		if burst > 9 {
+			t.Errorf("%d routers: %d calls in half a second", routers, burst)
+		}
+	}
+}
+
+const cfgMustAsk = 10000 // ms without asking after which news counts as told
--- a/decide/state.go
+++ b/decide/state.go
@@ -54,7 +54,8 @@
 	median     float64 // capacity for a unit of size, of the servers that reported one
 	sized      bool    // whether sizes are told
 	portion    float64 // own part of all traffic, as far as reports tell
-	watchAt    float64 // when to ask for the list again
+	watchAt    float64 // when to ask for the list again,
+	refused    int     // and how often in a row that was refused
 	processes  int     // that work as this router; 0 = this one only
 }
 
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -77,7 +78,9 @@
 type discovery struct {
 	url    string
 	client *http.Client
-	onAsk  bool // watches only once asked, and tells of failures
+	holds  bool  // a list is held,
+	from   int64 // of this version: else the whole one is asked for
+	onAsk  bool  // watches only once asked, and tells of failures
 	pace   pace
 	asked  chan struct{} // of capacity 1
 	tell   func(l list)  // takes a list
@@ -101,6 +104,12 @@
 	sharedPace = pace{list: 2 * time.Second, wait: 10 * time.Second, slack: time.Second, again: 500 * time.Millisecond}
 )
 
+// among is the pace where that many routers call one discovery: each end of a wait is a call more, from each of them.
+func (p pace) among(routers int) pace {
+	p.wait = min(p.wait*time.Duration(max(8, routers))/8, time.Minute)
+	return p
+}
+
 const (
 	dialTimeout = time.Second
 	quickAnswer = 50 * time.Millisecond
@@ -108,10 +117,10 @@
 	maxHeaders  = 64 << 10
 )
 
-func newDiscovery(addr string, onAsk bool, tell func(list), broke func()) *discovery {
+func newDiscovery(addr string, onAsk bool, routers int, tell func(list), broke func()) *discovery {
 	p := agentPace
 	if onAsk {
-		p = sharedPace
+		p = sharedPace.among(routers)
 	}
 	return &discovery{pace: p, url: "http://" + addr + "/v1/servers", onAsk: onAsk, asked: make(chan struct{}, 1),
 		tell: tell, broke: broke,
@@ -127,10 +136,11 @@
 	}
 }
 
-// run follows the list until ctx ends. After a failure it begins anew with the whole list: what was missed comes
-// with it.
+// run follows the list until ctx ends. After a failure it begins anew, so that what was missed comes with the first
+// answer.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
+	failing := false // one line is enough
 	for ctx.Err() == nil {
 		if d.onAsk {
 			select {
@@ -140,12 +150,17 @@
 			}
 		}
 		pause := 100*time.Millisecond + rand.N(400*time.Millisecond) // spread, or all would ask at once when it is back
-		if d.follow(ctx) {
-			pause = min(pause, d.pace.again)
+		heard, err := d.follow(ctx)
+		if heard {
+			pause, failing = min(pause, d.pace.again), false
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil && !failing {
+			log.Printf("%s: %v", strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), "/v1/servers"), err)
+		}
+		failing = true
 		d.broke()
 		select {
 		case <-time.After(pause):
@@ -154,12 +169,19 @@
 	}
 }
 
-// follow gets the whole list and the changes after it, until a call fails, and tells whether any went well.
-func (d *discovery) follow(ctx context.Context) (heard bool) {
+// follow gets the whole list, or what has changed since the version that is held, and the changes after it, until a call fails, and tells whether any went well.
+func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
 	asked := time.Now()
-	l, err := d.call(ctx, d.url, d.pace.list)
+	var l list
+	if !d.holds {
+		l, err = d.call(ctx, d.url, d.pace.list)
+	} else { // one call, not two
+		l, err = d.call(ctx, d.after(d.from), d.pace.wait+d.pace.slack)
+	}
 	for err == nil {
-		heard = true
+		if heard = true; d.onAsk {
+			d.holds, d.from = true, l.Version
+		}
 		d.tell(l)
 		if !l.Full && len(l.Servers) == 0 && time.Since(asked) < quickAnswer {
 			select { // an agent that does not wait would be asked without end; a watch bears a pause of 200 ms
@@ -168,10 +190,14 @@
 			}
 		}
 		asked = time.Now()
-		url := fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, l.Version, d.pace.wait.Milliseconds())
-		l, err = d.call(ctx, url, d.pace.wait+d.pace.slack)
+		l, err = d.call(ctx, d.after(l.Version), d.pace.wait+d.pace.slack)
 	}
-	return heard
+	return heard, err
+}
+
+// after is the call of a watch.
+func (d *discovery) after(version int64) string {
+	return fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, version, d.pace.wait.Milliseconds())
 }
 
 func (d *discovery) call(ctx context.Context, url string, within time.Duration) (list, error) {
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -143,3 +143,32 @@
 		t.Error(err)
 	}
 }
+
+// Where a list is held, one call from its version does for the whole list and the watch, also after a failure.
+func TestHeldListIsWatchedFromItsVersion(t *testing.T) {
+	queries := make(chan string, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.Query().Get("after")
+		if len(queries) == 1 || r.URL.Query().Get("after") == "42" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprint(w, `{"version":42,"full":false,"servers":[]}`)
+	}))
+	t.Cleanup(srv.Close)
+	d := newDiscovery(srv.Listener.Addr().String(), true, 36, func(list) {}, func() {})
+	d.holds, d.from = true, 41
+	for range 2 {
+		if _, err := d.follow(t.Context()); err == nil {
+			t.Fatal("no end of a refused watch")
+		}
+	}
+	close(queries)
+	var got []string
+	for q := range queries {
+		got = append(got, q)
+	}
+	if fmt.Sprint(got) != "[41 41 42]" {
+		t.Errorf("asked for what came after %v", got)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,13 +60,17 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
+	held := cfg.Known // whichever it is, it has come from this discovery
+	if r.before != nil {
+		held = r.before.List
+	}
 	l.first = r.begin
 	wg.Go(func() { l.run(work) })
 	wg.Go(func() { up.sweep(work) })
 	if r.link != nil {
 		wg.Go(func() { r.Joined(work, r.link) })
 	}
-	wg.Go(func() { l.discover(work, cfg, updates, r.tellList) })
+	wg.Go(func() { l.discover(work, cfg, held, updates, r.tellList) })
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	log.Printf("%s: listening at %s", cfg.Name, s.ln.Addr())
 
@@ -137,16 +141,18 @@
 }
 
 // discover follows the discovery that the configuration names, until ctx ends.
-func (l *loop) discover(ctx context.Context, cfg *Config, updates <-chan *Config, tell func(list)) {
+func (l *loop) discover(ctx context.Context, cfg *Config, held list, updates <-chan *Config, tell func(list)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
 		life, end := context.WithCancel(ctx)
 		d := l.newSource(cfg, tell)
+		d.holds, d.from = d.onAsk && len(held.Servers) > 0, held.Version
+		held = list{}                  // of another discovery the whole is asked for
 		l.post(func() { l.follow(d) }) // before anything that it tells
 		wg.Go(func() { d.run(life) })
-		from, next := cfg.Discovery, cfg
-		for ; next.Discovery == from; cfg = next {
+		at, next := cfg.Discovery, cfg
+		for ; next.Discovery == at; cfg = next {
 			select {
 			case <-ctx.Done():
 				end()
@@ -195,7 +201,7 @@
 			}
 		})
 	}
-	d = newDiscovery(cfg.Discovery, ask,
+	d = newDiscovery(cfg.Discovery, ask, cfg.settings.Config.Routers,
 		func(got list) {
 			kind := decide.Changes
 			if got.Full {
