--- a/decide/operate.go
+++ b/decide/operate.go
@@ -97,3 +97,12 @@
 	}
 	return askSlot * float64(b.cfg.Routers) * b.rng.Float64()
 }
+
+// WritesGoTo names the server that a write goes to, if there is one: large values are on their way there while they come.
+func (b *Balancer) WritesGoTo(now float64) (server uint32, open bool) {
+	b.begin(now)
+	if !b.cfg.Aside || b.origin == nil || !b.origin.open() {
+		return 0, false
+	}
+	return b.origin.ID, true
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -59,6 +59,7 @@
 	net.Conn
 	s       *clients
 	r       *bufio.Reader
+	taking  atomic.Bool // a large value is coming
 	counted atomic.Bool // among those that have asked
 
 	mu      sync.Mutex
@@ -223,7 +224,7 @@
 	if since = c.since; !c.asked && time.Since(since) > askSoon { // else silent ones would drive out the usual clients
 		since = since.Add(-asksNothing)
 	}
-	return since, c.open() == 0 && !c.closing
+	return since, c.open() == 0 && !c.closing && !c.taking.Load()
 }
 
 // drain ends the connection once nothing waits for its answer and no command is coming.
@@ -239,7 +240,7 @@
 func (c *clientConn) drop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open() == 0 {
+	if c.open() == 0 && !c.taking.Load() {
 		c.closing = true
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -295,9 +296,7 @@
 		}
 		refuse := err == nil && (cmd.verb == "mg" || cmd.verb == "ms") && !c.s.l.room(&cmd)
 		if err == nil && cmd.verb == "ms" {
-			if cmd.value, err = readValue(c.r, cmd.length, refuse); err != nil && !refuse {
-				c.s.l.held.give(cmd.length)
-			}
+			refuse, err = c.takeValue(&cmd, refuse)
 		}
 		read := c.s.l.now()
 		if err != nil && !errors.Is(err, errMalformed) {
@@ -333,6 +332,29 @@
 	}
 }
 
+// takeValue reads the value of a write, or passes a large one on while it comes. It tells whether the write is to be
+// refused; what was held for it is then given back, as after an error.
+func (c *clientConn) takeValue(cmd *command, refuse bool) (bool, error) {
+	l := c.s.l
+	if cmd.length <= maxWhole {
+		v, err := readValue(c.r, cmd.length, refuse)
+		if cmd.value = v; err != nil && !refuse {
+			l.letGo(cmd)
+		}
+		return refuse, err
+	}
+	full := refuse
+	if !refuse {
+		up, err := l.startUpload(cmd)
+		cmd.up, refuse = up, err != nil
+	}
+	err := c.readLarge(cmd.length, cmd.up)
+	if !full && (refuse || err != nil) {
+		l.letGo(cmd)
+	}
+	return refuse, err
+}
+
 // unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
 func (c *clientConn) unread(err error) (turnedAway bool) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -229,20 +229,29 @@
 // room takes the bytes that a request's value needs, and tells whether there are any. It may be called from any
 // goroutine.
 func (l *loop) room(cmd *command) bool {
-	return l.queued.used.Load() < l.queued.limit.Load() && l.held.take(cmd.length)
+	if cmd.kept = cmd.length; cmd.length > maxWhole {
+		cmd.kept = lastPiece
+	}
+	return l.queued.used.Load() < l.queued.limit.Load() && l.held.take(cmd.kept)
+}
+
+// letGo gives up what is held of a request's value. It may be called from any goroutine.
+func (l *loop) letGo(cmd *command) {
+	l.held.give(cmd.kept)
+	cmd.up.close()
 }
 
 // arrive takes a request of a client that was read at the given time.
 func (l *loop) arrive(cmd command, read float64, s *slot) {
 	if l.open[cmd.id] != nil { // cache servers would take the one for the other
-		l.held.give(cmd.length)
+		l.letGo(&cmd)
 		s.answer([]byte("CLIENT_ERROR the id of an open request\r\n"))
 		return
 	}
 	rules := l.rules.Load()
 	rule := rules.classes[cmd.class]
 	if rule == nil || rule.Effect == decide.Keyed && cmd.idem == "" { // the settings have just changed
-		l.held.give(cmd.length)
+		l.letGo(&cmd)
 		s.answer([]byte("CLIENT_ERROR the class has changed\r\n"))
 		return
 	}
@@ -331,7 +340,7 @@
 func (l *loop) forget(r *request) {
 	if r.over && r.out == 0 && l.reqs[r.id] == r {
 		delete(l.reqs, r.id)
-		l.held.give(r.cmd.length)
+		l.letGo(&r.cmd)
 	}
 }
 
@@ -490,11 +499,17 @@
 	go func() {
 		defer stop()
 		var passed *sink
-		got := l.up.attempt(ctx, t, &r.cmd, left, hooks{
+		on := hooks{
 			begin:   func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) },
 			wrote:   func() { l.metrics.Dispatches.Add(1) },
 			through: func(got reply) *sink { passed = l.openSink(ctx, a, got); return passed },
-		})
+		}
+		var got reply
+		if r.cmd.up != nil {
+			got = l.up.finish(ctx, server, &r.cmd, on)
+		} else {
+			got = l.up.attempt(ctx, t, &r.cmd, left, on)
+		}
 		if passed == nil {
 			l.post(func() { l.outcome(a, got) })
 			return
--- a/internal/router/meta.go
+++ b/internal/router/meta.go
@@ -37,10 +37,12 @@
 type command struct {
 	verb   string // "mg", "ms", or another of one word
 	key    string
-	id     string // opaque, O
-	facts  string // P, as it came
-	length int    // ms: of the value,
-	value  []byte // which is read last
+	id     string  // opaque, O
+	facts  string  // P, as it came
+	length int     // ms: of the value,
+	value  []byte  // which is read last,
+	up     *upload // or on its way already
+	kept   int     // bytes of it in memory
 
 	class, tenant, idem string
 	wait, hint, size    float64 // ms, ms, bytes
--- a/internal/router/through_test.go
+++ b/internal/router/through_test.go
@@ -129,3 +129,90 @@
 		t.Error(err)
 	}
 }
+
+// largeWrite is a write of a class that must never run twice.
+func largeWrite(id, value string) string {
+	return fmt.Sprintf("ms 7f3a9c21e0b4d655 %d O%s Pc=bill,t=t,d=2000\r\n%s\r\n", len(value), id, value)
+}
+
+func TestLargeWritesArePassedOnWhileTheyCome(t *testing.T) {
+	value := bigValue(3<<20 + 7)
+	o := startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", "127.0.0.1:1"), originAt(o.addr))
+	c := dial(t, r.addr)
+	for _, id := range []string{"w1", "w2"} { // the second one on the same connections
+		text := largeWrite(id, value)
+		for len(text) > 0 { // in pieces cut anywhere
+			n := min(len(text), 70_001)
+			c.send(text[:n])
+			text = text[n:]
+		}
+		if got := c.line(); got != "HD O"+id+" c5c0f" {
+			t.Fatalf("got %q", got)
+		}
+		if got := next(t, o.seen, "write"); !strings.HasSuffix(got, " "+value) || idOf(got) != id {
+			t.Errorf("the origin got %.100q and %d bytes", got, len(got))
+		}
+	}
+	if got := r.figures(t); got.Success["bill"] != 2 || got.Dispatches != 2 || r.router.l.held.used.Load() != 0 {
+		t.Errorf("got %+v, %d bytes held", got, r.router.l.held.used.Load())
+	}
+	if n := r.router.up.uploading.Load(); n != 0 {
+		t.Errorf("%d writes on their way", n)
+	}
+}
+
+// A large write whose last piece was not sent on has not run, whatever became of the rest: it is refused, not failed.
+func TestLargeWriteThatCantBePassedOn(t *testing.T) {
+	value := bigValue(1 << 20)
+	ln := listenLocal(t) // an origin that ends each connection in the middle
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(c, make([]byte, 100<<10))
+			c.Close()
+		}
+	}()
+	r, _ := serving(t, box("s-0000000b", "127.0.0.1:1"), originAt(ln.Addr().String()))
+	c := dial(t, r.addr)
+	c.send(largeWrite("w1", value))
+	if got := c.line(); got != "SERVER_ERROR busy" {
+		t.Errorf("an origin that closes: got %q", got)
+	}
+	if err := r.router.SetDisabled(t.Context(), "s-00000063", true); err != nil {
+		t.Fatal(err)
+	}
+	c.send(largeWrite("w2", value)) // the connection is as good as before
+	if got := c.line(); got != "SERVER_ERROR busy" {
+		t.Errorf("an origin that is out: got %q", got)
+	}
+	if got := r.figures(t); got.Overload["bill"] != 2 || got.Dispatches != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A client that leaves in the middle leaves nothing behind, and its write never runs.
+func TestLargeWriteThatBreaksOff(t *testing.T) {
+	o := startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", "127.0.0.1:1"), originAt(o.addr))
+	for _, cut := range []int{100 << 10, 1<<20 + 30} { // in the middle, and within the last piece
+		c := dial(t, r.addr)
+		c.send(largeWrite("w1", bigValue(1<<20))[:cut])
+		for o.conns.Load() == 0 {
+		}
+		c.Close()
+	}
+	for r.router.up.uploading.Load() != 0 || r.router.l.held.used.Load() != 0 {
+	}
+	if len(o.seen) != 0 || r.figures(t).Dispatches != 0 {
+		t.Error("a write that broke off has run")
+	}
+	bad := dial(t, r.addr)
+	bad.send(strings.TrimSuffix(largeWrite("w2", bigValue(1<<20)), "\r\n") + "xx")
+	if got := bad.line(); !strings.HasPrefix(got, "CLIENT_ERROR") {
+		t.Errorf("a value without its end: got %q", got)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,6 +80,15 @@
 	whole   int    // of the router
 	open    int    // connections open or being opened
 	targets map[*target]struct{}
+
+	uploading atomic.Int64 // large writes on their way
+}
+
+// mostUploads bounds the large writes on their way, which slow clients may hold for long: the rest is for attempts.
+func (u *upstreams) mostUploads() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return int64(max(1, u.limit/4))
 }
 
 // errNoSocket tells that the limit on sockets is reached.
@@ -321,8 +331,16 @@
 		a.status = decide.ConnectError
 		return a
 	}
+	return u.receive(t, conn, c, stop, read, on)
+}
+
+// receive reads the answer to c, which is written whole, and gives the connection back. stop ends the watch for the end
+// of the attempt and tells whether that has not come.
+func (u *upstreams) receive(t *target, conn *upstreamConn, c *command, stop func() bool,
+	read func(*bufio.Reader, *command) (reply, error), on hooks) reply {
 	on.wrote()
-	err = conn.begun()
+	a := reply{load: decide.NoLoad}
+	err := conn.begun()
 	answered := err == nil
 	if answered {
 		a, err = read(conn.r, c)
