--- a/decide/decide.go
+++ b/decide/decide.go
@@ -344,7 +344,7 @@
 		return
 	}
 	if b.mayRefuse(r) {
-		b.host.Refuse(r.ID, 0)
+		b.host.Refuse(r.ID, b.comeBack(r))
 	} else {
 		b.host.Fail(r.ID)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -22,6 +22,7 @@
 	closes  []uint32
 	watches int
 	onSend  func(id uint32)
+	waits   []float64
 }
 
 type sent struct{ id, server uint32 }
@@ -39,11 +40,14 @@
 	}
 	h.sends = append(h.sends, sent{id, server})
 }
-func (h *fakeHost) Cancel(id uint32, a int)     { h.cancels = append(h.cancels, fmt.Sprint(id, "/", a)) }
-func (h *fakeHost) Refuse(id uint32, _ float64) { h.refused[id]++ }
-func (h *fakeHost) Fail(id uint32)              { h.failed[id]++ }
-func (h *fakeHost) Probe(s uint32)              { h.probes = append(h.probes, s) }
-func (h *fakeHost) Close(s uint32)              { h.closes = append(h.closes, s) }
+func (h *fakeHost) Cancel(id uint32, a int) { h.cancels = append(h.cancels, fmt.Sprint(id, "/", a)) }
+func (h *fakeHost) Refuse(id uint32, wait float64) {
+	h.refused[id]++
+	h.waits = append(h.waits, wait)
+}
+func (h *fakeHost) Fail(id uint32) { h.failed[id]++ }
+func (h *fakeHost) Probe(s uint32) { h.probes = append(h.probes, s) }
+func (h *fakeHost) Close(s uint32) { h.closes = append(h.closes, s) }
 func (h *fakeHost) Timer(after float64, token uint64) {
 	h.timers = append(h.timers, timer{after, token})
 }
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -1,6 +1,9 @@
 package decide
 
-import "errors"
+import (
+	"errors"
+	"math"
+)
 
 // What operators ask of a running router. They may ask at any time, and what they ask for holds whatever the list says.
 
@@ -106,3 +109,24 @@
 	}
 	return b.origin.ID, true
 }
+
+// leastAway is the shortest time that a refused client is told to stay away: less is no relief.
+const leastAway = 25
+
+// comeBack is when a refused client is to come again: once the shortest queue among its servers is gone, but early enough
+// for the answer to be worth something. 0 = clients are not told.
+func (b *Balancer) comeBack(r *request) float64 {
+	if !b.cfg.RetryAfter {
+		return 0
+	}
+	wait := math.Inf(1)
+	for _, s := range r.key.list {
+		if b.usable(s, nil) {
+			wait = min(wait, b.waitAt(s))
+		}
+	}
+	if math.IsInf(wait, 1) { // none is in use: trials come after the least pause
+		wait = minPause
+	}
+	return max(min(leastAway, b.cfg.MaxAfter), min(wait, r.class.Aim/8, b.cfg.MaxAfter))
+}
--- a/decide/operate_test.go
+++ b/decide/operate_test.go
@@ -230,3 +230,23 @@
 }
 
 const cfgMustAsk = 10000 // ms without asking after which news counts as told
+
+// Where the settings allow it, a refused client is told when to come again: at once, and within bounds.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	for _, tells := range []bool{true, false} {
+		cfg := testConfig()
+		cfg.RetryAfter, cfg.MaxAfter = tells, 1500
+		es := fleet(6)
+		b, h := start(t, cfg, es)
+		for _, s := range b.order {
+			fill(b, s)
+		}
+		ask(b, 100000, 1, "read", 5)
+		if h.refused[1] != 1 || len(h.waits) != 1 {
+			t.Fatalf("refused %d times", h.refused[1])
+		}
+		if got := h.waits[0]; tells != (got >= leastAway && got <= 300.0/4) || !tells && got != 0 {
+			t.Errorf("told %t: wait %v", tells, got)
+		}
+	}
+}
