--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -157,7 +157,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil && !failing {
+		if !failing {
 			log.Printf("%s: %v", strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), "/v1/servers"), err)
 		}
 		failing = true
