--- a/decide/carry.go
+++ b/decide/carry.go
@@ -91,20 +91,20 @@
 	return st
 }
 
-// TakeOver takes the state of the process before this one, before the first list and the first request. A state that
-// can't be true changes nothing.
+// TakeOver takes the state of the process before this one, before the first list and the first request. Bans hold in any
+// case; of what was learnt, nothing is taken if some of it can't be true, as where the clocks of the two disagree.
 func (b *Balancer) TakeOver(now float64, st Carried) error {
 	if b.began >= 0 {
 		return errors.New("decide: a state comes before all else")
 	}
-	if !sane(st.Fetches, 0, 64) || !sane(st.Bear, 0, 1) || !sane(st.Keep, 0, max(b.cfg.ConnIdle, 200)) || !sane(st.Began, 0, now+1000) {
-		return errors.New("decide: a state that can't be true")
-	}
 	b.begin(now)
-	b.began = min(now, st.Began)
 	for id, at := range st.Bans {
-		b.bans[id] = at
+		b.bans[id] = min(at, now)
 	}
+	if !sane(st.Fetches, 0, 64) || !sane(st.Bear, 0, 1) || !sane(st.Keep, 0, math.MaxFloat64) || !sane(st.Began, 0, now+1000) {
+		return errors.New("decide: a state that can't be true")
+	}
+	b.began = min(now, st.Began)
 	entries := make([]Entry, 0, len(st.Servers))
 	for _, s := range st.Servers {
 		if s.Listed {
@@ -126,7 +126,7 @@
 	}
 	b.arrivals, b.jam, b.olat = st.Arrivals.rate(), st.Jam.level(), st.Origin.level()
 	b.x = moments{st.Latency[0], st.Latency[1], st.Latency[2]}
-	b.fetches, b.bear, b.keep, b.dirty = st.Fetches, st.Bear, st.Keep, true
+	b.fetches, b.bear, b.keep, b.dirty = st.Fetches, st.Bear, min(st.Keep, b.cfg.ConnIdle), true
 	return nil
 }
 
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"log"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	urgent     chan func()   // goes before events: what operators ask for
 	done       chan struct{} // closed when the loop has ended: events no longer count
 	ctx        context.Context
+	work       sync.WaitGroup // attempts and probes, which end soon after ctx
 	timers     timerHeap
 	later      []func() // what a Host method has caused: the Balancer must not be called from within its call
 	reqs       map[uint32]*request
@@ -496,7 +498,7 @@
 		return
 	}
 	a.due = l.after(left, func() { l.timeOut(a) })
-	go func() {
+	l.work.Go(func() {
 		defer stop()
 		var passed *sink
 		on := hooks{
@@ -516,7 +518,7 @@
 		}
 		l.post(func() { l.passed(a, got.status == decide.OK) })
 		passed.end(got.status == decide.OK)
-	}()
+	})
 }
 
 // Cancel gives an attempt up.
@@ -550,12 +552,12 @@
 		l.later = append(l.later, func() { l.b.Probed(l.now(), server, decide.ConnectError, decide.NoLoad) })
 		return
 	}
-	go func() {
+	l.work.Go(func() {
 		ctx, stop := context.WithTimeout(l.ctx, probeTimeout*time.Millisecond)
 		defer stop()
 		st, load := l.up.probe(ctx, t)
 		l.post(func() { l.b.Probed(l.now(), server, st, load) })
-	}()
+	})
 }
 
 // Close closes the idle connections to a server.
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -133,11 +133,10 @@
 	if h := r.before; h != nil {
 		r.before = nil
 		if err := l.b.TakeOver(l.now(), h.Module); err != nil {
-			log.Printf("what the process before knew is of no use: %v", err)
-		} else {
-			l.names, known = h.Names, h.List
-			l.floor.raise(known.Version)
+			log.Printf("what the process before has learnt is of no use: %v", err)
 		}
+		l.names, known = h.Names, h.List
+		l.floor.raise(known.Version)
 	}
 	l.list(decide.Remembered, known)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,6 +57,7 @@
 	defer s.ln.Close()
 	work, stop := context.WithCancel(context.Background()) // outlives ctx: what was taken is still served
 	defer stop()
+	defer l.work.Wait() // the loop, which starts attempts, has ended by then
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
