--- a/internal/router/through_test.go
+++ b/internal/router/through_test.go
@@ -166,6 +166,7 @@
 func TestLargeWriteThatCantBePassedOn(t *testing.T) {
 	value := bigValue(1 << 20)
 	ln := listenLocal(t) // an origin that ends each connection in the middle
+	closed := make(chan struct{}, 10)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -174,11 +175,15 @@
 			}
 			io.ReadFull(c, make([]byte, 100<<10))
 			c.Close()
+			closed <- struct{}{}
 		}
 	}()
 	r, _ := serving(t, box("s-0000000b", "127.0.0.1:1"), originAt(ln.Addr().String()))
 	c := dial(t, r.addr)
-	c.send(largeWrite("w1", value))
+	text := largeWrite("w1", value)
+	c.send(text[:len(text)/2])
+	next(t, closed, "end at the origin")
+	c.send(text[len(text)/2:])
 	if got := c.line(); got != "SERVER_ERROR busy" {
 		t.Errorf("an origin that closes: got %q", got)
 	}
