--- a/decide/operate.go
+++ b/decide/operate.go
@@ -113,6 +113,15 @@
 // leastAway is the shortest time that a refused client is told to stay away: less is no relief.
 const leastAway = 25
 
+// LeastAway is how long a client stays away at least that is refused before its request gets here, as where there is no
+// room for its value.
+func (c *Config) LeastAway() float64 {
+	if !c.RetryAfter {
+		return 0
+	}
+	return min(leastAway, c.MaxAfter)
+}
+
 // comeBack is when a refused client is to come again: once the shortest queue among its servers is gone, but early enough
 // for the answer to be worth something. 0 = clients are not told.
 func (b *Balancer) comeBack(r *request) float64 {
@@ -128,5 +137,5 @@
 	if math.IsInf(wait, 1) { // none is in use: trials come after the least pause
 		wait = minPause
 	}
-	return max(min(leastAway, b.cfg.MaxAfter), min(wait, r.class.Aim/8, b.cfg.MaxAfter))
+	return max(b.cfg.LeastAway(), min(wait, r.class.Aim/8, b.cfg.MaxAfter))
 }
--- a/decide/operate_test.go
+++ b/decide/operate_test.go
@@ -245,6 +245,9 @@
 		if h.refused[1] != 1 || len(h.waits) != 1 {
 			t.Fatalf("refused %d times", h.refused[1])
 		}
+		if got := b.cfg.LeastAway(); tells != (got == leastAway) {
+			t.Errorf("told %t: at least %v", tells, got)
+		}
 		if got := h.waits[0]; tells != (got >= leastAway && got <= 300.0/4) || !tells && got != 0 {
 			t.Errorf("told %t: wait %v", tells, got)
 		}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -309,7 +309,7 @@
 			return true
 		case refuse: // many large writes at once must not cost the router its life
 			c.s.l.metrics.Class(cmd.class).Ended(metrics.Overload)
-			sl.answer(refused(0))
+			sl.answer(refused(c.s.l.rules.Load().away))
 		case cmd.verb == "mg" || cmd.verb == "ms":
 			c.s.l.post(func() { c.s.l.arrive(cmd, read, sl) })
 		case cmd.verb == "mn":
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -110,6 +110,7 @@
 	classes map[string]*rule
 	most    int
 	copies  bool
+	away    float64 // how long one stays away that there is no room for
 }
 
 // rule is what the settings say of a class, and its counts.
@@ -119,7 +120,7 @@
 }
 
 func newRules(s decide.Config, m *metrics.Router) *rules {
-	r := &rules{classes: map[string]*rule{}, most: s.MaxAttempts, copies: s.Copies}
+	r := &rules{classes: map[string]*rule{}, most: s.MaxAttempts, copies: s.Copies, away: s.LeastAway()}
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &rule{c, m.Class(c.Name)}
 	}
