Give the program its own name, and name every deciding file under policy

Need: the module, the binary and the files still had the name they were inherited under, and the deploy file's policy named two files while others held decisions too (candidates, capacities, what goes over an upgrade).

Change: module dockhinge.example/dockhinge, binary bin/dockhinge.

--- a/cmd/cottonyoke/main.go
+++ b/cmd/dockhinge/main.go
@@ -1,4 +1,4 @@
-// Command cottonyoke is a router in front of cache servers.
+// Command dockhinge is a router in front of cache servers.
 package main
 
 import (
@@ -16,17 +16,17 @@
 	"syscall"
 	"time"
 
-	"mossproxy.example/mossproxy/internal/admin"
-	"mossproxy.example/mossproxy/internal/handover"
-	"mossproxy.example/mossproxy/internal/metrics"
-	"mossproxy.example/mossproxy/internal/router"
+	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/handover"
+	"dockhinge.example/dockhinge/internal/metrics"
+	"dockhinge.example/dockhinge/internal/router"
 )
 
 func main() {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // first of all: unhandled, it ends the program
 	if err := run(hup); err != nil {
-		fmt.Fprintln(os.Stderr, "cottonyoke:", err)
+		fmt.Fprintln(os.Stderr, "dockhinge:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,7 +7,7 @@
 	"runtime"
 	"runtime/debug"
 
-	"mossproxy.example/mossproxy/internal/wire"
+	"dockhinge.example/dockhinge/internal/wire"
 )
 
 func main() {
--- a/decide/api.go
+++ b/decide/api.go
@@ -1,5 +1,6 @@
 // Package decide makes a router's decisions: which cache server gets a request, when to try again, when to
-// refuse. This file is its interface; decide.go holds every decision.
+// refuse. This file is its interface; the files under policy in the
+// deploy file hold every decision.
 //
 // A Balancer is one router's share of the work. It has no goroutines and no clock: the router calls one method
 // per event, each with the time in milliseconds, and the Balancer answers by calling its Host, always before the
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-package decide // Interface: api.go (settings, events, actions). Records: state.go. Every decision is here.
+package decide // The ordinary path. Interface: api.go; records: state.go; the rest of policy: model.go, operate.go, carry.go.
 
 import (
 	"cmp"
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"mossproxy.example/mossproxy/internal/metrics"
+	"dockhinge.example/dockhinge/internal/metrics"
 )
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -9,8 +9,8 @@
 	"os"
 	"strconv"
 
-	"mossproxy.example/mossproxy/internal/admin"
-	"mossproxy.example/mossproxy/internal/settings"
+	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/settings"
 )
 
 // Config is what a router is told at its start.
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
+	"dockhinge.example/dockhinge/decide"
 )
 
 // list is a list of servers, or the changes to one, in discovery's form.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
-	"mossproxy.example/mossproxy/internal/metrics"
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/metrics"
 )
 
 // clock is one monotonic clock in milliseconds on which the starts of servers lie too: it counts from 1970 but steps
--- a/internal/router/meta.go
+++ b/internal/router/meta.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"strings"
 
-	"mossproxy.example/mossproxy/decide"
-	"mossproxy.example/mossproxy/internal/settings"
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/settings"
 )
 
 // The memcache meta text protocol, as clients speak it to routers and routers to cache servers.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"slices"
 
-	"mossproxy.example/mossproxy/decide"
+	"dockhinge.example/dockhinge/decide"
 )
 
 // The origin's HTTP/1.1.
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
-	"mossproxy.example/mossproxy/internal/admin"
-	"mossproxy.example/mossproxy/internal/handover"
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/handover"
 )
 
 // While an old and a new process live, they are one router: what one is told, the other is told.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
-	"mossproxy.example/mossproxy/internal/admin"
-	"mossproxy.example/mossproxy/internal/handover"
-	"mossproxy.example/mossproxy/internal/metrics"
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/handover"
+	"dockhinge.example/dockhinge/internal/metrics"
 )
 
 // comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
+	"dockhinge.example/dockhinge/decide"
 )
 
 // Large writes. All but the last piece is passed on while it comes; the last one waits for the module's decision.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"mossproxy.example/mossproxy/decide"
+	"dockhinge.example/dockhinge/decide"
 )
 
 // target is a cache server or the origin, at one address.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 
-	"mossproxy.example/mossproxy/decide"
+	"dockhinge.example/dockhinge/decide"
 )
 
 // Settings is the settings object in the terms of the decide package, with what only its host needs.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"strings"
 
-	"mossproxy.example/mossproxy/decide"
-	"mossproxy.example/mossproxy/internal/settings"
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/settings"
 )
 
 // instance is one router: its Balancer and the actions it took in this batch.
