Give the program a command line, an operator file and a structured log

Need: the program was started by an environment variable alone, a mistake in its configuration showed at the start and one at a time, and what later parts switch on had no place to stand.

Change: sub-commands serve, check, version and completion; a bare start still serves. check prints every mistake as file:line: setting: reason and ends with 2. The operator file is strict TOML; a test holds its keys and docs/configuration.md together. log/slog takes the place of log; an event that repeats is counted, with a bounded table. Mistakes in classes are named by their place (categories[1].effect), as they stand in the file.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"path"
@@ -52,7 +53,7 @@
 	go func() {
 		defer close(done)
 		if err := s.Serve(door); !errors.Is(err, http.ErrServerClosed) {
-			log.Printf("admin_addr: %v", err)
+			slog.Error("second address", "error", err)
 		}
 	}()
 	<-ctx.Done()
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,50 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRepeatedEventsAreCountedNotWritten(t *testing.T) {
+	var b bytes.Buffer
+	log := New(&b, Options{Level: "info", Every: 10 * time.Second, Burst: 2})
+	at := time.Unix(1000, 0)
+	say := func(msg string, after time.Duration) {
+		r := slog.NewRecord(at.Add(after), slog.LevelWarn, msg, 0)
+		if err := log.Handler().Handle(context.Background(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 7 {
+		say("refused", time.Duration(i)*time.Second)
+	}
+	say("another", 7*time.Second)
+	say("refused", 11*time.Second)
+	log.Debug("never")
+	if got := strings.Count(b.String(), "msg=refused"); got != 3 {
+		t.Errorf("%d lines of one event:\n%s", got, b.String())
+	}
+	if !strings.Contains(b.String(), "msg=another") || !strings.Contains(b.String(), "suppressed=5") {
+		t.Errorf("got:\n%s", b.String())
+	}
+}
+
+func TestEventsHaveABound(t *testing.T) {
+	e := &events{every: time.Second, burst: 1, seen: map[event]*window{}}
+	now := time.Unix(1000, 0)
+	for i := range 10 * maxEvents {
+		e.pass(event{msg: fmt.Sprint(i)}, now)
+	}
+	if len(e.seen) != maxEvents || e.rest.unsaid != 9*maxEvents-1 {
+		t.Errorf("%d events, %d beyond unsaid", len(e.seen), e.rest.unsaid)
+	}
+	e.pass(event{msg: "new"}, now.Add(time.Second)) // all are over by now
+	if len(e.seen) != 1 {
+		t.Errorf("%d events once the old ones are over", len(e.seen))
+	}
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -90,7 +90,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			log.Printf("accepting: %v", err)
+			slog.Warn("accepting", "error", err)
 			time.Sleep(100 * time.Millisecond) // as with no descriptor left: not in a tight loop
 			continue
 		}
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -158,7 +158,7 @@
 			return
 		}
 		if !failing {
-			log.Printf("%s: %v", strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), "/v1/servers"), err)
+			slog.Warn("discovery", "address", strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), "/v1/servers"), "error", err)
 		}
 		failing = true
 		d.broke()
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -3,7 +3,7 @@
 import (
 	"container/heap"
 	"context"
-	"log"
+	"log/slog"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -267,7 +267,7 @@
 	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
 	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
-		log.Printf("request %s: no answer by its deadline", r.cmd.id)
+		slog.Warn("no answer by its deadline", "request", r.cmd.id)
 		l.Fail(r.id)
 		l.b.Gone(l.now(), r.id)
 	})
@@ -399,7 +399,7 @@
 	for _, e := range got.Servers {
 		d, err := e.decided()
 		if err != nil {
-			log.Printf("discovery: entry passed over: %v", err)
+			slog.Warn("discovery: entry passed over", "error", err)
 			continue
 		}
 		entries, named[d.ID] = append(entries, d), true
@@ -584,7 +584,7 @@
 func (l *loop) Tell([]byte) {}
 
 // Log writes a line of the module's.
-func (l *loop) Log(text string) { log.Print(text) }
+func (l *loop) Log(text string) { slog.Info("module", "text", text) }
 
 // timer is something to do at a time.
 type timer struct {
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -99,7 +99,7 @@
 	r.up.unsized.limit.Store(r.cfg.Limits.MemoryMB << 20 / 16 / int64(n))
 	r.s.share(n)
 	r.l.post(func() { r.l.b.Share(r.l.now(), n) })
-	log.Printf("%s: %d processes are this router", r.cfg.Name, n)
+	slog.Info("processes are this router", "name", r.cfg.Name, "processes", n)
 }
 
 // State is what a successor is to know. From then on it is told what this process is told.
@@ -133,7 +133,7 @@
 	if h := r.before; h != nil {
 		r.before = nil
 		if err := l.b.TakeOver(l.now(), h.Module); err != nil {
-			log.Printf("what the process before has learnt is of no use: %v", err)
+			slog.Warn("what the process before has learnt is of no use", "error", err)
 		}
 		l.names, known = h.Names, h.List
 		l.floor.raise(known.Version)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -73,7 +73,7 @@
 	}
 	wg.Go(func() { l.discover(work, cfg, held, updates, r.tellList) })
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
-	log.Printf("%s: listening at %s", cfg.Name, s.ln.Addr())
+	slog.Info("listening", "name", cfg.Name, "address", s.ln.Addr().String())
 
 	<-ctx.Done()
 	if r.peers.count() == 0 { // else the other process takes them off the same queue
@@ -137,7 +137,7 @@
 		l.b.Enable(l.now(), id)
 	}
 	l.count()
-	log.Printf("cache server %s: disabled %t", o.ID, o.Disabled)
+	slog.Info("cache server by hand", "server", o.ID, "disabled", o.Disabled)
 	return nil
 }
 
@@ -182,11 +182,11 @@
 	}
 	if err != nil {
 		l.metrics.Refused.Add(1)
-		log.Printf("SIGHUP: the configuration is kept: %v", err)
+		slog.Warn("SIGHUP: the configuration is kept", "error", err)
 		return false
 	}
 	l.metrics.Reloads.Add(1)
-	log.Printf("SIGHUP: discovery at %s, classes %s", cfg.Discovery, cfg.settings.Config.ClassNames())
+	slog.Info("SIGHUP: the configuration is taken", "discovery", cfg.Discovery, "classes", cfg.settings.Config.ClassNames())
 	return true
 }
 
