Use cache servers at sites where they start warm

Cause: with rules.coldFrom = 1, the share of the capacity that grows with age is 0, and a server that has run since long ago has an infinite age: the product is no number, and with it all capacities, shares and waits. Every read was refused.

Change: a server past its cold time counts as warm before its age is multiplied with anything.

--- a/decide/model.go
+++ b/decide/model.go
@@ -232,7 +232,11 @@
 
 // warmth is the share of its capacity that a server has at least.
 func (b *Balancer) warmth(s *server) float64 {
-	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(0, b.now-s.fresh)/max(b.cfg.Cold, 1))
+	age := b.now - s.fresh // +Inf of one that has run for long: times a cold share of nothing that is no number
+	if age >= max(b.cfg.Cold, 1) {
+		return 1
+	}
+	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(0, age)/max(b.cfg.Cold, 1))
 }
 
 // delay gives λT(λ), the requests waiting at an M/G/m server by equations (2) to (5), and its two
--- a/decide/operate_test.go
+++ b/decide/operate_test.go
@@ -253,3 +253,24 @@
 		}
 	}
 }
+
+// A site whose servers start warm says so by a cold share of 1: they are used as any.
+func TestServersThatStartWarmAreUsed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Cold, cfg.ColdFrom, cfg.Probes, cfg.ByProbe = 1, 1, true, true
+	b, h := start(t, cfg, fleet(6))
+	for i := range uint32(200) {
+		now := 100000 + 20*float64(i)
+		ask(b, now, i+1, "read", uint64(i%20))
+		for _, s := range fleet(6) {
+			b.Probed(now, s.ID, OK, Load{QPS: 50 + float64(i%3), Util: 0.3, EPS: -1, Inflight: -1, Latency: -1})
+		}
+		if len(h.sends) > 0 && h.last().id == i+1 {
+			b.Outcome(now+10, Outcome{ID: i + 1, Server: h.last().server, Latency: 10, Final: true, Load: NoLoad})
+		}
+	}
+	b.Timer(104100, tickToken)
+	if served := len(h.sends); served < 190 {
+		t.Errorf("%d of 200 requests were sent", served)
+	}
+}
