--- /dev/null
+++ b/cmd/dockhinge-lab/load.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+	"dockhinge.example/dockhinge/lab/load"
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/report"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+type loadFlags struct {
+	rate, seconds float64
+	shape         string
+	workers       int
+}
+
+// loadAgainst sends a load to routers that the lab did not start. What a client can see of the rules is judged.
+func loadAgainst(ctx context.Context, addrs []string, o loadFlags) error {
+	f, err := scenario.Load("calm")
+	if err != nil {
+		return err
+	}
+	clock := standin.NewClock()
+	front, journal := standin.NewFront(clock), referee.NewJournal(1<<20)
+	for _, a := range addrs {
+		host, _, err := net.SplitHostPort(a)
+		if err != nil {
+			return fmt.Errorf("%q is no host:port", a)
+		}
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			return fmt.Errorf("%q is no loopback address", a)
+		}
+		front.Up(a, "", a)
+	}
+	f.Load.Rate, f.Load.Shape, f.Load.Workers, f.Load.Zones = o.rate, o.shape, o.workers, nil
+	f.Load.Progress = func(n load.Now) {
+		fmt.Printf("%6d s  asked %5d  served %5d  refused %4d  failed %4d  p50 %6.1f ms  p99 %6.1f ms  open %d\n",
+			n.Second-1, n.Asked, n.Served, n.Refused, n.Failed, n.P50MS, n.P99MS, n.Open)
+	}
+	l, err := load.New(f.Load, front, clock, journal)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, time.Duration(o.seconds*float64(time.Second)))
+	defer stop()
+	got := l.Run(ctx)
+	res := fleet.Result{Scenario: "load", Command: "not the lab's", Load: got, Service: got.Service(), Tail: got.Service()}
+	if !got.Valid {
+		res.Failures = append(res.Failures, "the run does not count: "+got.Why)
+	}
+	report.Table(os.Stdout, res)
+	if len(res.Failures) > 0 {
+		return errHeldNot
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/cost/cost.go
@@ -0,0 +1,420 @@
+// Package cost measures what a router costs: beside direct calls and beside a bare byte relay, in one run, so that what
+// the machine does meanwhile meets all three alike.
+package cost
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+	"dockhinge.example/dockhinge/lab/model"
+)
+
+// Params say what to measure.
+type Params struct {
+	Connections []int         // of the clients, each with one request at a time
+	Bytes       []int         // of a value
+	For         time.Duration // each cell
+	Router      []string      // its command
+	Relay       []string      // the relay's command; it is told where to listen and where to connect
+	Say         func(Cell)    // told of each cell
+}
+
+// Cell is one measurement.
+type Cell struct {
+	Path        string  `json:"path"` // direct, relay or router
+	Connections int     `json:"connections"`
+	Bytes       int     `json:"bytes"`
+	PerS        float64 `json:"requests_a_second"`
+	P50us       float64 `json:"p50_us"`
+	P99us       float64 `json:"p99_us"`
+	CPUus       float64 `json:"cpu_us_a_request"` // of the process in between; 0 where there is none
+	PeakMB      float64 `json:"peak_mb"`
+	Failed      int     `json:"failed"`
+}
+
+// keys is how many different keys are asked for.
+const keys = 64
+
+// Run measures all cells.
+func Run(ctx context.Context, p Params) (all []Cell, err error) {
+	dir, err := os.MkdirTemp("", "dockhinge-cost-")
+	if err != nil {
+		return nil, fmt.Errorf("cost: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	for _, size := range p.Bytes {
+		server, err := newServer(size)
+		if err != nil {
+			return nil, err
+		}
+		cells, err := measure(ctx, p, dir, server, size)
+		server.close()
+		all = append(all, cells...)
+		if err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+// measure runs the cells of one size.
+func measure(ctx context.Context, p Params, dir string, server *server, size int) (all []Cell, err error) {
+	relayAt, err := free()
+	if err != nil {
+		return nil, err
+	}
+	relay, err := start(append(append([]string(nil), p.Relay...), relayAt, server.addr()), nil, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer end(relay)
+	config, listen, admin, err := config(server.addr(), dir)
+	if err != nil {
+		return nil, err
+	}
+	defer config.close()
+	router, err := start(p.Router, []string{"GW_CONFIG=" + filepath.Join(dir, "config.json"), "TMPDIR=" + dir}, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer end(router)
+	if err := await(ctx, relayAt, admin); err != nil {
+		return nil, err
+	}
+	for _, conns := range p.Connections {
+		for _, c := range []struct {
+			path, addr string
+			pid        int
+		}{{"direct", server.addr(), 0}, {"relay", relayAt, relay.Process.Pid}, {"router", listen, router.Process.Pid}} {
+			if ctx.Err() != nil {
+				return all, ctx.Err()
+			}
+			cell := load(ctx, c.addr, conns, size, p.For, c.pid)
+			cell.Path = c.path
+			all = append(all, cell)
+			if p.Say != nil {
+				p.Say(cell)
+			}
+		}
+	}
+	return all, nil
+}
+
+func free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("cost: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func start(command, env []string, dir string) (*exec.Cmd, error) {
+	cmd := exec.Command(command[0], command[1:]...)
+	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("cost: %w", err)
+	}
+	defer log.Close() // the process has its own
+	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), env...), log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("cost: %w", err)
+	}
+	return cmd, nil
+}
+
+// end ends a process: what it has to answer is of no interest any more.
+func end(cmd *exec.Cmd) {
+	_ = cmd.Process.Kill() // it may have ended
+	_ = cmd.Wait()
+}
+
+// stub is the discovery and the origin of a router that never needs them.
+type stub struct{ s *http.Server }
+
+func (s stub) close() { s.s.Close() }
+
+// config writes the configuration of a router before one cache server.
+func config(cache, dir string) (s stub, listen, admin string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return s, "", "", fmt.Errorf("cost: %w", err)
+	}
+	if listen, err = free(); err == nil {
+		admin, err = free()
+	}
+	if err != nil {
+		ln.Close()
+		return s, "", "", err
+	}
+	known := model.List{Version: 1, Full: true, Servers: []model.Entry{{ID: "s-00000001", Addr: cache, Zone: "a", Kind: "box", State: "active", Weight: 1},
+		{ID: "s-0000ffff", Addr: ln.Addr().String(), Zone: "a", Kind: "origin", State: "active", Weight: 1}}}
+	list, err := json.Marshal(known)
+	if err != nil {
+		return s, "", "", err
+	}
+	s = stub{&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") != "" { // nothing ever changes
+			select {
+			case <-time.After(2 * time.Second):
+			case <-r.Context().Done():
+			}
+			fmt.Fprint(w, `{"version":1,"full":false,"servers":[]}`)
+			return
+		}
+		_, _ = w.Write(list) // a router that has gone
+	})}}
+	go func() { _ = s.s.Serve(ln) }() // until close
+	text, err := json.Marshal(map[string]any{"name": "cost", "listen": listen, "discovery": ln.Addr().String(), "admin_addr": admin, "seed": "1", "known": known,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"settings": map[string]any{"balancers": 1, "myNumber": 0, "zone": "a",
+			"categories": []any{map[string]any{"name": "read", "effect": "repeatable", "keyScope": "all", "target": 5000, "hardLimit": 10000, "gain": 1}},
+			"kinds":      []string{"box", "origin"}, "familyInfo": map[string]any{"mode": "aside", "originKind": 1}, "discovery": "push",
+			"caps":  map[string]any{"cancel": true, "maxAttempts": 3, "connIdle": 10000, "connectTimeout": 250},
+			"rules": map[string]any{"cold": 1000, "coldFrom": 0.9, "overloadFactor": 1e6, "overloadFor": 2000}}})
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600)
+	}
+	return s, listen, admin, err
+}
+
+// await waits for the relay and the router.
+func await(ctx context.Context, relay, admin string) error {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		c, err := net.Dial("tcp", relay)
+		if err != nil {
+			continue
+		}
+		c.Close()
+		resp, err := http.Get("http://" + admin + "/-/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New("cost: the relay or the router is not ready")
+}
+
+// load asks in a closed loop over so many connections.
+func load(ctx context.Context, addr string, conns, size int, during time.Duration, pid int) Cell {
+	ctx, stop := context.WithTimeout(ctx, during)
+	defer stop()
+	cell := Cell{Connections: conns, Bytes: size}
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	hists := make([]*hdrhistogram.Histogram, conns)
+	before, _ := fleet.ProcessUse(pid) // of no process: nothing
+	began := time.Now()
+	for i := range conns {
+		hists[i] = hdrhistogram.New(1, 60_000_000, 3)
+		wg.Go(func() {
+			if err := client(ctx, addr, i, hists[i]); err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	var peak float64
+	wg.Go(func() {
+		for tick := time.NewTicker(50 * time.Millisecond); ; {
+			select {
+			case <-ctx.Done():
+				tick.Stop()
+				return
+			case <-tick.C:
+				if u, err := fleet.ProcessUse(pid); err == nil {
+					peak = max(peak, u.RSSMB)
+				}
+			}
+		}
+	})
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	after, _ := fleet.ProcessUse(pid)
+	all := hdrhistogram.New(1, 60_000_000, 3)
+	for _, h := range hists {
+		all.Merge(h)
+	}
+	n := float64(all.TotalCount())
+	cell.PerS, cell.P50us, cell.P99us = n/took, float64(all.ValueAtQuantile(50)), float64(all.ValueAtQuantile(99))
+	cell.PeakMB, cell.Failed = peak, int(failed.Load())
+	if n > 0 {
+		cell.CPUus = (after.CPUMS - before.CPUMS) * 1000 / n
+	}
+	return cell
+}
+
+// client asks for one key after the other over a connection.
+func client(ctx context.Context, addr string, number int, h *hdrhistogram.Histogram) error {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	r := bufio.NewReaderSize(c, 64<<10)
+	var wire []byte
+	for n := 0; ctx.Err() == nil; n++ {
+		wire = fmt.Appendf(wire[:0], "mg %016x v O%08x%08x Pc=read,d=9000\r\n", (n+number)%keys, number, n)
+		if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			return err
+		}
+		began := time.Now()
+		if _, err := c.Write(wire); err != nil {
+			return err
+		}
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		f := strings.Fields(string(line))
+		if len(f) < 2 || f[0] != "VA" {
+			return fmt.Errorf("answer %q", line)
+		}
+		size, err := strconv.Atoi(f[1])
+		if err != nil {
+			return err
+		}
+		if _, err := io.CopyN(io.Discard, r, int64(size)+2); err != nil {
+			return err
+		}
+		if err := h.RecordValue(time.Since(began).Microseconds()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// server is a cache server that has every key and takes no time.
+type server struct {
+	ln    net.Listener
+	wg    sync.WaitGroup
+	value []byte
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newServer(size int) (*server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("cost: %w", err)
+	}
+	s := &server{ln: ln, value: append(make([]byte, size), "\r\n"...), conns: map[net.Conn]struct{}{}}
+	s.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[c] = struct{}{}
+			s.mu.Unlock()
+			s.wg.Go(func() { s.serve(c) })
+		}
+	})
+	return s, nil
+}
+
+func (s *server) addr() string { return s.ln.Addr().String() }
+
+func (s *server) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	var wire []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		switch f := strings.Fields(string(line)); {
+		case len(f) == 1 && f[0] == "mn":
+			wire = append(wire[:0], "MN\r\n"...)
+		case len(f) >= 4 && f[0] == "mg":
+			wire = fmt.Appendf(wire[:0], "VA %d %s h1\r\n", len(s.value)-2, f[3])
+			wire = append(wire, s.value...)
+		default:
+			wire = append(wire[:0], "ERROR\r\n"...)
+		}
+		if _, err := c.Write(wire); err != nil {
+			return
+		}
+	}
+}
+
+func (s *server) close() {
+	s.ln.Close()
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// Relay is the bare byte relay to measure against: it knows nothing of what it carries. It runs until ctx ends.
+func Relay(ctx context.Context, listen, target string) error {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	for {
+		near, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("relay: %w", err)
+		}
+		wg.Go(func() {
+			defer near.Close()
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			defer far.Close()
+			defer context.AfterFunc(ctx, func() { near.Close(); far.Close() })()
+			var both sync.WaitGroup
+			both.Go(func() { copyBytes(far, near) })
+			both.Go(func() { copyBytes(near, far) })
+			both.Wait()
+		})
+	}
+}
+
+// copyBytes goes through a buffer, as a router must, and not from socket to socket within the kernel.
+func copyBytes(to, from net.Conn) {
+	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, 32<<10))
+	to.Close()
+	from.Close()
+}
--- /dev/null
+++ b/lab/fleet/process.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// router is one router: a name and an address, and the processes that are it, two of them during an upgrade.
+type router struct {
+	name, zone, listen string
+	discovery          string
+	dir                string
+	number             int
+
+	mu    sync.Mutex
+	procs []*process // the newest last
+	bad   []string   // ends that nobody asked for
+}
+
+// process is one run of the router's command.
+type process struct {
+	cmd      *exec.Cmd
+	admin    string
+	expected bool // its end is; guarded by the router's mu
+	done     chan struct{}
+}
+
+// freeAddr finds an address that nobody listens at.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("no address: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// start runs the router's command with a configuration, and returns once the process is ready.
+func (r *router) start(ctx context.Context, command []string, config map[string]any, ready time.Duration) error {
+	admin, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	config["admin_addr"] = admin
+	text, err := json.MarshalIndent(config, "", " ")
+	if err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	tmp := filepath.Join(r.dir, "tmp")
+	if err := os.MkdirAll(tmp, 0o700); err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	path := filepath.Join(r.dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	cmd := exec.Command(command[0], command[1:]...)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+tmp)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is for the lab, which ends its routers in order
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	p := &process{cmd: cmd, admin: admin, done: make(chan struct{})}
+	r.mu.Lock()
+	r.procs = append(r.procs, p)
+	r.mu.Unlock()
+	go func() { // ended by the end of the process, which stop waits for
+		err := cmd.Wait()
+		log.Close()
+		r.mu.Lock()
+		if !p.expected {
+			r.bad = append(r.bad, fmt.Sprintf("router %s ended by itself: %v", r.name, err))
+		}
+		for i, q := range r.procs {
+			if q == p {
+				r.procs = append(r.procs[:i:i], r.procs[i+1:]...)
+				break
+			}
+		}
+		r.mu.Unlock()
+		close(p.done)
+	}()
+	return p.ready(ctx, r, ready)
+}
+
+// ready waits until the second address says yes.
+func (p *process) ready(ctx context.Context, r *router, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		if _, err := call(ctx, p.admin, http.MethodGet, "/-/ready"); err == nil {
+			return nil
+		}
+		select {
+		case <-p.done:
+			log, _ := os.ReadFile(filepath.Join(r.dir, "log"))
+			return fmt.Errorf("router %s ended before it was ready:\n%s", r.name, tail(log, 5))
+		case <-ctx.Done():
+			return fmt.Errorf("router %s: not ready within %v", r.name, within)
+		case <-tick.C:
+		}
+	}
+}
+
+func tail(text []byte, lines int) []byte {
+	all := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return bytes.Join(all[max(0, len(all)-lines):], []byte("\n"))
+}
+
+// call makes one call at a second address.
+func call(ctx context.Context, addr, method, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err == nil && resp.StatusCode/100 != 2 {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return text, err
+}
+
+// newest is the process that was started last; nil where none runs.
+func (r *router) newest() *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.procs) == 0 {
+		return nil
+	}
+	return r.procs[len(r.procs)-1]
+}
+
+// signal ends a process as told, and reports whether it was there.
+func (r *router) signal(p *process, sig syscall.Signal) bool {
+	if p == nil {
+		return false
+	}
+	r.mu.Lock()
+	p.expected = p.expected || sig != syscall.SIGHUP
+	r.mu.Unlock()
+	return p.cmd.Process.Signal(sig) == nil
+}
+
+// stop ends all processes of the router: with time to answer what they have, and then without.
+func (r *router) stop(patience time.Duration) {
+	r.mu.Lock()
+	procs := append([]*process(nil), r.procs...)
+	r.mu.Unlock()
+	for _, p := range procs {
+		r.signal(p, syscall.SIGTERM)
+	}
+	over := time.After(patience)
+	for _, p := range procs {
+		select {
+		case <-p.done:
+		case <-over:
+			r.signal(p, syscall.SIGKILL)
+			<-p.done
+		}
+	}
+}
+
+// Use is what a router's processes use together.
+type Use struct {
+	RSSMB float64 `json:"rss_mb"`
+	FDs   int     `json:"fds"`
+	CPUMS float64 `json:"cpu_ms"` // since their start
+}
+
+// use reads what the processes use from /proc; what has ended meanwhile counts nothing.
+func (r *router) use() (u Use) {
+	r.mu.Lock()
+	procs := append([]*process(nil), r.procs...)
+	r.mu.Unlock()
+	for _, p := range procs {
+		if one, err := ProcessUse(p.cmd.Process.Pid); err == nil {
+			u.RSSMB, u.FDs, u.CPUMS = u.RSSMB+one.RSSMB, u.FDs+one.FDs, u.CPUMS+one.CPUMS
+		}
+	}
+	return u
+}
+
+var errNoStat = errors.New("no such figures")
+
+// ProcessUse reads what a process uses from /proc.
+func ProcessUse(pid int) (u Use, err error) {
+	dir := "/proc/" + strconv.Itoa(pid)
+	stat, err := os.ReadFile(dir + "/stat")
+	if err != nil {
+		return u, err
+	}
+	_, rest, ok := strings.Cut(string(stat), ") ") // behind the name, which may hold anything
+	f := strings.Fields(rest)
+	if !ok || len(f) < 22 {
+		return u, errNoStat
+	}
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	pages, _ := strconv.ParseFloat(f[21], 64)
+	u.CPUMS = (user + system) * 10 // a tick is 1/100 s on Linux
+	u.RSSMB = pages * float64(os.Getpagesize()) / (1 << 20)
+	fds, err := os.ReadDir(dir + "/fd")
+	u.FDs = len(fds)
+	return u, err
+}
--- /dev/null
+++ b/lab/load/client.go
@@ -0,0 +1,303 @@
+package load
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// slackMS is how long after its deadline a client still reads, so that a late answer is seen as late and not as none.
+const slackMS = 250
+
+// draw picks what a request asks for.
+func (l *Load) draw() (c Class, key, zone, tenant string, size int, u float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c = l.p.Classes[int(l.classes.Rand())]
+	key = l.names[int(l.keys.Rand())]
+	if len(l.p.Zones) > 0 {
+		zone = l.p.Zones[int(l.zones.Rand())].Name
+	}
+	if l.p.Tenants > 0 && !l.p.Unnamed {
+		tenant = fmt.Sprintf("tenant-%d", l.rng.IntN(l.p.Tenants))
+	}
+	return c, key, zone, tenant, Size(c, key), l.rng.Float64()
+}
+
+// Size is that of a key's value in a class: the same each time.
+func Size(c Class, key string) int {
+	low, high := max(c.Bytes[0], 1), max(c.Bytes[1], c.Bytes[0], 1)
+	u := rand.New(rand.NewPCG(standin.Sum([]byte(key)), 8)).Float64()
+	return int(low * math.Pow(high/low, u))
+}
+
+// Work is that of a request of a class, by its id: lognormal around the mean.
+func Work(c Class, id string) float64 {
+	if c.WorkCV <= 0 {
+		return c.WorkMS
+	}
+	s2 := math.Log(1 + c.WorkCV*c.WorkCV)
+	z := rand.New(rand.NewPCG(standin.Sum([]byte(id)), 9)).NormFloat64()
+	return c.WorkMS * math.Exp(math.Sqrt(s2)*z-s2/2)
+}
+
+func (l *Load) newID() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	l.tries++
+	return fmt.Sprintf("%08x%08x", uint32(l.p.Seed), l.next)
+}
+
+// request is one client's request with its further tries.
+func (l *Load) request(intended float64) {
+	c, key, zone, tenant, size, honours := l.draw()
+	idem := ""
+	if c.Effect == "by_key" {
+		idem = l.newID()
+	}
+	until, end, answered := intended+c.LimitMS, referee.Failed, false
+	for try := 0; ; try++ {
+		now := l.clock.Now()
+		patience := until - now
+		if try < l.p.Retries {
+			patience *= l.p.TryShare
+		}
+		if patience < 1 {
+			break
+		}
+		id := l.newID()
+		var after float64
+		var reached bool
+		end, after, answered, reached = l.try(id, c, key, zone, tenant, idem, size, patience, try > 0)
+		again := !answered || end != referee.Served
+		again = again && (end == referee.Refused && answered || !reached || c.Effect == "repeatable" || c.Effect == "by_key" && c.Scope == "all")
+		if !again || try >= l.p.Retries {
+			break
+		}
+		pause := l.p.BackoffMS * math.Pow(2, float64(try)) * (0.5 + honours)
+		if answered && after > 0 && honours < l.p.Honour && after <= l.p.MaxAfterMS {
+			pause = after
+		}
+		if l.clock.Now()+pause >= until {
+			break
+		}
+		time.Sleep(time.Duration(pause * float64(time.Millisecond)))
+	}
+	l.record(c, intended, end, answered)
+}
+
+// try sends a request once, or once more on a new connection where the router closed an idle one as it was sent.
+func (l *Load) try(id string, c Class, key, zone, tenant, idem string, size int, patience float64, again bool) (end referee.Answer, after float64, answered, reached bool) {
+	router, addr, err := l.front.Pick(zone)
+	if err != nil {
+		return referee.Failed, 0, false, false
+	}
+	var wire strings.Builder
+	facts := fmt.Sprintf("c=%s,d=%d", c.Name, int(patience))
+	for _, f := range []struct{ k, v string }{{"k", idem}, {"t", tenant}} {
+		if f.v != "" {
+			facts += "," + f.k + "=" + f.v
+		}
+	}
+	if again && l.p.Marks {
+		facts += ",r=1"
+	}
+	if c.Write {
+		fmt.Fprintf(&wire, "ms %s %d O%s P%s\r\n", key, size, id, facts)
+		wire.Write(standin.Value("client", key, id, size))
+		wire.WriteString("\r\n")
+	} else {
+		fmt.Fprintf(&wire, "mg %s v O%s P%s\r\n", key, id, facts)
+	}
+	book := func(sent float64, k referee.Kind) { // a request that reached a router, and what else came of it than an answer
+		l.journal.Add(referee.Event{At: sent, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
+		l.journal.Add(referee.Event{At: l.clock.Now(), Kind: k, Request: id, Router: router})
+	}
+	for first := 0.0; ; {
+		conn, used, err := l.pool.take(addr, patience)
+		if err != nil {
+			if first > 0 { // it may have been taken over the connection before
+				book(first, referee.Closed)
+			}
+			return referee.Failed, 0, false, first > 0
+		}
+		sent := l.clock.Now()
+		_ = conn.SetDeadline(time.Now().Add(time.Duration((patience + slackMS) * float64(time.Millisecond))))
+		if _, err := io.WriteString(conn, wire.String()); err != nil {
+			conn.Close()
+			if used {
+				continue // it was closed before we wrote
+			}
+			return referee.Failed, 0, false, false
+		}
+		if first == 0 {
+			first = sent
+		}
+		end, after, sum, err := readAnswer(conn.r)
+		var timeout net.Error
+		switch {
+		case errors.Is(err, errNothing) && used: // closed between requests: the same once more on a new connection
+			conn.Close()
+			continue
+		case errors.As(err, &timeout) && timeout.Timeout():
+			conn.Close()
+			book(first, referee.Left)
+			return referee.Failed, 0, false, true
+		case err != nil:
+			conn.Close()
+			book(first, referee.Closed)
+			return referee.Failed, 0, false, true
+		}
+		l.journal.Add(referee.Event{At: first, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
+		now := l.clock.Now()
+		l.journal.Add(referee.Event{At: now, Kind: referee.Answered, Request: id, Router: router, Answer: end, Sum: sum})
+		if conn.r.Buffered() > 0 { // more than one answer
+			l.journal.Add(referee.Event{At: now, Kind: referee.Extra, Request: id, Router: router})
+			conn.Close()
+		} else if l.again() {
+			l.pool.put(addr, conn)
+		} else {
+			conn.Close()
+		}
+		return end, after, true, true
+	}
+}
+
+// again draws whether a connection is kept.
+func (l *Load) again() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64() >= l.p.Reconnect
+}
+
+// errNothing tells that a connection ended before the first byte of an answer.
+var errNothing = errors.New("closed without an answer")
+
+// readAnswer reads a router's answer. Any line that is no value, receipt or refusal is a failure.
+func readAnswer(r *bufio.Reader) (end referee.Answer, after float64, sum uint64, err error) {
+	if _, err := r.Peek(1); err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return referee.Failed, 0, 0, err
+		}
+		return referee.Failed, 0, 0, errNothing
+	}
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return referee.Failed, 0, 0, err
+	}
+	w := strings.Fields(line)
+	switch {
+	case len(w) >= 2 && w[0] == "VA":
+		n, err := strconv.Atoi(w[1])
+		if err != nil || n < 0 || n > standin.MaxValue {
+			return referee.Failed, 0, 0, fmt.Errorf("length %q", w[1])
+		}
+		value := make([]byte, n+2)
+		if _, err := io.ReadFull(r, value); err != nil {
+			return referee.Failed, 0, 0, err
+		}
+		return referee.Served, 0, standin.Sum(value[:n]), nil
+	case len(w) >= 1 && w[0] == "HD":
+		receipt := ""
+		for _, f := range w[1:] {
+			if f[0] == 'c' {
+				receipt = f[1:]
+			}
+		}
+		return referee.Served, 0, standin.Sum([]byte(receipt)), nil
+	case len(w) >= 2 && w[0] == "SERVER_ERROR" && w[1] == "busy":
+		if len(w) > 2 {
+			after, _ = strconv.ParseFloat(w[2], 64) // 0 where it is no number
+		}
+		return referee.Refused, after, 0, nil
+	}
+	return referee.Failed, 0, 0, nil
+}
+
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	since float64
+}
+
+// pool keeps idle connections by address, up to a bound for each.
+type pool struct {
+	most  int
+	clock *standin.Clock
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	fails int
+}
+
+func newPool(most int, clock *standin.Clock) *pool {
+	return &pool{most: most, clock: clock, idle: map[string][]*conn{}}
+}
+
+// keepMS is how long an idle connection is used again: a router may close it after 2 s.
+const keepMS = 1500
+
+// take gives a connection, and whether it has been used before.
+func (p *pool) take(addr string, withinMS float64) (c *conn, used bool, err error) {
+	p.mu.Lock()
+	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
+		c := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		if p.clock.Now()-c.since < keepMS {
+			p.mu.Unlock()
+			return c, true, nil
+		}
+		c.Close()
+	}
+	p.mu.Unlock()
+	raw, err := net.DialTimeout("tcp", addr, time.Duration(withinMS*float64(time.Millisecond)))
+	if err != nil {
+		p.mu.Lock()
+		p.fails++
+		p.mu.Unlock()
+		return nil, false, err
+	}
+	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, 4096)}, false, nil
+}
+
+func (p *pool) put(addr string, c *conn) {
+	_ = c.SetDeadline(time.Time{})
+	c.since = p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[addr]) >= p.most {
+		c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+func (p *pool) failed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fails
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// answers starts a router that gives to each read what say gives for its line: "" = nothing, "close" = the end.
+func answers(t *testing.T, say func(line string) string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					text := say(line)
+					if text == "close" {
+						return
+					}
+					if _, err := c.Write([]byte(strings.ReplaceAll(text, "{id}", idOf(line)))); err != nil {
+						return
+					}
+				}
+			})
+		}
+	})
+	return ln.Addr().String()
+}
+
+func idOf(line string) string {
+	for f := range strings.FieldsSeq(line) {
+		if f[0] == 'O' {
+			return f[1:]
+		}
+	}
+	return ""
+}
+
+// send runs a load of reads against addresses, for a time or a number of requests.
+func send(t *testing.T, change func(*Params), during time.Duration, addrs ...string) (Result, []referee.Event) {
+	t.Helper()
+	clock := standin.NewClock()
+	front, journal := standin.NewFront(clock), referee.NewJournal(1<<16)
+	for i, a := range addrs {
+		front.Up(fmt.Sprintf("r%d", i), "", a)
+	}
+	p := Defaults()
+	p.Classes = []Class{{Name: "read", Share: 1, Effect: "repeatable", AimMS: 300, LimitMS: 600, Worth: 1, WorkMS: 1, Bytes: [2]float64{10, 100}}}
+	p.Rate, p.Seed, p.Retries = 200, 3, 0
+	change(&p)
+	l, err := New(p, front, clock, journal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), during)
+	defer stop()
+	res := l.Run(ctx)
+	events, _ := journal.Events()
+	return res, events
+}
+
+const fine = "VA 5 O{id}\r\nhello\r\n"
+
+func TestOpenLoopCountsFromTheIntendedTime(t *testing.T) {
+	// A router that stops once, for half a second. A closed loop would see it once; those that were meant to be sent
+	// meanwhile all waited.
+	var mu sync.Mutex
+	var stopped atomic.Bool
+	addr := answers(t, func(string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if stopped.CompareAndSwap(false, true) {
+			time.Sleep(500 * time.Millisecond)
+		}
+		return fine
+	})
+	res, _ := send(t, func(p *Params) { p.MaxRequests, p.Classes[0].LimitMS, p.TryShare = 200, 5000, 1 }, 1200*time.Millisecond, addr)
+	c := res.Classes["read"]
+	if c.Served != c.Asked || c.Asked < 100 {
+		t.Fatalf("%+v", c)
+	}
+	if waited := c.Served - c.InAim; waited < 10 {
+		t.Errorf("%d requests felt a stop of 500 ms at 200 a second", waited)
+	}
+}
+
+func TestBottleneckIsTold(t *testing.T) {
+	addr := answers(t, func(string) string { return "" })
+	res, _ := send(t, func(p *Params) { p.MaxOpen = 5 }, 500*time.Millisecond, addr)
+	if res.Valid || !strings.Contains(res.Why, "max_open") || res.Over == 0 {
+		t.Errorf("%+v", res)
+	}
+}
+
+func TestRefusedClientsComeBackWhenTold(t *testing.T) {
+	var mu sync.Mutex
+	first := map[string]time.Time{} // by key
+	var early, marked atomic.Int64
+	addr := answers(t, func(line string) string {
+		key := strings.Fields(line)[1]
+		mu.Lock()
+		defer mu.Unlock()
+		if at, ok := first[key]; ok {
+			if time.Since(at) < 95*time.Millisecond {
+				early.Add(1)
+			}
+			if strings.Contains(line, "r=1") {
+				marked.Add(1)
+			}
+			delete(first, key)
+			return fine
+		}
+		first[key] = time.Now()
+		return "SERVER_ERROR busy 100\r\n"
+	})
+	res, events := send(t, func(p *Params) {
+		p.Retries, p.Honour, p.MaxRequests, p.Keys, p.Zipf, p.Drift, p.Classes[0].LimitMS = 2, 1, 50, 100000, 0, 0, 5000
+	}, 700*time.Millisecond, addr)
+	c := res.Classes["read"]
+	if early.Load() > 0 || marked.Load() < 20 || c.Served < 20 {
+		t.Errorf("%d early, %d marked, %+v", early.Load(), marked.Load(), c)
+	}
+	ids := map[string]bool{}
+	for _, e := range events {
+		if e.Kind == referee.Sent {
+			if ids[e.Request] {
+				t.Errorf("id %s was used twice", e.Request)
+			}
+			ids[e.Request] = true
+		}
+	}
+}
+
+func TestWhatTheRefereeIsTold(t *testing.T) {
+	for answer, want := range map[string]referee.Kind{
+		fine: referee.Answered, fine + fine: referee.Extra, "": referee.Left, "VA 5 O{id}\r\nhe": referee.Left, "nonsense\r\n": referee.Answered,
+	} {
+		addr := answers(t, func(string) string { return answer })
+		res, events := send(t, func(p *Params) { p.MaxRequests, p.Classes[0].LimitMS = 1, 200 }, 100*time.Millisecond, addr)
+		if len(events) < 2 || events[len(events)-1].Kind != want {
+			t.Errorf("%q: %+v", answer, events)
+		}
+		if served := res.Classes["read"].Served == 1; served != strings.HasPrefix(answer, fine) {
+			t.Errorf("%q: served %t", answer, served)
+		}
+	}
+	addr := answers(t, func(string) string { return "close" })
+	if _, events := send(t, func(p *Params) { p.MaxRequests = 1 }, 100*time.Millisecond, addr); len(events) != 2 || events[1].Kind != referee.Closed {
+		t.Errorf("%+v", events)
+	}
+}
+
+func TestClosedLoopHasOneOpenEach(t *testing.T) {
+	var open, most atomic.Int64
+	addr := answers(t, func(string) string {
+		n := open.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		time.Sleep(2 * time.Millisecond)
+		open.Add(-1)
+		return fine
+	})
+	res, _ := send(t, func(p *Params) { p.Shape, p.Workers = "closed", 4 }, 300*time.Millisecond, addr)
+	if most.Load() > 4 || res.Classes["read"].Served < 20 {
+		t.Errorf("%d at once, %+v", most.Load(), res.Classes)
+	}
+}
+
+func TestSizesAndWorkAreTheSameEachTime(t *testing.T) {
+	c := Class{WorkMS: 100, WorkCV: 1, Bytes: [2]float64{10, 1000}}
+	sum := 0.0
+	for i := range 5000 {
+		id := fmt.Sprint(i)
+		if s := Size(c, id); s != Size(c, id) || s < 10 || s > 1000 {
+			t.Fatalf("size %d", s)
+		}
+		if Work(c, id) != Work(c, id) {
+			t.Fatal("work varies")
+		}
+		sum += Work(c, id)
+	}
+	if mean := sum / 5000; mean < 90 || mean > 110 {
+		t.Errorf("mean work %v", mean)
+	}
+}
--- /dev/null
+++ b/lab/referee/referee.go
@@ -0,0 +1,296 @@
+// Package referee judges a run by the rules. It reads what clients, servers and discovery saw and knows nothing of the
+// router: neither its log nor its figures. It does no I/O.
+package referee
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+)
+
+// Kind says what an event is.
+type Kind uint8
+
+// The events, by who sees them.
+const (
+	Sent     Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
+	Answered             // a client: a whole answer (Request, Answer, Sum)
+	Extra                // a client: an answer to what it has an answer for already (Request)
+	Closed               // a client: the router ended the connection before a whole answer (Request)
+	Left                 // a client: it waited past the deadline and the slack (Request)
+	Whole                // a server: an attempt's last byte has come (Request, Server, Began)
+	Over                 // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
+	Ran                  // a server: an effect was carried out (Request, Server, Idem)
+	Started              // a server: its process started (Server)
+	Fell                 // a server: it was cold and has been pushed over (Server)
+	Told                 // discovery: a router was told a server's state (Router, Server, State)
+	Killed               // the lab: a router was killed or has crashed (Router)
+)
+
+// Answer is what a client was given.
+type Answer uint8
+
+// The final answers.
+const (
+	Served Answer = iota
+	Refused
+	Failed
+)
+
+// End is how an attempt ended.
+type End uint8
+
+// The ends of an attempt.
+const (
+	Made    End = iota // an answer was made for it
+	Missed             // the key was not kept; nothing has run
+	Turned             // turned away; nothing has run
+	Erred              // an error; it may have run
+	Dropped            // its connection ended; it may have run
+)
+
+// Event is one thing that a party saw.
+type Event struct {
+	At       float64 // milliseconds on the lab's clock
+	Kind     Kind
+	Answer   Answer
+	End      End
+	Request  string
+	Router   string
+	Server   string
+	Class    string
+	Idem     string
+	State    string
+	Deadline float64 // milliseconds from At
+	Began    float64 // when the attempt's first byte came
+	Sum      uint64  // of the value
+}
+
+// Journal takes events from any goroutine, up to a bound.
+type Journal struct {
+	mu     sync.Mutex
+	most   int
+	events []Event
+	full   bool
+}
+
+// NewJournal returns a journal for at most that many events.
+func NewJournal(most int) *Journal { return &Journal{most: most} }
+
+// Add books an event; beyond the bound it is dropped, and the run can't be judged.
+func (j *Journal) Add(e Event) {
+	if j == nil { // nobody judges
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.events) >= j.most {
+		j.full = true
+		return
+	}
+	j.events = append(j.events, e)
+}
+
+// Events are the events so far, in the order of their time, and whether all of them are there.
+func (j *Journal) Events() (events []Event, whole bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	events = slices.Clone(j.events)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return events, !j.full
+}
+
+// Effect says whether a class may run more than once, in the words of the settings.
+type Effect string
+
+// The effects.
+const (
+	Repeatable Effect = "repeatable"
+	Keyed      Effect = "by_key"
+	Once       Effect = "once"
+)
+
+// Class is one class of requests.
+type Class struct {
+	Effect   Effect
+	Scope    string // by_key: all, zone or cell
+	WindowMS float64
+}
+
+// Rules are the figures by which a run is judged.
+type Rules struct {
+	Classes     map[string]Class
+	Group       map[string]map[string]string // scope -> server -> its group; of scope all there is one
+	GraceMS     float64                      // nothing new to a server this much later than the router was told that it drains
+	SlackMS     float64                      // of every limit in time, and of the order of what two parties saw
+	MaxAttempts int
+}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value or attempts
+	At   float64 `json:"at_ms"`
+	Text string  `json:"text"`
+}
+
+func (b Breach) String() string { return fmt.Sprintf("%8.0f ms  %s: %s", b.At, b.Rule, b.Text) }
+
+type attempt struct {
+	began, whole, over float64 // over: +Inf = still out
+	server             string
+	end                End
+	sum                uint64
+}
+
+type request struct {
+	sent     Event
+	has      bool
+	answers  []Event
+	closed   *Event
+	left     *Event
+	attempts []*attempt
+}
+
+// Judge lists what broke a rule, in the order of time. The events are in that order too.
+func Judge(events []Event, r Rules) (broken []Breach) {
+	all := map[string]*request{}
+	var order []*request
+	of := func(e Event) *request {
+		q := all[e.Request]
+		if q == nil {
+			q = &request{}
+			all[e.Request], order = q, append(order, q)
+		}
+		return q
+	}
+	add := func(rule string, at float64, form string, v ...any) {
+		broken = append(broken, Breach{rule, at, fmt.Sprintf(form, v...)})
+	}
+	killed := map[string][]float64{}
+	type toldOf struct{ router, server string }
+	shut := map[toldOf][][2]float64{} // spells in which a server was told to drain, to a router
+	ran := map[string][]Event{}
+	for _, e := range events {
+		switch e.Kind {
+		case Sent:
+			q := of(e)
+			q.sent, q.has = e, true
+		case Answered, Extra:
+			q := of(e)
+			q.answers = append(q.answers, e)
+		case Closed:
+			of(e).closed = &e
+		case Left:
+			of(e).left = &e
+		case Whole:
+			q := of(e)
+			q.attempts = append(q.attempts, &attempt{began: e.Began, whole: e.At, over: math.Inf(1), server: e.Server})
+		case Over:
+			for _, a := range of(e).attempts {
+				if a.server == e.Server && math.IsInf(a.over, 1) {
+					a.over, a.end, a.sum = e.At, e.End, e.Sum
+					break
+				}
+			}
+		case Ran:
+			ran[e.Request] = append(ran[e.Request], e)
+		case Fell:
+			add("cold", e.At, "server %s was pushed over while it was cold", e.Server)
+		case Killed:
+			killed[e.Router] = append(killed[e.Router], e.At)
+		case Told:
+			k := toldOf{e.Router, e.Server}
+			spells := shut[k]
+			open := len(spells) > 0 && math.IsInf(spells[len(spells)-1][1], 1)
+			if closed := e.State != "active"; closed && !open {
+				shut[k] = append(spells, [2]float64{e.At, math.Inf(1)})
+			} else if !closed && open {
+				spells[len(spells)-1][1] = e.At
+			}
+		}
+	}
+	for _, q := range order {
+		if !q.has {
+			if len(q.attempts) > 0 {
+				add("value", q.attempts[0].whole, "server %s was sent a request that no client sent", q.attempts[0].server)
+			}
+			continue
+		}
+		id, class := q.sent.Request, r.Classes[q.sent.Class]
+		until := q.sent.At + q.sent.Deadline + r.SlackMS
+		died := slices.ContainsFunc(killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
+		switch {
+		case len(q.answers) > 1:
+			add("answer", q.answers[1].At, "request %s: %d final answers", id, len(q.answers))
+		case len(q.answers) == 1 && q.answers[0].At > until:
+			add("answer", q.answers[0].At, "request %s: answered %.0f ms after its deadline", id, q.answers[0].At-until+r.SlackMS)
+		case len(q.answers) == 0 && died: // what a killed router held is nobody's fault
+		case len(q.answers) == 0 && q.closed != nil && len(q.attempts) > 0 && q.closed.At < until && !spoilt(q):
+			add("answer", q.closed.At, "request %s: the router ended the connection without an answer", id)
+		case len(q.answers) == 0 && q.left != nil:
+			add("answer", until, "request %s: no final answer by its deadline", id)
+		}
+		for _, a := range q.answers[:min(1, len(q.answers))] {
+			judgeAnswer(q, a, class, add)
+		}
+		if len(q.attempts) > r.MaxAttempts && r.MaxAttempts > 0 {
+			add("attempts", q.attempts[r.MaxAttempts].whole, "request %s: %d attempts, %d at most", id, len(q.attempts), r.MaxAttempts)
+		}
+		for i, a := range q.attempts {
+			for _, b := range q.attempts[:i] {
+				judgePair(id, b, a, class, r, add)
+			}
+			for _, s := range shut[toldOf{q.sent.Router, a.server}] {
+				if at := s[0] + r.GraceMS + r.SlackMS; a.began > at && a.began < s[1] {
+					add("drain", a.began, "request %s: sent to server %s %.0f ms after router %s was told that it drains",
+						id, a.server, a.began-s[0], q.sent.Router)
+				}
+			}
+		}
+		if n := len(ran[id]); class.Effect == Once && n > 1 {
+			add("effect", ran[id][1].At, "request %s of class %s was carried out %d times", id, q.sent.Class, n)
+		}
+	}
+	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return broken
+}
+
+// spoilt reports whether a server broke off or erred while it answered: a value that can't be passed on whole has
+// failed, and the end of the client's connection is how the client can tell.
+func spoilt(q *request) bool {
+	return slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.end == Erred || a.end == Dropped })
+}
+
+// judgeAnswer holds an answer against what servers made, and a refusal against what may have run.
+func judgeAnswer(q *request, a Event, class Class, add func(string, float64, string, ...any)) {
+	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.whole <= a.At && t.end != Missed && t.end != Turned })
+	switch {
+	case a.Answer == Served && !slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.end == Made && t.sum == a.Sum }):
+		add("value", a.At, "request %s: served what no server made for it", a.Request)
+	case a.Answer == Refused && mayHaveRun && (class.Effect == Once || class.Effect == Keyed && class.Scope != "all"):
+		add("effect", a.At, "request %s of class %s: refused as harmless to repeat, and it may have run", a.Request, q.sent.Class)
+	}
+}
+
+// judgePair holds an attempt against one before it.
+func judgePair(id string, before, a *attempt, class Class, r Rules, add func(string, float64, string, ...any)) {
+	if before.over > a.whole+r.SlackMS {
+		add("copies", a.whole, "request %s: sent to server %s while an attempt was out at server %s", id, a.server, before.server)
+	}
+	if before.end == Missed || before.end == Turned {
+		return
+	}
+	switch class.Effect {
+	case Once:
+		add("effect", a.whole, "request %s: sent again to server %s, and the attempt at server %s may have run", id, a.server, before.server)
+	case Keyed:
+		if late := a.began - before.began - class.WindowMS; late > r.SlackMS {
+			add("effect", a.whole, "request %s: repeated %.0f ms after its window", id, late)
+		}
+		if g := r.Group[class.Scope]; class.Scope != "all" && g[before.server] != g[a.server] {
+			add("effect", a.whole, "request %s: repeated at server %s, outside the %s of server %s", id, a.server, class.Scope, before.server)
+		}
+	}
+}
--- /dev/null
+++ b/lab/referee/referee_test.go
@@ -0,0 +1,115 @@
+package referee
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var rules = Rules{Classes: map[string]Class{"read": {Effect: Repeatable}, "put": {Effect: Keyed, Scope: "all", WindowMS: 1000},
+	"zput": {Effect: Keyed, Scope: "zone", WindowMS: 1000}, "tag": {Effect: Once}},
+	Group:   map[string]map[string]string{"zone": {"s1": "a", "s2": "a", "s3": "b"}},
+	GraceMS: 2000, SlackMS: 50, MaxAttempts: 3}
+
+// script reads events, one a line: TIME KIND WORDS.
+func script(t *testing.T, text string) (events []Event) {
+	t.Helper()
+	ends := map[string]End{"made": Made, "missed": Missed, "turned": Turned, "erred": Erred, "dropped": Dropped}
+	answers := map[string]Answer{"served": Served, "refused": Refused, "failed": Failed}
+	for line := range strings.Lines(text) {
+		w := strings.Fields(line)
+		if len(w) == 0 {
+			continue
+		}
+		e := Event{Request: "q", Router: "r", Sum: 1}
+		fmt.Sscan(w[0], &e.At)
+		word := func(i int) string { return w[i] }
+		switch w[1] {
+		case "sent":
+			e.Kind, e.Class, e.Deadline = Sent, word(2), 1000
+		case "whole":
+			e.Kind, e.Server, e.Began = Whole, word(2), e.At
+		case "over":
+			e.Kind, e.Server, e.End = Over, word(2), ends[word(3)]
+		case "answer":
+			e.Kind, e.Answer = Answered, answers[word(2)]
+		case "extra":
+			e.Kind = Extra
+		case "other":
+			e.Kind, e.Answer, e.Sum = Answered, Served, 2
+		case "closed":
+			e.Kind = Closed
+		case "left":
+			e.Kind = Left
+		case "told":
+			e.Kind, e.Server, e.State = Told, word(2), word(3)
+		case "killed":
+			e.Kind = Killed
+		case "fell":
+			e.Kind, e.Server = Fell, word(2)
+		case "ran":
+			e.Kind, e.Server = Ran, word(2)
+		default:
+			t.Fatalf("%q", line)
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
+func TestRules(t *testing.T) {
+	for _, c := range []struct{ name, want, text string }{
+		{"served", "", "0 sent read\n 1 whole s1\n 9 over s1 made\n 10 answer served"},
+		{"miss, then the origin", "", "0 sent read\n 1 whole s1\n 3 over s1 missed\n 4 whole o\n 9 over o made\n 10 answer served"},
+		{"refused, never sent", "", "0 sent tag\n 1 answer refused"},
+		{"turned away, then refused", "", "0 sent tag\n 1 whole s1\n 2 over s1 turned\n 3 answer refused"},
+		{"failed after an error", "", "0 sent tag\n 1 whole s1\n 2 over s1 erred\n 3 answer failed"},
+		{"a read repeated after a cancel", "", "0 sent read\n 1 whole s1\n 50 over s1 dropped\n 51 whole s2\n 60 over s2 made\n 61 answer served"},
+		{"the router was killed", "", "0 sent read\n 1 whole s1\n 5 killed\n 6 over s1 dropped\n 6 closed"},
+		{"a broken value is cut off", "", "0 sent read\n 1 whole s1\n 5 over s1 erred\n 6 closed"},
+		{"sent within the grace", "", "0 told s1 leaving\n 1900 sent read\n 2040 whole s1\n 2050 over s1 made\n 2051 answer served"},
+		{"back on the list", "", "0 told s1 leaving\n 2900 told s1 active\n 3000 sent read\n 3040 whole s1\n 3050 over s1 made\n 3051 answer served"},
+		{"keyed, within the window", "", "0 sent put\n 1 whole s1\n 5 over s1 dropped\n 500 whole s3\n 510 over s3 made\n 511 answer served"},
+		{"keyed, any refusal", "", "0 sent put\n 1 whole s1\n 5 over s1 dropped\n 6 answer refused"},
+
+		{"two answers", "answer", "0 sent read\n 1 whole s1\n 9 over s1 made\n 10 answer served\n 11 extra"},
+		{"no answer", "answer", "0 sent read\n 1 whole s1\n 9 over s1 made\n 1050 left"},
+		{"too late", "answer", "0 sent read\n 1 whole s1\n 1090 over s1 made\n 1100 answer served"},
+		{"cut off", "answer", "0 sent read\n 1 whole s1\n 9 over s1 made\n 10 closed"},
+		{"another value", "value", "0 sent read\n 1 whole s1\n 9 over s1 made\n 10 other"},
+		{"a value out of nothing", "value", "0 sent read\n 10 answer served"},
+		{"a request out of nothing", "value", "1 whole s1\n 9 over s1 made"},
+		{"two copies out", "copies", "0 sent read\n 1 whole s1\n 20 whole s2\n 90 over s1 dropped\n 95 over s2 made\n 99 answer served"},
+		{"a release twice", "effect", "0 sent tag\n 1 whole s1\n 5 over s1 dropped\n 6 whole s2\n 9 over s2 made\n 10 answer served"},
+		{"a release carried out twice", "effect", "0 sent tag\n 1 whole s1\n 2 ran s1\n 3 ran s1\n 5 over s1 made\n 6 answer served"},
+		{"a release refused after it may have run", "effect", "0 sent tag\n 1 whole s1\n 5 over s1 erred\n 6 answer refused"},
+		{"keyed, past the window", "effect", "0 sent put\n 1 whole s1\n 5 over s1 dropped\n 1100 whole s2"},
+		{"keyed, outside the group", "effect", "0 sent zput\n 1 whole s1\n 5 over s1 dropped\n 6 whole s3\n 9 over s3 made\n 10 answer served"},
+		{"a drained server", "drain", "0 told s1 leaving\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
+		{"told twice that it drains", "drain", "0 told s1 leaving\n 1500 told s1 left\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
+		{"a cold server", "cold", "5 fell s1"},
+		{"four attempts", "attempts", "0 sent read\n 1 whole s1\n 2 over s1 missed\n 3 whole s2\n 4 over s2 missed\n 5 whole s3\n 6 over s3 missed\n 7 whole o\n 8 over o made\n 9 answer served"},
+	} {
+		broken := Judge(script(t, c.text), rules)
+		switch {
+		case c.want == "" && len(broken) > 0:
+			t.Errorf("%s: %v", c.name, broken)
+		case c.want != "" && (len(broken) == 0 || broken[0].Rule != c.want):
+			t.Errorf("%s: got %v, want a breach of %s", c.name, broken, c.want)
+		}
+	}
+}
+
+func TestJournalHasABound(t *testing.T) {
+	j := NewJournal(3)
+	for i := range 3 {
+		j.Add(Event{At: float64(3 - i)})
+	}
+	if ev, whole := j.Events(); !whole || ev[0].At != 1 {
+		t.Errorf("%v, whole %t", ev, whole)
+	}
+	j.Add(Event{})
+	if ev, whole := j.Events(); whole || len(ev) != 3 {
+		t.Errorf("%d events, whole %t", len(ev), whole)
+	}
+}
--- /dev/null
+++ b/lab/report/compare.go
@@ -0,0 +1,134 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// metric is a figure of a run.
+type metric struct {
+	name string
+	of   func(r fleet.Result) float64
+}
+
+var metrics = []metric{
+	{"service", func(r fleet.Result) float64 { return r.Service }},
+	{"service, last fifth", func(r fleet.Result) float64 { return r.Tail }},
+	{"attempts a request", func(r fleet.Result) float64 { return r.Attempts }},
+	{"refused, share", func(r fleet.Result) float64 { return share(r, true) }},
+	{"failed, share", func(r fleet.Result) float64 { return share(r, false) }},
+	{"p99 of the first class, ms", func(r fleet.Result) float64 { return r.Load.Classes[largest(r)].P99MS }},
+	{"CPU of all routers, ms a request", func(r fleet.Result) float64 {
+		sum, asked := 0.0, 0
+		for _, u := range peaks(r) {
+			sum += u.CPUMS
+		}
+		for _, c := range r.Load.Classes {
+			asked += c.Asked
+		}
+		return sum / math.Max(1, float64(asked))
+	}},
+	{"peak memory of a router, MB", func(r fleet.Result) float64 {
+		most := 0.0
+		for _, u := range peaks(r) {
+			most = max(most, u.RSSMB)
+		}
+		return most
+	}},
+	{"broken rules", func(r fleet.Result) float64 { return float64(len(r.Broken)) }},
+}
+
+func share(r fleet.Result, refused bool) float64 {
+	n, of := 0, 0
+	for _, c := range r.Load.Classes {
+		if of += c.Asked; refused {
+			n += c.Refused
+		} else {
+			n += c.Failed
+		}
+	}
+	return float64(n) / math.Max(1, float64(of))
+}
+
+// largest is the class with the most requests.
+func largest(r fleet.Result) (name string) {
+	for _, n := range sorted(r.Load.Classes) {
+		if name == "" || r.Load.Classes[n].Asked > r.Load.Classes[name].Asked {
+			name = n
+		}
+	}
+	return name
+}
+
+// Difference is how much a figure of B is above that of A.
+type Difference struct {
+	Name       string  `json:"name"`
+	A, B       float64 // means
+	Mean       float64 // of B - A, pair by pair
+	Low, High  float64 // the 95% confidence interval of it, by Student's t over the pairs
+	Pairs      int
+	Conclusive bool // the interval leaves 0 out
+}
+
+// Compare holds runs of B against runs of A, pair by pair: each pair was played with one seed, one after the other. With
+// fewer than two pairs there is no interval.
+func Compare(a, b []fleet.Result) (all []Difference) {
+	n := min(len(a), len(b))
+	if n == 0 {
+		return nil
+	}
+	for _, m := range metrics {
+		var as, bs, ds []float64
+		for i := range n {
+			x, y := m.of(a[i]), m.of(b[i])
+			as, bs, ds = append(as, x), append(bs, y), append(ds, y-x)
+		}
+		d := Difference{Name: m.name, A: stat.Mean(as, nil), B: stat.Mean(bs, nil), Mean: stat.Mean(ds, nil), Pairs: n, Low: math.Inf(-1), High: math.Inf(1)}
+		if n > 1 {
+			half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(0.975) * stat.StdDev(ds, nil) / math.Sqrt(float64(n))
+			d.Low, d.High = d.Mean-half, d.Mean+half
+			d.Conclusive = d.Low > 0 || d.High < 0
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+// CompareTable prints differences for the terminal.
+func CompareTable(w io.Writer, all []Difference) {
+	t := tabwriter.NewWriter(w, 2, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\t A\t B\t B - A\t 95% from\t to\t \t")
+	for _, d := range all {
+		word := "can't be told apart"
+		if d.Conclusive {
+			word = "differs"
+		}
+		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%+.3f\t%+.3f\t%+.3f\t%s\t\n", d.Name, d.A, d.B, d.Mean, d.Low, d.High, word)
+	}
+	t.Flush()
+}
+
+// SweepTable prints a figure by the values of a parameter.
+func SweepTable(w io.Writer, key string, values []string, runs []fleet.Result) {
+	t := tabwriter.NewWriter(w, 2, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "%s\t", key)
+	for _, m := range metrics {
+		fmt.Fprintf(t, "%s\t", m.name)
+	}
+	fmt.Fprintln(t)
+	for i, r := range runs {
+		fmt.Fprintf(t, "%s\t", values[i])
+		for _, m := range metrics {
+			fmt.Fprintf(t, "%.3f\t", m.of(r))
+		}
+		fmt.Fprintln(t)
+	}
+	t.Flush()
+}
--- /dev/null
+++ b/lab/report/html.go
@@ -0,0 +1,263 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"image/color"
+	"os"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// Colours that are told apart also by those who see red and green alike (Okabe and Ito).
+var colours = []color.Color{
+	color.RGBA{0, 158, 115, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{0, 114, 178, 255}, color.RGBA{213, 94, 0, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 180, 233, 255}, color.RGBA{120, 120, 120, 255}, color.RGBA{0, 0, 0, 255},
+}
+
+type series struct {
+	name string
+	at   []float64
+	v    []float64
+}
+
+const (
+	width, height = 24 * vg.Centimeter, 7 * vg.Centimeter
+	mostNamed     = 10 // series of a plot that have a name; more are drawn thin and grey
+)
+
+// chart draws series over time with the faults marked, as SVG.
+func chart(title, unit string, marks []fleet.Mark, lines []series) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", unit
+	p.Title.TextStyle.Font.Size, p.Legend.TextStyle.Font.Size = vg.Points(12), vg.Points(9)
+	p.Y.Min, p.X.Min = 0, 0
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.XOffs = vg.Points(6)
+	p.Add(plotter.NewGrid())
+	most := 0.0
+	for i, s := range lines {
+		if len(s.at) == 0 {
+			continue
+		}
+		xy := make(plotter.XYs, len(s.at))
+		for k := range s.at {
+			xy[k] = plotter.XY{X: s.at[k], Y: s.v[k]}
+			most = max(most, s.v[k])
+		}
+		l, err := plotter.NewLine(xy)
+		if err != nil {
+			return "", fmt.Errorf("plot %s: %w", title, err)
+		}
+		l.Width, l.Color = vg.Points(1.6), colours[i%len(colours)]
+		if len(lines) > mostNamed {
+			l.Width, l.Color = vg.Points(0.6), color.NRGBA{70, 70, 70, 150}
+		} else {
+			p.Legend.Add(s.name, l)
+		}
+		p.Add(l)
+	}
+	p.Y.Max = max(most*1.4, 1e-9) // room for the legend
+	numbers := plotter.XYLabels{}
+	for i, m := range marks {
+		numbers.XYs = append(numbers.XYs, plotter.XY{X: m.AtS, Y: p.Y.Max * 0.97})
+		numbers.Labels = append(numbers.Labels, fmt.Sprintf(" %d", i+1))
+		l, err := plotter.NewLine(plotter.XYs{{X: m.AtS, Y: 0}, {X: m.AtS, Y: p.Y.Max}})
+		if err != nil {
+			return "", fmt.Errorf("plot %s: %w", title, err)
+		}
+		l.Color, l.Width, l.Dashes = color.NRGBA{190, 0, 0, 200}, vg.Points(0.9), []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(l)
+	}
+	if len(marks) > 0 {
+		l, err := plotter.NewLabels(numbers)
+		if err != nil {
+			return "", fmt.Errorf("plot %s: %w", title, err)
+		}
+		for i := range l.TextStyle {
+			l.TextStyle[i].Color, l.TextStyle[i].Font.Size = color.NRGBA{190, 0, 0, 255}, vg.Points(9)
+		}
+		p.Add(l)
+	}
+	p.X.Tick.Marker = plot.TickerFunc(ticks)
+	c := vgsvg.New(width, height)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("plot %s: %w", title, err)
+	}
+	_, svg, _ := strings.Cut(b.String(), "<svg") // without the declarations of a file of its own
+	return template.HTML("<svg" + svg), nil      // drawn by the library from numbers; its texts are escaped there
+}
+
+// ticks are round seconds, about ten of them.
+func ticks(low, high float64) (all []plot.Tick) {
+	step := 1.0
+	for _, s := range []float64{2, 5, 10, 30, 60, 300, 600} {
+		if (high-low)/step > 12 {
+			step = s
+		}
+	}
+	for x := 0.0; x <= high; x += step {
+		all = append(all, plot.Tick{Value: x, Label: fmt.Sprintf("%.0f", x)})
+	}
+	return all
+}
+
+// bySecond makes one series of a load's seconds.
+func bySecond(r fleet.Result, name string, of func(i int) float64) series {
+	s := series{name: name}
+	for i := range r.Load.Seconds {
+		s.at, s.v = append(s.at, float64(i)+0.5), append(s.v, of(i))
+	}
+	return s
+}
+
+// use makes a series for each router.
+func use(r fleet.Result, of func(before, now fleet.Use, dt float64) float64) (all []series) {
+	byName := map[string]*series{}
+	var names []string
+	var last fleet.Sample
+	for i, s := range r.Samples {
+		for name, u := range s.Routers {
+			if byName[name] == nil {
+				byName[name] = &series{name: name}
+				names = append(names, name)
+			}
+			if i > 0 {
+				byName[name].at = append(byName[name].at, s.AtS)
+				byName[name].v = append(byName[name].v, of(last.Routers[name], u, s.AtS-last.AtS))
+			}
+		}
+		last = s
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		all = append(all, *byName[n])
+	}
+	return all
+}
+
+// heldTitle says so where there are too many servers for a legend.
+func heldTitle(n int) string {
+	if n > mostNamed {
+		return "Requests held by each server (too many to name: one grey line each)"
+	}
+	return "Requests held by each server"
+}
+
+// charts are the plots of a run.
+func charts(r fleet.Result) (all []template.HTML, err error) {
+	secs := r.Load.Seconds
+	held := map[string]*series{}
+	var names []string
+	for _, s := range r.Samples {
+		for id, n := range s.Held {
+			if held[id] == nil {
+				held[id] = &series{name: id}
+				names = append(names, id)
+			}
+			held[id].at, held[id].v = append(held[id].at, s.AtS), append(held[id].v, float64(n))
+		}
+	}
+	slices.Sort(names)
+	var servers []series
+	for _, n := range names {
+		servers = append(servers, *held[n])
+	}
+	for _, c := range []struct {
+		title, unit string
+		lines       []series
+	}{
+		{"Requests by what became of them (by the second in which they were meant to be sent)", "a second", []series{
+			bySecond(r, "in aim", func(i int) float64 { return float64(secs[i].InAim) }),
+			bySecond(r, "served late", func(i int) float64 { return float64(secs[i].Served - secs[i].InAim) }),
+			bySecond(r, "refused", func(i int) float64 { return float64(secs[i].Refused) }),
+			bySecond(r, "failed", func(i int) float64 { return float64(secs[i].Failed) })}},
+		{"Worth", "a second", []series{
+			bySecond(r, "answered in aim", func(i int) float64 { return secs[i].Gained }),
+			bySecond(r, "lost", func(i int) float64 { return secs[i].Worth - secs[i].Gained })}},
+		{"Latency of what was served, from the intended time", "ms", []series{
+			bySecond(r, "p50", func(i int) float64 { return secs[i].P50MS }),
+			bySecond(r, "p99", func(i int) float64 { return secs[i].P99MS })}},
+		{"Attempts for each request", "attempts", []series{
+			bySecond(r, "attempts", func(i int) float64 {
+				if i >= len(r.AttemptsBy) || secs[i].Asked == 0 {
+					return 0
+				}
+				return float64(r.AttemptsBy[i]) / float64(secs[i].Asked)
+			})}},
+		{heldTitle(len(servers)), "requests", servers},
+		{"Routers: resident memory", "MB", use(r, func(_, u fleet.Use, _ float64) float64 { return u.RSSMB })},
+		{"Routers: descriptors", "open", use(r, func(_, u fleet.Use, _ float64) float64 { return float64(u.FDs) })},
+		{"Routers: CPU", "share of a core", use(r, func(b, u fleet.Use, dt float64) float64 { return max(0, u.CPUMS-b.CPUMS) / 1000 / max(dt, 0.1) })},
+	} {
+		svg, err := chart(c.title, c.unit, r.Marks, c.lines)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, svg)
+	}
+	return all, nil
+}
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>dockhinge laboratory</title>
+<style>
+body { font: 15px/1.45 system-ui, sans-serif; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; color: #222 }
+h1 { font-size: 1.5rem } h2 { margin-top: 2.2rem; border-bottom: 1px solid #ccc } svg { width: 100%; height: auto; margin: .6rem 0 }
+pre { background: #f5f5f3; padding: .8rem; white-space: pre-wrap; font-size: 12px } .bad { color: #b00020; font-weight: 600 } .good { color: #00734f; font-weight: 600 }
+.marks { columns: 2; font-size: 13px; padding-left: 1.2rem }
+</style></head><body><h1>dockhinge laboratory</h1>
+{{range .}}<h2>{{.Scenario}}</h2>
+<p>{{if .Failures}}<span class="bad">Something does not hold:</span>{{else}}<span class="good">All rules kept, all expectations hold.</span>{{end}}</p>
+{{if .Failures}}<ul>{{range .Failures}}<li>{{.}}</li>{{end}}</ul>{{end}}
+{{if .Marks}}<p>What happened; the dashed lines have these numbers:</p><ol class="marks">{{range .Marks}}<li>{{printf "%.1f" .AtS}} s: {{.Text}}</li>{{end}}</ol>{{end}}
+{{range .Charts}}{{.}}{{end}}
+<pre>{{.Table}}</pre>
+{{end}}</body></html>
+`))
+
+// Write writes runs as one HTML page that needs nothing beside itself, and the same as JSON beside it.
+func Write(path string, runs []fleet.Result) error {
+	type shown struct {
+		fleet.Result
+		Charts []template.HTML
+		Table  string
+	}
+	var all []shown
+	for _, r := range runs {
+		svgs, err := charts(r)
+		if err != nil {
+			return err
+		}
+		var b strings.Builder
+		Table(&b, r)
+		all = append(all, shown{r, svgs, strings.TrimSpace(b.String())})
+	}
+	var b bytes.Buffer
+	if err := page.Execute(&b, all); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if err := os.WriteFile(path, b.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	text, err := json.MarshalIndent(runs, "", " ")
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if err := os.WriteFile(strings.TrimSuffix(path, ".html")+".json", append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/report/report_test.go
@@ -0,0 +1,70 @@
+package report
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+	"dockhinge.example/dockhinge/lab/load"
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+func TestPageNeedsNothingBesideIt(t *testing.T) {
+	r := fleet.Result{Scenario: "crash <b>", Load: load.Result{Seconds: []load.Second{{Asked: 5, Served: 4, Worth: 5, Gained: 3, P50MS: 9, P99MS: 20}, {Asked: 3}},
+		Classes: map[string]load.ClassResult{"read": {Asked: 5}}}, AttemptsBy: []int{6, 3}, Marks: []fleet.Mark{{AtS: 1, Text: "crash of <s1>"}},
+		Samples: []fleet.Sample{{AtS: 0.5, Routers: map[string]fleet.Use{"r0": {RSSMB: 9}}, Held: map[string]int{"s1": 3}},
+			{AtS: 1, Routers: map[string]fleet.Use{"r0": {RSSMB: 10, FDs: 7, CPUMS: 100}}, Held: map[string]int{"s1": 4}}},
+		Broken: []referee.Breach{{Rule: "copies", At: 3, Text: "two out"}}, Failures: []string{"1 breaches"}}
+	path := filepath.Join(t.TempDir(), "x.html")
+	if err := Write(path, []fleet.Result{r}); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(text)
+	if strings.Count(page, "<svg") != 8 || !strings.Contains(page, "crash of &lt;s1&gt;") || !strings.Contains(page, "copies: two out") {
+		t.Errorf("%d plots", strings.Count(page, "<svg"))
+	}
+	for _, from := range []string{"src=", "<script", "<link", "@import", "url("} {
+		if strings.Contains(page, from) {
+			t.Errorf("the page fetches something: %s", from)
+		}
+	}
+	text, err = os.ReadFile(strings.TrimSuffix(path, ".html") + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back []fleet.Result
+	if err := json.Unmarshal(text, &back); err != nil || len(back) != 1 || back[0].Samples[1].Routers["r0"].FDs != 7 {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestCompareByPairs(t *testing.T) {
+	run := func(service, attempts float64) fleet.Result {
+		return fleet.Result{Service: service, Attempts: attempts}
+	}
+	var a, b []fleet.Result
+	for i := range 6 { // B is better by 0.1 in each pair, though the pairs differ by far more
+		x := float64(i) / 10
+		a, b = append(a, run(x, x)), append(b, run(x+0.1+float64(i%2)/1000, x+float64(i%2)-0.5))
+	}
+	got := map[string]Difference{}
+	for _, d := range Compare(a, b) {
+		got[d.Name] = d
+	}
+	if d := got["service"]; !d.Conclusive || d.Low < 0.09 || d.High > 0.11 {
+		t.Errorf("service: %+v", d)
+	}
+	if d := got["attempts a request"]; d.Conclusive {
+		t.Errorf("noise taken for a difference: %+v", d)
+	}
+	if one := Compare(a[:1], b[:1]); one[0].Conclusive {
+		t.Errorf("one pair: %+v", one[0])
+	}
+}
--- /dev/null
+++ b/lab/report/table.go
@@ -0,0 +1,83 @@
+// Package report shows what became of runs: as a table for the terminal, as JSON, and as one HTML page that needs no
+// network.
+package report
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// Table prints a run for the terminal.
+func Table(w io.Writer, r fleet.Result) {
+	fmt.Fprintf(w, "\n%s\n", r.Scenario)
+	t := tabwriter.NewWriter(w, 2, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tasked\tserved\tin aim\trefused\tfailed\tp50 ms\tp90 ms\tp99 ms\tmax ms\t")
+	for _, name := range sorted(r.Load.Classes) {
+		c := r.Load.Classes[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t\n", name, c.Asked, c.Served, c.InAim, c.Refused, c.Failed, c.P50MS, c.P90MS, c.P99MS, c.MaxMS)
+	}
+	t.Flush()
+	if len(r.Servers) > 0 {
+		fmt.Fprintln(t, "\nserver\tkind\tzone\tserved\tmissed\tturned away\tfailed\tconnections\tprobes\t")
+		for _, s := range r.Servers {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", s.ID, s.Kind, s.Zone, s.Served, s.Missed, s.Turned, s.Failed, s.Conns, s.Probes)
+		}
+		t.Flush()
+	}
+	if peaks := peaks(r); len(peaks) > 0 {
+		fmt.Fprintln(t, "\nrouter\tpeak MB\tpeak descriptors\tCPU ms\t")
+		for _, name := range sorted(peaks) {
+			fmt.Fprintf(t, "%s\t%.1f\t%d\t%.0f\t\n", name, peaks[name].RSSMB, peaks[name].FDs, peaks[name].CPUMS)
+		}
+		t.Flush()
+	}
+	fmt.Fprintf(w, "\nservice %.3f (worth answered within its aim over worth asked for), in the last fifth %.3f; %.2f attempts a request; %d tries; %d calls to discovery\n",
+		r.Service, r.Tail, r.Attempts, r.Load.Tries, r.Calls)
+	if r.LateMS > 100 {
+		fmt.Fprintf(w, "the machine was late by up to %.0f ms: mind the figures\n", r.LateMS)
+	}
+	if r.Rude[1] > 0 {
+		fmt.Fprintf(w, "misbehaving clients told or closed on: %d of %d\n", r.Rude[0], r.Rude[1])
+	}
+	if r.Cut {
+		fmt.Fprintln(w, "stopped before its end")
+	}
+	for i, b := range r.Broken {
+		if i == 10 {
+			fmt.Fprintf(w, "  and %d more\n", len(r.Broken)-i)
+			break
+		}
+		fmt.Fprintf(w, "broken: %s\n", b)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(w, "does not hold: %s\n", f)
+	}
+	if len(r.Failures) == 0 {
+		fmt.Fprintln(w, "all rules kept, all expectations hold")
+	}
+}
+
+// peaks are the most that each router used.
+func peaks(r fleet.Result) map[string]fleet.Use {
+	all := map[string]fleet.Use{}
+	for _, s := range r.Samples {
+		for name, u := range s.Routers {
+			p := all[name]
+			all[name] = fleet.Use{RSSMB: max(p.RSSMB, u.RSSMB), FDs: max(p.FDs, u.FDs), CPUMS: max(p.CPUMS, u.CPUMS)}
+		}
+	}
+	return all
+}
+
+func sorted[V any](m map[string]V) []string {
+	var names []string
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/lab/standin/discovery.go
@@ -0,0 +1,227 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+// Discovery answers calls for the list. It is one service for all routers, but each router reaches it at a listener of
+// its own, by which it is known, and may be told other addresses than the others.
+type Discovery struct {
+	clock   *Clock
+	journal *referee.Journal
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	kick    chan struct{}
+
+	mu      sync.Mutex
+	d       *model.Directory
+	changed chan struct{} // closed at each change of the list and of down
+	down    bool
+	calls   int
+	doors   []*http.Server
+}
+
+// NewDiscovery starts discovery with a list that holds since long ago. Close ends it.
+func NewDiscovery(p model.DirectoryParams, seed uint64, known []model.Entry, clock *Clock, journal *referee.Journal) *Discovery {
+	d := &Discovery{clock: clock, journal: journal, d: model.NewDirectory(p, seed, known), changed: make(chan struct{}), kick: make(chan struct{}, 1)}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.wg.Go(d.run)
+	return d
+}
+
+// run lets news become known.
+func (d *Discovery) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		d.mu.Lock()
+		if d.d.Advance(d.clock.Now()) {
+			d.turn()
+		}
+		next := d.d.Next()
+		d.mu.Unlock()
+		wait := time.Hour
+		if !math.IsInf(next, 1) {
+			wait = ms(max(0, next-d.clock.Now()))
+		}
+		timer.Reset(wait)
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-timer.C:
+		case <-d.kick:
+		}
+	}
+}
+
+// turn wakes those who wait. The caller holds mu.
+func (d *Discovery) turn() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Happened tells discovery of an event, which it tells routers later.
+func (d *Discovery) Happened(e model.Entry) {
+	d.mu.Lock()
+	d.d.Happened(d.clock.Now(), e)
+	d.mu.Unlock()
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// SetDown has discovery turn all calls away, watches included, or answer them again.
+func (d *Discovery) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	d.turn()
+}
+
+// Rewind has the list's version go backwards by n.
+func (d *Discovery) Rewind(n int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.d.Rewind(n)
+	d.turn()
+}
+
+// List is the list as it is told now.
+func (d *Discovery) List() model.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.d.Whole()
+}
+
+// Calls counts calls so far.
+func (d *Discovery) Calls() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// Door opens a listener for a router; address maps each server's address to the one that this router is told.
+func (d *Discovery) Door(router string, address func(e model.Entry) string) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, router, address) })
+	door := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, BaseContext: func(net.Listener) context.Context { return d.ctx },
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	d.mu.Lock()
+	d.doors = append(d.doors, door)
+	d.mu.Unlock()
+	d.wg.Go(func() {
+		if err := door.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			slog.Error("discovery", "error", err)
+		}
+	})
+	return ln.Addr().String(), nil
+}
+
+// serve answers one call.
+func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, router string, address func(model.Entry) string) {
+	q := r.URL.Query()
+	d.mu.Lock()
+	d.calls++
+	wait, ok := d.d.Call(d.clock.Now())
+	down := d.down
+	d.mu.Unlock()
+	if !down && wait > 0 {
+		select {
+		case <-time.After(ms(wait)):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if down || !ok {
+		http.Error(w, "not now", http.StatusServiceUnavailable)
+		return
+	}
+	var l model.List
+	if after := q.Get("after"); after == "" {
+		d.mu.Lock()
+		l = d.d.Whole()
+		d.mu.Unlock()
+	} else {
+		version, err := strconv.ParseInt(after, 10, 64)
+		patience, err2 := strconv.ParseFloat(q.Get("wait_ms"), 64)
+		if err != nil || err2 != nil || patience < 0 {
+			http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
+			return
+		}
+		if l, ok = d.watch(r.Context(), version, min(patience, 60000)); !ok {
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+			return
+		}
+	}
+	for i := range l.Servers {
+		l.Servers[i].Addr = address(l.Servers[i])
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(text); err != nil {
+		return
+	}
+	now := d.clock.Now()
+	for _, e := range l.Servers {
+		d.journal.Add(referee.Event{At: now, Kind: referee.Told, Router: router, Server: e.ID, State: e.State})
+	}
+}
+
+// watch waits for what is newer than a version.
+func (d *Discovery) watch(ctx context.Context, version int64, patience float64) (model.List, bool) {
+	over := time.NewTimer(ms(patience))
+	defer over.Stop()
+	for {
+		d.mu.Lock()
+		l, changed, down := d.d.After(version), d.changed, d.down
+		d.mu.Unlock()
+		if down {
+			return l, false
+		}
+		if l.Full || len(l.Servers) > 0 {
+			return l, true
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			return l, true
+		case <-ctx.Done():
+			return l, false
+		}
+	}
+}
+
+// Close ends discovery and waits for all that it started.
+func (d *Discovery) Close() {
+	d.cancel()
+	d.mu.Lock()
+	doors := d.doors
+	d.mu.Unlock()
+	for _, door := range doors {
+		door.Close()
+	}
+	d.wg.Wait()
+}
--- /dev/null
+++ b/lab/standin/front.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"errors"
+	"sync"
+)
+
+// Front deals out clients' connections over routers in turn, those of the client's zone first, and notices late that a
+// router has died.
+type Front struct {
+	clock *Clock
+
+	mu      sync.Mutex
+	routers []*fronted
+	turn    int
+}
+
+type fronted struct {
+	name, zone, addr string
+	from, until      float64 // when it is used; until is when its death is noticed
+}
+
+// ErrNoRouter tells that no router is known to live.
+var ErrNoRouter = errors.New("no router")
+
+const forever = 1e18
+
+// NewFront returns a front without routers.
+func NewFront(clock *Clock) *Front { return &Front{clock: clock} }
+
+// Up has a router used from now on.
+func (f *Front) Up(name, zone, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if r.name == name {
+			r.zone, r.addr, r.until = zone, addr, forever
+			return
+		}
+	}
+	f.routers = append(f.routers, &fronted{name, zone, addr, f.clock.Now(), forever})
+}
+
+// Down tells that a router has died, which is noticed noticeMS later.
+func (f *Front) Down(name string, noticeMS float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if r.name == name {
+			r.until = f.clock.Now() + noticeMS
+		}
+	}
+}
+
+// Pick chooses a router for a client of a zone.
+func (f *Front) Pick(zone string) (name, addr string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, any := range []bool{false, true} {
+		for range f.routers {
+			f.turn++
+			if r := f.routers[f.turn%len(f.routers)]; now < r.until && (any || zone == "" || r.zone == zone) {
+				return r.name, r.addr, nil
+			}
+		}
+	}
+	return "", "", ErrNoRouter
+}
--- /dev/null
+++ b/lab/standin/standin_test.go
@@ -0,0 +1,468 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+const patience = 20 * time.Second // for what must come; a test that passes does not wait for it
+
+type rig struct {
+	clock   *Clock
+	journal *referee.Journal
+}
+
+func newRig() rig { return rig{NewClock(), referee.NewJournal(1 << 16)} }
+
+var quick = model.Params{Cores: 4, Speed: 1, Queue: 50, Memory: 16 << 20, KeyedMS: 1000}
+
+// server starts a stand-in whose requests are each a millisecond of work and 5 bytes long.
+func (r rig) server(t testing.TB, id string, p model.Params, o Options) *Server {
+	t.Helper()
+	o.ID, o.Model, o.Clock, o.Journal = id, p, r.clock, r.journal
+	if o.Work == nil {
+		o.Work = func(string, string, string) (float64, int) { return 1, 5 }
+	}
+	s, err := Start("127.0.0.1:0", o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// peer is a plain connection.
+type peer struct {
+	net.Conn
+	r *bufio.Reader
+	t testing.TB
+}
+
+func connect(t testing.TB, addr string) *peer {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	return &peer{c, bufio.NewReader(c), t}
+}
+
+func (p *peer) send(form string, v ...any) {
+	p.t.Helper()
+	if _, err := fmt.Fprintf(p, form, v...); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// line reads one line, or gives "closed".
+func (p *peer) line() string {
+	l, err := p.r.ReadString('\n')
+	if err != nil {
+		return "closed"
+	}
+	return strings.TrimRight(l, "\r\n")
+}
+
+func (p *peer) get(key, id string) string {
+	p.send("mg %s v O%s Pc=read,d=500\r\n", key, id)
+	return p.line()
+}
+
+// until waits for an event of the journal.
+func (r rig) until(t testing.TB, what string, is func(referee.Event) bool) referee.Event {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		events, _ := r.journal.Events()
+		for _, e := range events {
+			if is(e) {
+				return e
+			}
+		}
+	}
+	t.Fatalf("no %s", what)
+	panic("unreachable")
+}
+
+func TestMetaProtocol(t *testing.T) {
+	r := newRig()
+	s := r.server(t, "s1", quick, Options{Probes: true})
+	p := connect(t, s.Addr())
+	p.send("mn\r\n")
+	if got := p.line(); got != "MN" {
+		t.Errorf("mn: %q", got)
+	}
+	if got := p.get("k", "1"); got != "EN O1 h0" {
+		t.Errorf("a key not kept: %q", got)
+	}
+	s.Store("k", 5)
+	if got := p.get("k", "2"); got != "VA 5 O2 h1" {
+		t.Errorf("a key kept: %q", got)
+	}
+	if got := p.line(); got != "2 k s" {
+		t.Errorf("its value: %q", got)
+	}
+	p.send("ms k 3 O3 Pc=put,d=500\r\nabc\r\n") // writes are the origin's
+	if got := p.line(); got != "EN O3" {
+		t.Errorf("a write: %q", got)
+	}
+	p.send("stats load\r\n")
+	if got := p.line(); !strings.HasPrefix(got, "STAT qps ") {
+		t.Errorf("stats: %q", got)
+	}
+	for p.line() != "END" {
+	}
+	p.send("mg k\r\n")
+	if got := p.line(); !strings.HasPrefix(got, "CLIENT_ERROR") || p.line() != "closed" {
+		t.Errorf("a bad command: %q", got)
+	}
+}
+
+func TestAnswersComeInOrder(t *testing.T) {
+	r := newRig()
+	s := r.server(t, "s1", quick, Options{Work: func(id, _, _ string) (float64, int) {
+		return map[string]float64{"1": 40}[id] + 1, 5
+	}})
+	s.Store("k", 5)
+	p := connect(t, s.Addr())
+	p.send("mg k v O1 Pc=read\r\nmg k v O2 Pc=read\r\n")
+	for _, want := range []string{"VA 5 O1 h1", "1 k s", "VA 5 O2 h1", "2 k s"} {
+		if got := p.line(); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	events, _ := r.journal.Events() // the second was begun beside the first, and over before it
+	if events[2].Kind != referee.Over || events[2].Request != "2" {
+		t.Errorf("got %+v", events)
+	}
+}
+
+func TestOriginInHTTP(t *testing.T) {
+	r := newRig()
+	p := quick
+	p.Origin = true
+	s := r.server(t, "o", p, Options{})
+	do := func(method, key, id, facts, body string) (int, string) {
+		req, err := http.NewRequest(method, "http://"+s.Addr()+"/"+key, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Correlation-Id", id)
+		req.Header.Set("X-Facts", facts)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(text)
+	}
+	if code, body := do("GET", "k", "1", "c=read,d=500", ""); code != 200 || body != "1 k o" {
+		t.Errorf("a read: %d %q", code, body)
+	}
+	for i, want := range []string{"w", "w"} { // the repeat has the same receipt, and ran once
+		if code, body := do("PUT", "k", fmt.Sprint(2+i), "c=put,d=500,k=w", "abc"); code != 200 || body != want {
+			t.Errorf("a write: %d %q", code, body)
+		}
+	}
+	ran := 0
+	events, _ := r.journal.Events()
+	for _, e := range events {
+		if e.Kind == referee.Ran {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("the keyed write ran %d times", ran)
+	}
+	s.Set(Faults{Spoil: "busy", Share: 1})
+	if code, _ := do("GET", "k", "9", "c=read", ""); code != 503 {
+		t.Errorf("turned away: %d", code)
+	}
+	if code, _ := do("GET", "k", "", "c=read", ""); code != 400 {
+		t.Errorf("without an id: %d", code)
+	}
+}
+
+func TestSpoiltAnswers(t *testing.T) {
+	for _, spoil := range Spoils {
+		t.Run(spoil, func(t *testing.T) {
+			r := newRig()
+			s := r.server(t, "s1", quick, Options{})
+			s.Store("k", 5)
+			s.Set(Faults{Spoil: spoil, Share: 1})
+			p := connect(t, s.Addr())
+			got := p.get("k", "1")
+			whole := got == "VA 5 O1 h1" && p.line() == "1 k s"
+			switch spoil {
+			case "twice":
+				if !whole || p.line() != "VA 5 O1 h1" {
+					t.Errorf("no second copy behind %q", got)
+				}
+			case "busy":
+				if got != "SERVER_ERROR busy" {
+					t.Errorf("got %q", got)
+				}
+			case "cut", "reset", "endless":
+				if whole {
+					t.Errorf("whole: %q", got)
+				}
+			default:
+				if whole || got == "closed" {
+					t.Errorf("got %q", got)
+				}
+			}
+			e := r.until(t, "end of the attempt", func(e referee.Event) bool { return e.Kind == referee.Over })
+			if want := map[bool]referee.End{true: referee.Turned, false: referee.Made}[spoil == "busy"]; e.End != want {
+				t.Errorf("it ended as %v", e.End)
+			}
+		})
+	}
+}
+
+func TestGivingUpCancels(t *testing.T) {
+	r := newRig()
+	s := r.server(t, "s1", quick, Options{Work: func(string, string, string) (float64, int) { return 1e6, 5 }})
+	s.Store("k", 5)
+	p := connect(t, s.Addr())
+	p.send("mg k v O1 Pc=read\r\n")
+	r.until(t, "attempt", func(e referee.Event) bool { return e.Kind == referee.Whole })
+	p.Close()
+	if e := r.until(t, "end", func(e referee.Event) bool { return e.Kind == referee.Over }); e.End != referee.Dropped {
+		t.Errorf("ended as %v", e.End)
+	}
+	if held, _ := s.Busy(); held != 0 {
+		t.Errorf("%d held", held)
+	}
+}
+
+func TestDeathMidValueAndColdReturn(t *testing.T) {
+	r := newRig()
+	p := quick
+	p.ColdFrom, p.ColdMS = 0.3, 60000
+	s := r.server(t, "s1", p, Options{Work: func(string, string, string) (float64, int) { return 1, MaxValue }})
+	s.Store("k", MaxValue)
+	s.Set(Faults{BytesPerS: 100_000})
+	c := connect(t, s.Addr())
+	if got := c.get("k", "1"); got != fmt.Sprintf("VA %d O1 h1", MaxValue) {
+		t.Fatalf("got %q", got)
+	}
+	if _, err := io.CopyN(io.Discard, c.r, 5000); err != nil {
+		t.Fatal(err)
+	}
+	s.Kill()
+	if n, err := io.Copy(io.Discard, c.r); err == nil || n >= MaxValue {
+		t.Errorf("%d further bytes, %v: want a reset", n, err)
+	}
+	if _, err := net.Dial("tcp", s.Addr()); err == nil || s.Up() {
+		t.Error("a dead server takes connections")
+	}
+	if err := s.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	s.Set(Faults{})
+	if got := connect(t, s.Addr()).get("k", "2"); got != "EN O2 h0" {
+		t.Errorf("after its return: %q", got)
+	}
+	if _, warmth := s.Busy(); warmth > 0.9 {
+		t.Errorf("warmth %v after the return", warmth)
+	}
+}
+
+func TestSilenceEndsInAReset(t *testing.T) {
+	r := newRig()
+	s := r.server(t, "s1", quick, Options{})
+	p := connect(t, s.Addr())
+	p.get("k", "1")
+	s.Set(Faults{Silent: true})
+	p.send("mg k v O2 Pc=read\r\n")
+	half := connect(t, s.Addr()) // it comes up, and nobody answers
+	half.send("mn\r\n")
+	if err := half.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	var timeout net.Error
+	if _, err := half.r.ReadByte(); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("a silent server says something: %v", err)
+	}
+	s.Set(Faults{})
+	if got := p.line(); got != "closed" {
+		t.Errorf("got %q", got)
+	}
+}
+
+func TestBoundsOnConnectionsAndIdleness(t *testing.T) {
+	r := newRig()
+	p := quick
+	p.Conns = 1
+	s := r.server(t, "s1", p, Options{IdleMS: 80})
+	first := connect(t, s.Addr())
+	first.get("k", "1")
+	if c, err := net.Dial("tcp", s.Addr()); err == nil { // it may be reset before it is up
+		defer c.Close()
+		if got, err := bufio.NewReader(c).ReadString('\n'); err == nil {
+			t.Errorf("a connection over the bound: %q", got)
+		}
+	}
+	if got := first.line(); got != "closed" {
+		t.Errorf("an idle one: %q", got)
+	}
+}
+
+func TestFallenServerStaysDown(t *testing.T) {
+	r := newRig()
+	p := quick
+	p.ColdFrom, p.ColdMS, p.Queue, p.FallMultiple, p.FallForMS = 0.3, 60000, 10000, 3, 100
+	s := r.server(t, "s1", p, Options{Work: func(string, string, string) (float64, int) { return 100, 5 }})
+	if err := s.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	c := connect(t, s.Addr())
+	for i := range 50 { // 3 x 1.2 x 100 ms = 360 of work in a window
+		if _, err := fmt.Fprintf(c, "mg k v O%d Pc=read\r\n", i); err != nil {
+			break // it is down
+		}
+	}
+	r.until(t, "fall", func(e referee.Event) bool { return e.Kind == referee.Fell })
+	for end := time.Now().Add(patience); s.Up(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("still up")
+		}
+	}
+}
+
+func TestDiscoveryListsWatchesAndFails(t *testing.T) {
+	r := newRig()
+	d := NewDiscovery(model.DirectoryParams{}, 1, []model.Entry{{ID: "s1", Addr: "1.1.1.1:1", State: "active"}}, r.clock, r.journal)
+	t.Cleanup(d.Close)
+	addr, err := d.Door("r0", func(e model.Entry) string { return "via " + e.Addr })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(query string) (l model.List, code int) {
+		resp, err := http.Get("http://" + addr + "/v1/servers" + query)
+		if err != nil {
+			t.Error(err)
+			return l, 0
+		}
+		defer resp.Body.Close()
+		_ = json.NewDecoder(resp.Body).Decode(&l) // refusals are no JSON
+		return l, resp.StatusCode
+	}
+	if l, _ := ask(""); !l.Full || l.Servers[0].Addr != "via 1.1.1.1:1" {
+		t.Errorf("got %+v", l)
+	}
+	if l, _ := ask("?after=1&wait_ms=1"); l.Full || len(l.Servers) != 0 || l.Version != 1 {
+		t.Errorf("nothing new: %+v", l)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if l, _ := ask("?after=1&wait_ms=20000"); len(l.Servers) != 1 || l.Servers[0].State != "leaving" {
+			t.Errorf("a watch: %+v", l)
+		}
+	})
+	d.Happened(model.Entry{ID: "s1", State: "leaving"})
+	wg.Wait()
+	r.until(t, "word to the router", func(e referee.Event) bool { return e.Kind == referee.Told && e.State == "leaving" && e.Router == "r0" })
+	wg.Go(func() {
+		if _, code := ask("?after=2&wait_ms=20000"); code != http.StatusServiceUnavailable {
+			t.Errorf("a watch when discovery goes down: %d", code)
+		}
+	})
+	d.SetDown(true)
+	wg.Wait()
+	d.SetDown(false)
+	d.Rewind(1)
+	if l, _ := ask("?after=2&wait_ms=20000"); !l.Full || l.Version != 1 {
+		t.Errorf("after the version went back: %+v", l)
+	}
+	if _, code := ask("?after=x&wait_ms=1"); code != http.StatusBadRequest {
+		t.Errorf("a bad call: %d", code)
+	}
+}
+
+func TestRelay(t *testing.T) {
+	r := newRig()
+	s := r.server(t, "s1", quick, Options{})
+	relay, err := NewRelay(s.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	p := connect(t, relay.Addr())
+	if got := p.get("k", "1"); got != "EN O1 h0" {
+		t.Errorf("got %q", got)
+	}
+	relay.Set(Net{DropBack: true}) // it arrives, and the answer does not come back
+	p.send("mg k v O2 Pc=read\r\n")
+	r.until(t, "attempt behind a one-way partition", func(e referee.Event) bool { return e.Kind == referee.Over && e.Request == "2" })
+	relay.Set(Net{})
+	if got := p.line(); got != "EN O2 h0" {
+		t.Errorf("once it has healed: %q", got)
+	}
+	relay.Set(Net{DropThere: true})
+	p.send("mg k v O3 Pc=read\r\n")
+	relay.Set(Net{Cut: true})
+	if got := connect(t, relay.Addr()).line(); got != "closed" {
+		t.Errorf("a new connection over a cut: %q", got)
+	}
+	relay.Set(Net{}) // resets what lived through it
+	if got := p.line(); got != "closed" {
+		t.Errorf("after the cut: %q", got)
+	}
+	events, _ := r.journal.Events()
+	for _, e := range events {
+		if e.Request == "3" {
+			t.Error("what was held back arrived")
+		}
+	}
+	relay.Set(Net{DelayMS: 30})
+	began := r.clock.Now()
+	if got := connect(t, relay.Addr()).get("k", "4"); got != "EN O4 h0" || r.clock.Now()-began < 60 {
+		t.Errorf("a delay of 30 ms each way: %q after %.0f ms", got, r.clock.Now()-began)
+	}
+}
+
+func TestFrontNoticesLate(t *testing.T) {
+	f := NewFront(NewClock())
+	if _, _, err := f.Pick(""); !errors.Is(err, ErrNoRouter) {
+		t.Error(err)
+	}
+	f.Up("r0", "a", "x:0")
+	f.Up("r1", "b", "x:1")
+	for range 4 {
+		if name, _, _ := f.Pick("b"); name != "r1" {
+			t.Errorf("a client of zone b is dealt to %s", name)
+		}
+	}
+	f.Down("r1", 1e6)
+	if name, _, _ := f.Pick("b"); name != "r1" {
+		t.Errorf("noticed at once: %s", name)
+	}
+	f.Down("r1", -1)
+	if name, _, _ := f.Pick("b"); name != "r0" {
+		t.Errorf("not noticed: %s", name)
+	}
+	f.Up("r1", "b", "x:2")
+	if _, addr, _ := f.Pick("b"); addr != "x:2" {
+		t.Errorf("back at %s", addr)
+	}
+}
