--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -193,8 +193,10 @@
 	p := params()
 	p.Conns = 2
 	s := New(p, 1, 0)
-	if !s.Connect() || !s.Connect() || s.Connect() {
-		t.Error("bound of two not kept")
+	for i, want := range []bool{true, true, false} {
+		if s.Connect() != want {
+			t.Errorf("connection %d: taken %t", i, !want)
+		}
 	}
 	s.Disconnect()
 	if !s.Connect() {
