Read strict TOML at one place

Need: the operator file and scenario files were read by the same lines, written twice.

Change: diag.DecodeTOML reads both; the messages stay.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"dockhinge.example/dockhinge/internal/diag"
@@ -63,25 +62,8 @@
 	}
 	f := Default()
 	f.Version = 0
-	dec := toml.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(&f)
-	var strict *toml.StrictMissingError
-	var one *toml.DecodeError
-	switch {
-	case errors.As(err, &strict):
-		var all []error
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			all = append(all, diag.Problem{File: path, Line: line, Setting: strings.Join(e.Key(), "."), Reason: "unknown key"})
-		}
-		return File{}, errors.Join(all...)
-	case errors.As(err, &one):
-		line, _ := one.Position()
-		return File{}, diag.Problem{File: path, Line: line, Setting: strings.Join(one.Key(), "."),
-			Reason: strings.TrimPrefix(one.Error(), "toml: ")}
-	case err != nil:
-		return File{}, diag.Problem{File: path, Reason: err.Error()}
+	if err := diag.DecodeTOML(path, text, &f); err != nil {
+		return File{}, err
 	}
 	var all []error
 	bad := func(setting, form string, v ...any) {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -198,32 +198,14 @@
 	}
 	kinds, classes := f.Kinds, f.Classes
 	f.Kinds, f.Classes = nil, nil
-	dec := toml.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(f)
+	err := diag.DecodeTOML(name, text, f)
 	if f.Kinds == nil {
 		f.Kinds = kinds
 	}
 	if f.Classes == nil {
 		f.Classes = classes
 	}
-	var strict *toml.StrictMissingError
-	var one *toml.DecodeError
-	switch {
-	case errors.As(err, &strict):
-		var all []error
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			all = append(all, diag.Problem{File: name, Line: line, Setting: strings.Join(e.Key(), "."), Reason: "unknown key"})
-		}
-		return errors.Join(all...)
-	case errors.As(err, &one):
-		line, _ := one.Position()
-		return diag.Problem{File: name, Line: line, Setting: strings.Join(one.Key(), "."), Reason: strings.TrimPrefix(one.Error(), "toml: ")}
-	case err != nil:
-		return diag.Problem{File: name, Reason: err.Error()}
-	}
-	return nil
+	return err
 }
 
 // check names the first key that is missing or impossible.
