--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,218 @@
+// Package admit decides which requests are let in before the Balancer sees them: weighted fair shares of work among
+// tenants, within fixed memory, with an honest time to come back for those that are refused. It does no I/O and has no
+// clock: each call brings the time in milliseconds, and the same seed and calls lead to the same decisions.
+//
+// Fairness is start-time fair queueing (Goyal, Vin and Cheng, 1996) in two levels: named tenants and, as one, all others;
+// and the others among themselves. The limit on concurrency follows what the fleet can take (docs/admission-design.md).
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name  string
+	Cost  float64 // ms of work, to begin with; what is measured takes its place
+	First bool    // goes before others of its own tenant
+}
+
+// Tenant is a tenant that the operator names.
+type Tenant struct {
+	Name   string
+	Weight float64 // its share against the others' weights
+}
+
+// Config is what the operator sets. Every table has a fixed size, taken at the start.
+type Config struct {
+	Classes      []Class
+	Named        []Tenant
+	OthersWeight float64 // of all tenants that are not named, together
+	Flows        int     // tenants not named that are known exactly at a time
+	Buckets      int     // flows that the rest is hashed into
+	TurnMS       float64 // after which they are hashed anew
+	Queue        int     // requests that wait, at most
+	Promises     int     // times told that are remembered, at most
+	MaxWaitMS    float64 // a request waits at most
+	MaxAfterMS   float64 // the longest time told that clients heed
+	Start        float64 // limit on concurrency to begin with, in requests of mean cost
+	Least, Most  float64 // its bounds
+	RetryShare   float64 // tries again as a share of first tries, where there is contention
+	RetryBurst   float64
+}
+
+// Error is a setting that is missing or impossible.
+type Error struct{ Setting, Reason string }
+
+func (e *Error) Error() string { return "admission." + e.Setting + ": " + e.Reason }
+
+// Validate names the first setting that is impossible.
+func (c Config) Validate() error {
+	for _, v := range []struct {
+		name string
+		ok   bool
+		is   any
+	}{
+		{"classes", len(c.Classes) > 0, "(none)"}, {"others_weight", c.OthersWeight > 0, c.OthersWeight},
+		{"flows", c.Flows >= 1 && c.Flows <= 1<<16, c.Flows}, {"buckets", c.Buckets >= 1 && c.Buckets <= 1<<14, c.Buckets},
+		{"turn_ms", c.TurnMS > 0, c.TurnMS}, {"queue", c.Queue >= 1 && c.Queue <= 1<<16, c.Queue},
+		{"promises", c.Promises >= 1 && c.Promises <= 1<<18, c.Promises}, {"max_wait_ms", c.MaxWaitMS >= 0, c.MaxWaitMS},
+		{"max_after_ms", c.MaxAfterMS > 0, c.MaxAfterMS}, {"least", c.Least >= 1, c.Least}, {"most", c.Most >= c.Least, c.Most},
+		{"start", c.Start >= c.Least && c.Start <= c.Most, c.Start}, {"retry_share", c.RetryShare >= 0, c.RetryShare},
+	} {
+		if !v.ok {
+			return &Error{v.name, fmt.Sprintf("impossible value %v", v.is)}
+		}
+	}
+	seen := map[string]bool{}
+	for i, t := range c.Named {
+		if t.Name == "" || len(t.Name) > maxName || seen[t.Name] || !(t.Weight > 0) {
+			return &Error{fmt.Sprintf("tenant[%d]", i), fmt.Sprintf("needs a name of its own of up to %d bytes and a weight above 0", maxName)}
+		}
+		seen[t.Name] = true
+	}
+	for i, k := range c.Classes {
+		if !(k.Cost > 0) {
+			return &Error{fmt.Sprintf("class[%d].cost", i), fmt.Sprintf("impossible value %v", k.Cost)}
+		}
+	}
+	return nil
+}
+
+// Request is a request at the door.
+type Request struct {
+	ID     uint32
+	Tenant string
+	Class  int
+	Key    uint64
+	Size   int     // bytes that come with it
+	Left   float64 // ms until its client gives up
+	Retry  bool    // marked as a try again
+}
+
+// End is what became of a request that was let in.
+type End struct {
+	ID       uint32
+	Served   bool
+	Refused  bool    // by the Balancer, for want of room
+	Latency  float64 // ms
+	Attempts int
+}
+
+// Host carries out what is decided, within the call that led to it. Each request gets one of the two, once.
+type Host interface {
+	Admit(id uint32)
+	Refuse(id uint32, afterMS float64)
+}
+
+// Bounds and constants of the module.
+const (
+	maxName    = 64       // bytes of a tenant's name that are kept
+	bytesCost  = 64 << 10 // bytes that cost as much as a request of their class
+	windowMS   = 200      // between two looks at the limit
+	rateTauMS  = 1000     // memory of the rate of work
+	tolerance  = 2.0      // times the usual latency that is borne
+	keepMS     = 500      // for which a promise holds, beyond a quarter of the time told
+	earlyMS    = 15       // by which a client may be early: clocks and the network
+	repeats    = 4096     // refused requests that are remembered, to know an unmarked try again
+	repeatMS   = 5000     // for which they are
+	leastAfter = 20       // ms, the shortest time told
+	none       = int32(-1)
+)
+
+// flow is one tenant's state, or that of a bucket of them, or of all others together.
+type flow struct {
+	hash              uint64
+	name              [maxName]byte
+	nameLen           uint8
+	used              bool // an exact flow holds a tenant
+	inner             bool // stands among the others, not at the top
+	weight            float64
+	finish            float64  // SFQ: the tag at which what it was given ends
+	head, tail        [2]int32 // waiting requests: those that go first, and the others
+	waiting           int
+	backlog           float64 // cost that waits
+	promised          float64 // cost that has been told to come back
+	tokens            float64 // tries again in hand
+	older, newer      int32   // exact flows, by when they were last used
+	admitted, refused uint64
+}
+
+// node is a request that waits or is in work.
+type node struct {
+	id         uint32
+	flow       int32
+	class      int32
+	next, prev int32
+	cost       float64
+	key        uint64  // of tenant, key and class
+	slots      float64 // in work: what it takes of the limit
+	first      uint8   // its list: 0 goes first
+	queued     bool
+}
+
+// promise is a time that was told.
+type promise struct {
+	who  uint64 // tenant, key and class
+	flow int32
+	at   float64
+	cost float64
+}
+
+type repeat struct {
+	hash uint64
+	at   float64
+}
+
+// level is one server of start-time fair queueing.
+type level struct {
+	v       float64 // virtual time
+	ready   heap    // flows with something to send, by start tag
+	weights float64 // of those that have something to send or have been promised something
+}
+
+// Admission decides for one router.
+type Admission struct {
+	cfg    Config
+	host   Host
+	salt   uint64
+	rng    *rand.Rand
+	now    float64
+	turned float64
+
+	flows          []flow // named, exact, buckets, and last: all others together
+	named          map[string]int32
+	exact          map[uint64]int32 // by tenant's hash
+	oldest, newest int32
+	free           []int32 // exact flows that hold no tenant
+	top, in        level
+
+	nodes   []node
+	spare   []int32
+	byID    map[uint32]int32
+	expiry  heap // waiting nodes, by when they are refused at the latest
+	waiting int
+
+	promises []promise
+	pspare   []int32
+	pfind    map[uint64]int32
+	pexpiry  heap
+	heed     float64 // share of those told to come back that do, when they were told
+
+	seen   [repeats]repeat
+	tokens float64
+
+	limit                   float64 // in requests of mean cost
+	inUse                   float64
+	peak                    float64
+	lookAt                  float64
+	ends, timed, turnedAway int       // since the last look
+	ratio                   float64   // sum of latencies over the usual
+	cost                    []float64 // by class, measured
+	usual                   []float64 // latency by class, its lower side
+	mean                    float64   // cost
+	done                    float64   // work done, with exponential memory
+	doneAt                  float64
+	began                   float64
+}
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,372 @@
+package admit
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// door records what an Admission decides.
+type door struct {
+	admitted []uint32
+	refused  map[uint32]float64
+	ends     map[uint32]int
+	onAdmit  func(id uint32)
+}
+
+func newDoor() *door { return &door{refused: map[uint32]float64{}, ends: map[uint32]int{}} }
+
+func (d *door) Admit(id uint32) {
+	d.admitted = append(d.admitted, id)
+	d.ends[id]++
+	if d.onAdmit != nil {
+		d.onAdmit(id)
+	}
+}
+func (d *door) Refuse(id uint32, after float64) { d.refused[id] = after; d.ends[id]++ }
+
+func config() Config {
+	return Config{Classes: []Class{{Name: "read", Cost: 10}, {Name: "write", Cost: 10, First: true}}, OthersWeight: 1, Flows: 1024, Buckets: 64,
+		TurnMS: 10000, Queue: 512, Promises: 4096, MaxWaitMS: 200, MaxAfterMS: 1500, Start: 8, Least: 8, Most: 8, RetryShare: 0.2, RetryBurst: 20}
+}
+
+func begin(t testing.TB, c Config) (*Admission, *door) {
+	t.Helper()
+	d := newDoor()
+	a, err := New(c, 1, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a, d
+}
+
+// shop is a fleet of so many places, each of which serves a request in ten milliseconds; tenants keep asking.
+type shop struct {
+	a      *Admission
+	d      *door
+	now    float64
+	next   uint32
+	of     map[uint32]string
+	served map[string]int
+	asked  map[string]int
+	inWork map[uint32]float64
+}
+
+func newShop(t testing.TB, c Config) *shop {
+	s := &shop{of: map[uint32]string{}, served: map[string]int{}, asked: map[string]int{}, inWork: map[uint32]float64{}}
+	s.a, s.d = begin(t, c)
+	s.d.onAdmit = func(id uint32) { s.inWork[id] = s.now + 10 }
+	return s
+}
+
+func (s *shop) ask(tenant string, q Request) uint32 {
+	s.next++
+	q.ID, q.Tenant = s.next, tenant
+	if q.Left == 0 {
+		q.Left = 1000
+	}
+	s.of[q.ID] = tenant
+	s.asked[tenant]++
+	s.a.Arrive(s.now, q)
+	return q.ID
+}
+
+// step lets a millisecond pass.
+func (s *shop) step() {
+	s.now++
+	for id := uint32(1); id <= s.next; id++ { // in one order
+		if at, ok := s.inWork[id]; ok && at <= s.now {
+			delete(s.inWork, id)
+			s.served[s.of[id]]++
+			s.a.Ended(s.now, End{ID: id, Served: true, Latency: 10, Attempts: 1})
+		}
+	}
+	s.a.Tick(s.now)
+}
+
+func jain(xs []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, x := range xs {
+		sum, squares = sum+x, squares+x*x
+	}
+	return sum * sum / float64(len(xs)) / squares
+}
+
+// Eight places of ten milliseconds serve 800 a second. One tenant asks ten times its share, eight others nine tenths of
+// theirs: each of those is served as if it were alone.
+func TestOneTenantCrowdsOutNobody(t *testing.T) {
+	s := newShop(t, config())
+	carry := map[string]float64{}
+	for s.now < 5000 {
+		for i := range 9 {
+			name, rate := fmt.Sprint("t", i), 0.08 // a millisecond
+			if i == 0 {
+				rate = 0.9
+			}
+			for carry[name] += rate; carry[name] >= 1; carry[name]-- {
+				s.ask(name, Request{Key: uint64(s.next)})
+			}
+		}
+		s.step()
+	}
+	for i := 1; i < 9; i++ {
+		name := fmt.Sprint("t", i)
+		if got := float64(s.served[name]) / float64(s.asked[name]); got < 0.95 {
+			t.Errorf("%s: served %.3f of what it asked", name, got)
+		}
+	}
+	all := 0
+	for _, n := range s.served {
+		all += n
+	}
+	if all < 3880 { // of 4,000: nothing stands idle
+		t.Errorf("%d served in all", all)
+	}
+}
+
+func TestWeightsShareWorkNotCounts(t *testing.T) {
+	c := config()
+	c.Named = []Tenant{{"a", 1}, {"b", 3}}
+	s := newShop(t, c)
+	for s.now < 4000 {
+		s.ask("a", Request{Key: uint64(s.next)})
+		s.ask("b", Request{Key: uint64(s.next), Size: bytesCost}) // twice the cost of a's
+		s.step()
+	}
+	a, b := float64(s.served["a"]), 2*float64(s.served["b"])
+	if got := jain([]float64{a, b / 3}); got < 0.98 {
+		t.Errorf("work %.0f to %.0f by weights 1 to 3: Jain's index %.3f", a, b, got)
+	}
+}
+
+// Those that come back at the time told find room, and those that come early gain nothing.
+func TestTimesToldAreKept(t *testing.T) {
+	s := newShop(t, config())
+	type told struct {
+		at  float64
+		key uint64
+	}
+	var back []told
+	kept, early, again := 0, 0, 0
+	for s.now < 6000 {
+		for range 2 { // 2,000 a second at a fleet of 800
+			id := s.ask("big", Request{Key: uint64(s.next) | 1<<40})
+			if after, no := s.d.refused[id]; no && after < 1400 {
+				back = append(back, told{s.now + after, uint64(s.next-1) | 1<<40})
+			}
+		}
+		var later []told
+		for i, b := range back {
+			switch {
+			case b.at <= s.now:
+				again++
+				id := s.ask("big", Request{Key: b.key, Retry: true})
+				if _, no := s.d.refused[id]; !no {
+					kept++
+				}
+			case i%50 == 7 && b.at-s.now > 100: // impatient
+				id := s.ask("big", Request{Key: b.key, Retry: true})
+				if after, no := s.d.refused[id]; !no || math.Abs(after-(b.at-s.now)) > 1 {
+					early++
+				}
+				later = append(later, b)
+			default:
+				later = append(later, b)
+			}
+		}
+		back = later
+		s.step()
+	}
+	if again < 100 || float64(kept) < 0.95*float64(again) {
+		t.Errorf("%d of %d who came back at the time told were let in", kept, again)
+	}
+	if early > 0 {
+		t.Errorf("%d who came early gained by it", early)
+	}
+}
+
+func TestInventedNamesStayAmongTheOthers(t *testing.T) {
+	c := config()
+	c.Named = []Tenant{{"ministry", 1}}
+	s := newShop(t, c)
+	for s.now < 3000 {
+		for range 3 {
+			s.ask(fmt.Sprint("made-up-", s.next), Request{Key: uint64(s.next)})
+		}
+		if int(s.now)%4 == 0 { // 250 a second: under its half of 800
+			s.ask("ministry", Request{Key: uint64(s.next)})
+		}
+		s.step()
+	}
+	if got := float64(s.served["ministry"]) / float64(s.asked["ministry"]); got < 0.95 {
+		t.Errorf("served %.3f of what it asked", got)
+	}
+}
+
+func TestBoundsAreReachedAndHeld(t *testing.T) {
+	c := config()
+	c.Flows, c.Buckets, c.Queue, c.Promises = 16, 4, 20, 10
+	a, d := begin(t, c)
+	for i := range uint32(1_000_000) {
+		a.Arrive(float64(i)/1000, Request{ID: i + 1, Tenant: "x" + fmt.Sprint(i*2654435761), Class: int(i % 2), Key: uint64(i), Left: 1000})
+	}
+	if len(a.exact) > 16 || a.waiting > 20 || len(a.pfind) > 10 || len(a.nodes) != 20+16 {
+		t.Errorf("%d flows, %d waiting, %d promises, %d records", len(a.exact), a.waiting, len(a.pfind), len(a.nodes))
+	}
+	if len(d.refused) < 900_000 {
+		t.Errorf("%d refused", len(d.refused))
+	}
+}
+
+// Whatever comes in whatever order: each request has one answer, nobody waits while there is room, the limits hold, all
+// books balance, and the same seed and events lead to the same decisions.
+func TestAnyEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type event struct {
+			Gap                        float64
+			Kind, Tenant, Class, Which int
+			Key                        uint64
+			Left                       float64
+			Size                       int
+		}
+		events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+			return event{rapid.Float64Range(0, 60).Draw(t, "gap"), rapid.IntRange(0, 9).Draw(t, "kind"), rapid.IntRange(0, 12).Draw(t, "tenant"),
+				rapid.IntRange(0, 1).Draw(t, "class"), rapid.IntRange(0, 50).Draw(t, "which"), uint64(rapid.IntRange(0, 5).Draw(t, "key")),
+				rapid.Float64Range(0, 500).Draw(t, "left"), rapid.IntRange(0, 1<<20).Draw(t, "size")}
+		}), 1, 150).Draw(t, "events")
+		play := func() (*door, []uint32) {
+			c := config()
+			c.Named = []Tenant{{"n0", 2}, {"n1", 1}}
+			c.Flows, c.Buckets, c.Queue, c.Promises, c.Start, c.Least, c.Most = 4, 2, 6, 5, 3, 2, 6
+			a, err := New(c, 5, newDoor())
+			if err != nil {
+				t.Fatal(err)
+			}
+			d := a.host.(*door)
+			now, last := 0.0, uint32(0)
+			gone, ended := map[uint32]bool{}, map[uint32]bool{}
+			for _, e := range events {
+				now += e.Gap
+				switch {
+				case e.Kind < 6:
+					last++
+					name := fmt.Sprint("t", e.Tenant)
+					if e.Tenant < 2 {
+						name = fmt.Sprint("n", e.Tenant)
+					}
+					a.Arrive(now, Request{ID: last, Tenant: name, Class: e.Class, Key: e.Key, Left: e.Left, Size: e.Size, Retry: e.Kind == 5})
+				case e.Kind < 8 && len(d.admitted) > 0:
+					id := d.admitted[e.Which%len(d.admitted)]
+					if !ended[id] {
+						ended[id] = true
+						a.Ended(now, End{ID: id, Served: e.Kind == 6, Refused: e.Kind == 7, Latency: e.Gap + 1, Attempts: e.Which % 4})
+					}
+				case e.Kind == 8 && last > 0:
+					id := uint32(e.Which)%last + 1
+					if d.ends[id] == 0 {
+						gone[id] = true
+					}
+					a.Gone(now, id)
+				default:
+					a.Tick(now)
+				}
+				balance(t, a)
+				if limit, inUse, waiting := a.Limit(); waiting > 0 && inUse == 0 {
+					t.Fatalf("%d wait and nothing is in work, of %v", waiting, limit)
+				}
+			}
+			a.Tick(now + 1e6)
+			for id := range ended { // what is in work ends
+				delete(gone, id)
+			}
+			for _, id := range d.admitted {
+				if !ended[id] {
+					a.Ended(now+1e6, End{ID: id, Served: true, Latency: 1, Attempts: 1})
+				}
+			}
+			balance(t, a)
+			for id := uint32(1); id <= last; id++ {
+				if n := d.ends[id]; n != 1 && !(n == 0 && gone[id]) {
+					t.Fatalf("request %d: %d answers", id, n)
+				}
+			}
+			return d, d.admitted
+		}
+		d1, order := play()
+		d2, again := play()
+		if !reflect.DeepEqual(order, again) || !reflect.DeepEqual(d1.refused, d2.refused) {
+			t.Fatal("the same events led to other decisions")
+		}
+	})
+}
+
+// balance checks the books against a count from scratch.
+func balance(t *rapid.T, a *Admission) {
+	waiting, inUse := 0, 0.0
+	backlog := map[int32]float64{}
+	for _, i := range a.byID {
+		if n := a.nodes[i]; n.queued {
+			waiting++
+			backlog[n.flow] += n.cost
+		} else {
+			inUse += n.slots
+		}
+	}
+	promised := map[int32]float64{}
+	for _, p := range a.pfind {
+		promised[a.promises[p].flow] += a.promises[p].cost
+	}
+	top, in := 0.0, 0.0
+	for i := range a.flows {
+		f, n := &a.flows[i], int32(i)
+		if math.Abs(f.backlog-backlog[n]) > 1e-6 || math.Abs(f.promised-promised[n]) > 1e-6 || f.backlog > 0 != (f.waiting > 0) {
+			t.Fatalf("flow %d: backlog %v of %v, promised %v of %v", i, f.backlog, backlog[n], f.promised, promised[n])
+		}
+		if f.active() {
+			if f.inner {
+				in += f.weight
+			} else {
+				top += f.weight
+			}
+		}
+	}
+	if in > 0 {
+		top += a.cfg.OthersWeight
+	}
+	if waiting != a.waiting || waiting > a.cfg.Queue || math.Abs(inUse-a.inUse) > 1e-6 || math.Abs(top-a.top.weights) > 1e-6 || math.Abs(in-a.in.weights) > 1e-6 {
+		t.Fatalf("waiting %d of %d, in use %v of %v, weights %v of %v and %v of %v", a.waiting, waiting, a.inUse, inUse, a.top.weights, top, a.in.weights, in)
+	}
+	if len(a.spare)+len(a.byID) != len(a.nodes) || len(a.pspare)+len(a.pfind) != len(a.promises) {
+		t.Fatal("a record is lost")
+	}
+}
+
+func BenchmarkArrive(b *testing.B) {
+	c := config()
+	c.Start, c.Least, c.Most = 64, 64, 64
+	a, err := New(c, 1, quiet{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	names := make([]string, 10000)
+	for i := range names {
+		names[i] = fmt.Sprint("tenant-", i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range uint32(b.N) {
+		now := float64(i) / 10
+		a.Arrive(now, Request{ID: i, Tenant: names[i%10000], Key: uint64(i), Left: 1000})
+		if i >= 100 {
+			a.Ended(now, End{ID: i - 100, Served: true, Latency: 10, Attempts: 1})
+		}
+	}
+}
+
+type quiet struct{}
+
+func (quiet) Admit(uint32)           {}
+func (quiet) Refuse(uint32, float64) {}
--- /dev/null
+++ b/internal/admit/identify.go
@@ -0,0 +1,54 @@
+package admit
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+)
+
+// Match says whom a request is of, where it applies.
+type Match struct {
+	By      string // fact (what the client says in t), key (by its prefix) or network (the client's address)
+	Prefix  string // key: that the key begins with
+	Network netip.Prefix
+	Tenant  string // whom it is of; "" = fact: what the client says, network: its address
+}
+
+// Identify tells tenants by the first match; without one, a request is of the shared default, "".
+type Identify []Match
+
+// NewMatch checks a match.
+func NewMatch(by, prefix, network, tenant string) (m Match, err error) {
+	m = Match{By: by, Prefix: prefix, Tenant: tenant}
+	switch {
+	case by == "fact":
+	case by == "key" && prefix != "" && tenant != "":
+	case by == "key":
+		return m, fmt.Errorf("by key needs prefix and tenant")
+	case by == "network":
+		if m.Network, err = netip.ParsePrefix(network); err != nil {
+			return m, fmt.Errorf("by network needs network: %w", err)
+		}
+	default:
+		return m, fmt.Errorf("by: %q is none of fact, key, network", by)
+	}
+	return m, nil
+}
+
+// Tenant tells whom a request is of: fact is what its client says, addr where it comes from.
+func (ms Identify) Tenant(fact, key string, addr netip.Addr) string {
+	for _, m := range ms {
+		switch {
+		case m.By == "fact" && fact != "" && m.Tenant == "":
+			return fact
+		case m.By == "fact" && fact != "" && fact == m.Prefix, m.By == "key" && strings.HasPrefix(key, m.Prefix):
+			return m.Tenant
+		case m.By == "network" && m.Network.Contains(addr):
+			if m.Tenant == "" {
+				return addr.String()
+			}
+			return m.Tenant
+		}
+	}
+	return ""
+}
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -30,7 +30,13 @@
 		zone = l.p.Zones[int(l.zones.Rand())].Name
 	}
 	if l.p.Tenants > 0 && !l.p.Unnamed {
-		tenant = fmt.Sprintf("tenant-%d", l.rng.IntN(l.p.Tenants))
+		n := l.rng.IntN(l.p.Tenants)
+		if l.p.Bully > 0 && l.p.Tenants > 1 {
+			if n = 1 + l.rng.IntN(l.p.Tenants-1); l.rng.Float64() < l.p.Bully {
+				n = 0
+			}
+		}
+		tenant = fmt.Sprintf("tenant-%d", n)
 	}
 	return c, key, zone, tenant, Size(c, key), l.rng.Float64()
 }
@@ -95,7 +101,7 @@
 		}
 		time.Sleep(time.Duration(pause * float64(time.Millisecond)))
 	}
-	l.record(c, intended, end, answered)
+	l.record(c, tenant, intended, end, answered)
 }
 
 // try sends a request once, or once more on a new connection where the router closed an idle one as it was sent.
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -54,6 +54,7 @@
 	Honour      float64   `toml:"honour"`         // share of clients that come back when they are told to
 	MaxAfterMS  float64   `toml:"max_after_ms"`   // unless it is longer than this
 	Tenants     int       `toml:"tenants"`        // 0 = none are named
+	Bully       float64   `toml:"bully"`          // share of the requests that are of the first tenant; the rest is spread evenly over the others
 	Connections int       `toml:"connections"`    // idle ones kept to each router at most
 	Reconnect   float64   `toml:"reconnect"`      // share of requests after which the connection is closed
 	LateMS      float64   `toml:"late_ms"`        // a request sent this much after its time makes the load tool the bottleneck
@@ -104,6 +105,7 @@
 type Result struct {
 	Seconds  []Second               `json:"seconds"`
 	Classes  map[string]ClassResult `json:"classes"`
+	Tenants  map[string]Share       `json:"tenants,omitempty"` // up to maxTenants of them
 	Tries    int                    `json:"tries"`
 	Worth    float64                `json:"worth"`
 	Gained   float64                `json:"gained"`
@@ -114,6 +116,12 @@
 	DialFail int                    `json:"connect_failed"`
 }
 
+// Share is what one tenant asked for and got, in worth.
+type Share struct{ Worth, Gained float64 }
+
+// maxTenants bounds the tenants that are told apart.
+const maxTenants = 1000
+
 // Service is the share of the worth asked for that was answered within the aim.
 func (r Result) Service() float64 {
 	if r.Worth == 0 {
@@ -176,6 +184,7 @@
 	hists   []*hdrhistogram.Histogram // by second; those of old seconds are folded into figures
 	byClass map[string]*hdrhistogram.Histogram
 	results map[string]ClassResult
+	tenants map[string]Share
 	tries   int
 	late    int
 	over    int
@@ -192,7 +201,7 @@
 		return nil, fmt.Errorf("class: none")
 	}
 	l := &Load{p: p, front: front, clock: clock, journal: journal, pool: newPool(p.Connections, clock),
-		rng: rand.New(rand.NewPCG(p.Seed, 5)), byClass: map[string]*hdrhistogram.Histogram{}, results: map[string]ClassResult{}}
+		rng: rand.New(rand.NewPCG(p.Seed, 5)), byClass: map[string]*hdrhistogram.Histogram{}, results: map[string]ClassResult{}, tenants: map[string]Share{}}
 	src := rand.NewPCG(p.Seed, 6)
 	weights := make([]float64, p.Keys)
 	l.names = make([]string, p.Keys)
@@ -344,7 +353,7 @@
 const maxSeconds = 7200
 
 // record books the end of a request.
-func (l *Load) record(c Class, intended float64, end referee.Answer, answered bool) {
+func (l *Load) record(c Class, tenant string, intended float64, end referee.Answer, answered bool) {
 	took := l.clock.Now() - intended
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -356,6 +365,13 @@
 		l.hists[i] = hdrhistogram.New(1, 120_000_000, 2)
 	}
 	s, r := &l.seconds[i], l.results[c.Name]
+	share, known := l.tenants[tenant]
+	share.Worth += c.Worth
+	defer func() {
+		if known || tenant != "" && len(l.tenants) < maxTenants {
+			l.tenants[tenant] = share
+		}
+	}()
 	s.Asked, r.Asked, s.Worth = s.Asked+1, r.Asked+1, s.Worth+c.Worth
 	switch {
 	case answered && end == referee.Served:
@@ -365,6 +381,7 @@
 		_ = l.byClass[c.Name].RecordValue(us)
 		if took <= c.AimMS {
 			s.InAim, r.InAim, s.Gained = s.InAim+1, r.InAim+1, s.Gained+c.Worth
+			share.Gained += c.Worth
 		}
 	case answered && end == referee.Refused:
 		s.Refused, r.Refused = s.Refused+1, r.Refused+1
@@ -377,7 +394,7 @@
 func (l *Load) result() Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Seconds: l.seconds, Classes: l.results, Tries: l.tries, Late: l.late, Over: l.over, Valid: true, DialFail: l.pool.failed()}
+	res := Result{Seconds: l.seconds, Classes: l.results, Tenants: l.tenants, Tries: l.tries, Late: l.late, Over: l.over, Valid: true, DialFail: l.pool.failed()}
 	asked := 0
 	for i := range res.Seconds {
 		s := &res.Seconds[i]
--- a/lab/report/compare.go
+++ b/lab/report/compare.go
@@ -42,6 +42,15 @@
 		}
 		return most
 	}},
+	{"service of the tenants but the first", func(r fleet.Result) float64 {
+		var worth, gained float64
+		for name, s := range r.Load.Tenants {
+			if name != "tenant-0" {
+				worth, gained = worth+s.Worth, gained+s.Gained
+			}
+		}
+		return gained / math.Max(worth, 1)
+	}},
 	{"broken rules", func(r fleet.Result) float64 { return float64(len(r.Broken)) }},
 }
 
--- a/lab/report/table.go
+++ b/lab/report/table.go
@@ -21,6 +21,18 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t\n", name, c.Asked, c.Served, c.InAim, c.Refused, c.Failed, c.P50MS, c.P90MS, c.P99MS, c.MaxMS)
 	}
 	t.Flush()
+	if n := len(r.Load.Tenants); n > 0 {
+		fmt.Fprintf(t, "\ntenant\tworth asked\tservice\t\n")
+		for i, name := range sorted(r.Load.Tenants) {
+			if i == 20 {
+				fmt.Fprintf(t, "and %d more\t\t\t\n", n-i)
+				break
+			}
+			s := r.Load.Tenants[name]
+			fmt.Fprintf(t, "%s\t%.0f\t%.3f\t\n", name, s.Worth, s.Gained/s.Worth)
+		}
+		t.Flush()
+	}
 	if len(r.Servers) > 0 {
 		fmt.Fprintln(t, "\nserver\tkind\tzone\tserved\tmissed\tturned away\tfailed\tconnections\tprobes\t")
 		for _, s := range r.Servers {
