Give fair admission its place before the module, switched off by default

Need: internal/admit decided for nobody: no request passed it.

Change: where the operator file's [admission] says so, the loop asks it on a request's arrival; what it lets in goes on to the Balancer after the call, what it refuses ends at the one place where requests are answered, and each end is told to it. Tenants are told by the fact t, a prefix of the key or the client's network.

--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -81,6 +81,15 @@
 		return err
 	}
 	r.OnShare(share)
+	if extra.Admission.Enabled {
+		rules, who, err := extra.Admission.Config()
+		if err == nil {
+			err = r.Admit(rules, who)
+		}
+		if err != nil {
+			return err
+		}
+	}
 	if link != nil {
 		if err := r.Inherit(state, link); err != nil {
 			slog.Warn("handover", "error", err)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -111,8 +111,7 @@
 	maxName    = 64       // bytes of a tenant's name that are kept
 	bytesCost  = 64 << 10 // bytes that cost as much as a request of their class
 	windowMS   = 200      // between two looks at the limit
-	rateTauMS  = 1000     // memory of the rate of work
-	tolerance  = 2.0      // times the usual latency that is borne
+	tolerance  = 2.5      // times the usual latency that is borne
 	keepMS     = 500      // for which a promise holds, beyond a quarter of the time told
 	earlyMS    = 15       // by which a client may be early: clocks and the network
 	repeats    = 4096     // refused requests that are remembered, to know an unmarked try again
@@ -198,6 +197,7 @@
 	pspare   []int32
 	pfind    map[uint64]int32
 	pexpiry  heap
+	base     float64 // mean latency of a window in which nothing is crowded
 	heed     float64 // share of those told to come back that do, when they were told
 
 	seen   [repeats]repeat
@@ -212,7 +212,6 @@
 	cost                    []float64 // by class, measured
 	usual                   []float64 // latency by class, its lower side
 	mean                    float64   // cost
-	done                    float64   // work done, with exponential memory
-	doneAt                  float64
+	lat                     float64   // latency of what is served, lately
 	began                   float64
 }
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -10,7 +10,7 @@
 // begin brings the time up to now and carries out what is due by it.
 func (a *Admission) begin(now float64) {
 	if a.began < 0 {
-		a.began, a.turned, a.lookAt, a.doneAt = now, now, now+windowMS, now
+		a.began, a.turned, a.lookAt = now, now, now+windowMS
 	}
 	a.now = max(now, a.now)
 	if a.now-a.turned >= a.cfg.TurnMS { // so that nobody stays in one bucket with the same bully
@@ -108,8 +108,13 @@
 		if *u == 0 {
 			*u = e.Latency
 		}
-		a.ratio += e.Latency / *u
+		*u += 0.02 * (e.Latency - *u)
+		a.ratio += e.Latency
 		a.timed++
+		if a.lat == 0 {
+			a.lat = e.Latency
+		}
+		a.lat += 0.02 * (e.Latency - a.lat)
 		if e.Latency < *u { // it falls soon and rises slowly: what it takes where nothing is crowded
 			*u += 0.1 * (e.Latency - *u)
 		} else {
@@ -119,7 +124,6 @@
 	if e.Attempts != 1 { // it cost more or less than was thought: none has run, or several
 		a.correct(n.flow, n.cost*float64(min(e.Attempts, 4)-1))
 	}
-	a.doneBy(n.cost * float64(min(e.Attempts, 4)))
 	a.pump()
 }
 
@@ -132,16 +136,13 @@
 	a.pump()
 }
 
-// doneBy books work that is done, for the rate of it.
-func (a *Admission) doneBy(cost float64) {
-	a.done = a.done*math.Exp((a.doneAt-a.now)/rateTauMS) + cost
-	a.doneAt = a.now
-}
-
-// pace is the work done in a millisecond, lately; at the least what the limit does at the usual latency.
+// pace is the work that the limit does in a millisecond, by Little's law: what is in use over how long it takes. It is
+// asked for where there is contention, when the limit is in use. Before anything has ended, work takes as long as it says.
 func (a *Admission) pace() float64 {
-	filled := 1 - math.Exp((a.began-a.now-1)/rateTauMS)
-	return max(a.done*math.Exp((a.doneAt-a.now)/rateTauMS)/rateTauMS/filled, 1e-3*a.mean)
+	if a.lat == 0 {
+		return a.limit
+	}
+	return a.limit * a.mean / a.lat
 }
 
 // wait is how long a request of a flow would have to wait: what the flow has waiting, and those that were told to come
@@ -461,12 +462,20 @@
 func (a *Admission) look() {
 	if a.ends > 0 {
 		slower := 0.0
-		if a.timed > 0 {
-			slower = a.ratio / float64(a.timed)
+		if a.timed >= 5 { // means of windows: single answers vary by far more than crowding makes them
+			mean := a.ratio / float64(a.timed)
+			if a.base == 0 {
+				a.base = mean
+			}
+			if slower = mean / a.base; slower < 1 { // it falls soon and rises slowly: what it takes where nothing is crowded
+				a.base += 0.3 * (mean - a.base)
+			} else {
+				a.base += 0.005 * (mean - a.base)
+			}
 		}
 		switch {
-		case float64(a.turnedAway) > 0.05*float64(a.ends):
-			a.limit *= 0.9
+		case float64(a.turnedAway) > 0.25*float64(a.ends):
+			a.limit *= 0.95
 		case slower > tolerance:
 			a.limit *= max(0.8, tolerance/slower)
 		case a.peak >= 0.8*a.limit:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2/unstable"
 
+	"dockhinge.example/dockhinge/internal/admit"
 	"dockhinge.example/dockhinge/internal/diag"
 )
 
@@ -22,8 +23,9 @@
 
 // File is an operator file. The docs tags are checked against docs/configuration.md by a test.
 type File struct {
-	Version int `toml:"version"`
-	Log     Log `toml:"log"`
+	Version   int       `toml:"version"`
+	Log       Log       `toml:"log"`
+	Admission Admission `toml:"admission"`
 }
 
 // Log says how the router logs.
@@ -34,6 +36,61 @@
 	RepeatBurst int    `toml:"repeat_burst"` // lines of one event in that time, 1 to 1000
 }
 
+// Admission switches fair admission on and sets it. Its bounds are internal/admit's.
+type Admission struct {
+	Enabled      bool     `toml:"enabled"`
+	OthersWeight float64  `toml:"others_weight"`
+	Flows        int      `toml:"flows"`
+	Buckets      int      `toml:"buckets"`
+	TurnMS       float64  `toml:"turn_ms"`
+	Queue        int      `toml:"queue"`
+	Promises     int      `toml:"promises"`
+	MaxWaitMS    float64  `toml:"max_wait_ms"`
+	MaxAfterMS   float64  `toml:"max_after_ms"`
+	Start        float64  `toml:"start"`
+	Least        float64  `toml:"least"`
+	Most         float64  `toml:"most"`
+	RetryShare   float64  `toml:"retry_share"`
+	RetryBurst   float64  `toml:"retry_burst"`
+	Tenants      []Tenant `toml:"tenant"`
+	Identify     []Match  `toml:"identify"`
+}
+
+// Tenant is a tenant with a share of its own.
+type Tenant struct {
+	Name   string  `toml:"name"`
+	Weight float64 `toml:"weight"`
+}
+
+// Match tells whom a request is of.
+type Match struct {
+	By      string `toml:"by"`
+	Prefix  string `toml:"prefix"`
+	Network string `toml:"network"`
+	Tenant  string `toml:"tenant"`
+}
+
+// Config is the section in the terms of internal/admit, but for the classes, which the platform's settings name.
+func (a Admission) Config() (admit.Config, admit.Identify, error) {
+	c := admit.Config{OthersWeight: a.OthersWeight, Flows: a.Flows, Buckets: a.Buckets, TurnMS: a.TurnMS, Queue: a.Queue,
+		Promises: a.Promises, MaxWaitMS: a.MaxWaitMS, MaxAfterMS: a.MaxAfterMS, Start: a.Start, Least: a.Least, Most: a.Most,
+		RetryShare: a.RetryShare, RetryBurst: a.RetryBurst}
+	for _, t := range a.Tenants {
+		c.Named = append(c.Named, admit.Tenant{Name: t.Name, Weight: t.Weight})
+	}
+	var who admit.Identify
+	for i, m := range a.Identify {
+		one, err := admit.NewMatch(m.By, m.Prefix, m.Network, m.Tenant)
+		if err != nil {
+			return c, who, &admit.Error{Setting: fmt.Sprintf("identify[%d]", i), Reason: err.Error()}
+		}
+		who = append(who, one)
+	}
+	checked := c
+	checked.Classes = []admit.Class{{Name: "any", Cost: 1}}
+	return c, who, checked.Validate()
+}
+
 // Every is RepeatEvery as a duration; the file has been checked.
 func (l Log) Every() time.Duration {
 	d, _ := time.ParseDuration(l.RepeatEvery)
@@ -42,7 +99,9 @@
 
 // Default is what holds where there is no operator file, or where it is silent.
 func Default() File {
-	return File{Version: Version, Log: Log{Level: "info", Format: "text", RepeatEvery: "10s", RepeatBurst: 20}}
+	return File{Version: Version, Log: Log{Level: "info", Format: "text", RepeatEvery: "10s", RepeatBurst: 20},
+		Admission: Admission{OthersWeight: 1, Flows: 1024, Buckets: 64, TurnMS: 10000, Queue: 512, Promises: 4096, MaxWaitMS: 200,
+			MaxAfterMS: 1500, Start: 64, Least: 4, Most: 4096, RetryShare: 0.2, RetryBurst: 20}}
 }
 
 // Load reads the operator file at path. The error joins a diag.Problem for each mistake.
@@ -88,6 +147,14 @@
 	if f.Log.RepeatBurst < 1 || f.Log.RepeatBurst > 1000 {
 		bad("log.repeat_burst", "%d is not from 1 to 1000", f.Log.RepeatBurst)
 	}
+	if _, _, err := f.Admission.Config(); err != nil {
+		var e *admit.Error
+		if errors.As(err, &e) {
+			bad("admission."+e.Setting, "%s", e.Reason)
+		} else {
+			bad("admission", "%v", err)
+		}
+	}
 	if err := errors.Join(all...); err != nil {
 		return File{}, err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -78,6 +80,10 @@
 			name := prefix + v.Type().Field(i).Tag.Get("toml")
 			if f := v.Field(i); f.Kind() == reflect.Struct {
 				keys(name+".", f)
+			} else if f.Kind() == reflect.Slice {
+				if !strings.Contains(section, "`[["+strings.TrimSuffix(name, ".")+"]]`") {
+					t.Errorf("[[%s]]: not on the page", name)
+				}
 			} else {
 				if got, ok := rows[name]; !ok || got != strings.TrimSpace(reflectText(f)) {
 					t.Errorf("%s: the page says %q, the program %v", name, got, f)
@@ -94,19 +100,9 @@
 
 func reflectText(v reflect.Value) string {
 	if v.Kind() == reflect.String {
-		return `"` + v.String() + `"`
-	}
-	b := strings.Builder{}
-	if v.CanInt() {
-		for n, s := v.Int(), ""; ; n /= 10 {
-			s = string(rune('0'+n%10)) + s
-			if n < 10 {
-				b.WriteString(s)
-				break
-			}
-		}
+		return strconv.Quote(v.String())
 	}
-	return b.String()
+	return fmt.Sprint(v.Interface())
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 	names      names
 	memory     int64       // bytes that the router may take
 	ready      atomic.Bool // a list is held
+	admission  *admission  // nil = every request goes to the Balancer
 }
 
 // request is a request from its arrival until it is answered and its attempts are back.
@@ -63,8 +65,11 @@
 	over  bool   // has its final answer, or its client has gone
 	tries []*attempt
 	rule  *rule
-	most  int  // attempts, and
-	two   bool // whether two may be out at once: as the settings were on arrival
+	most  int        // attempts, and
+	two   bool       // whether two may be out at once: as the settings were on arrival
+	from  netip.Addr // its client, where admission wants to know
+	door  int        // where it stands before the Balancer
+	began float64    // when it was let in
 	out   int
 }
 
@@ -110,6 +115,7 @@
 	classes map[string]*rule
 	most    int
 	copies  bool
+	tells   bool    // clients are told how long to stay away
 	away    float64 // how long one stays away that there is no room for
 }
 
@@ -120,7 +126,7 @@
 }
 
 func newRules(s decide.Config, m *metrics.Router) *rules {
-	r := &rules{classes: map[string]*rule{}, most: s.MaxAttempts, copies: s.Copies, away: s.LeastAway()}
+	r := &rules{classes: map[string]*rule{}, most: s.MaxAttempts, copies: s.Copies, tells: s.RetryAfter, away: s.LeastAway()}
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &rule{c, m.Class(c.Name)}
 	}
@@ -271,8 +277,19 @@
 		l.Fail(r.id)
 		l.b.Gone(l.now(), r.id)
 	})
+	if l.admission != nil {
+		r.from = addrOf(s.c.Conn)
+		l.admission.arrive(r, left)
+		return
+	}
+	l.decide(r)
+}
+
+// decide hands a request to the Balancer.
+func (l *loop) decide(r *request) {
+	now, cmd := l.now(), &r.cmd
 	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
-		Left: left, Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
+		Left: max(0, r.until-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
 }
 
 // gone tells that the client of a request has left.
@@ -301,6 +318,10 @@
 	if how != leftEarly {
 		r.rule.count.Ended(how)
 	}
+	if l.admission != nil {
+		l.admission.gone(r) // where it waits still
+		l.admission.ended(r, how == metrics.Success, how == metrics.Overload)
+	}
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
 	l.timers.stop(r.due)
@@ -321,6 +342,9 @@
 	r.out--
 	sl := r.slot
 	r.slot.req, r.slot = nil, nil
+	if l.admission != nil {
+		l.admission.ended(r, true, false)
+	}
 	l.forget(r)
 	now := l.now()
 	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: decide.OK, Latency: now - a.at,
