--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -14,7 +14,7 @@
 // Class is a class of requests.
 type Class struct {
 	Name  string
-	Cost  float64 // ms of work, to begin with; what is measured takes its place
+	Cost  float64 // ms of work of an attempt
 	First bool    // goes before others of its own tenant
 }
 
@@ -209,8 +209,7 @@
 	lookAt                  float64
 	ends, timed, turnedAway int       // since the last look
 	ratio                   float64   // sum of latencies over the usual
-	cost                    []float64 // by class, measured
-	usual                   []float64 // latency by class, its lower side
+	usual                   []float64 // latency by class, lately
 	mean                    float64   // cost
 	lat                     float64   // latency of what is served, lately
 	began                   float64
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -24,7 +24,7 @@
 		i := a.expiry.least()
 		n := a.nodes[i]
 		a.drop(i)
-		a.refuse(n.id, n.flow, int(n.class), n.cost, n.key)
+		a.refuse(n.id, n.flow, n.cost, n.key)
 	}
 	if a.now >= a.lookAt {
 		a.look()
@@ -50,8 +50,8 @@
 	a.begin(now)
 	i, hash := a.find(q.Tenant)
 	f := &a.flows[i]
-	cost := a.cost[q.Class] * (1 + float64(q.Size)/bytesCost)
-	who := mix(hash ^ mix(q.Key) ^ uint64(q.Class)<<56)
+	cost := a.cfg.Classes[q.Class].Cost * (1 + float64(q.Size)/bytesCost)
+	who := identity(hash, q.Key, uint64(q.Class))
 	again := q.Retry || a.saw(who)
 	due, early := a.redeem(who)
 	if !again && !due {
@@ -72,14 +72,14 @@
 		a.host.Refuse(q.ID, early)
 		return
 	case again && !due && (f.tokens < 1 || a.tokens < 1), len(a.spare) == 0, a.waiting >= a.cfg.Queue && !a.makeRoom(i):
-		a.refuse(q.ID, i, q.Class, cost, who)
+		a.refuse(q.ID, i, cost, who)
 		return
 	case again && !due:
 		f.tokens--
 		a.tokens--
 	}
 	if wait := a.wait(i, cost, max(0, allowed)); !due && wait > allowed || allowed <= 0 {
-		a.refuse(q.ID, i, q.Class, cost, who)
+		a.refuse(q.ID, i, cost, who)
 		return
 	}
 	n := a.put(q, i, cost, who)
@@ -115,11 +115,6 @@
 			a.lat = e.Latency
 		}
 		a.lat += 0.02 * (e.Latency - a.lat)
-		if e.Latency < *u { // it falls soon and rises slowly: what it takes where nothing is crowded
-			*u += 0.1 * (e.Latency - *u)
-		} else {
-			*u += 0.002 * (min(e.Latency, 4**u) - *u)
-		}
 	}
 	if e.Attempts != 1 { // it cost more or less than was thought: none has run, or several
 		a.correct(n.flow, n.cost*float64(min(e.Attempts, 4)-1))
@@ -329,7 +324,7 @@
 	}
 	n := a.nodes[i]
 	a.drop(i)
-	a.refuse(n.id, worst, int(n.class), n.cost, n.key)
+	a.refuse(n.id, worst, n.cost, n.key)
 	return true
 }
 
@@ -402,7 +397,7 @@
 
 // refuse turns a request away and tells when its tenant's share is free: behind all that it has waiting, and behind all
 // others of its own that were told to come back before, so that those who are refused together do not return together.
-func (a *Admission) refuse(id uint32, i int32, class int, cost float64, who uint64) {
+func (a *Admission) refuse(id uint32, i int32, cost float64, who uint64) {
 	f := &a.flows[i]
 	f.refused++
 	after := max(leastAfter, a.wait(i, 0, math.Inf(1))*(1+0.05*a.rng.Float64()))
--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -1,6 +1,10 @@
 package admit
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // New returns an Admission, or an error that names the setting that is impossible. All memory is taken here.
 func New(cfg Config, seed uint64, host Host) (*Admission, error) {
@@ -40,10 +44,7 @@
 	for i := range a.promises {
 		a.pspare = append(a.pspare, int32(len(a.promises)-1-i))
 	}
-	for _, c := range cfg.Classes {
-		a.cost, a.usual = append(a.cost, c.Cost), append(a.usual, 0)
-	}
-	a.mean = a.cost[0]
+	a.usual, a.mean = make([]float64, len(cfg.Classes)), cfg.Classes[0].Cost
 	return a, nil
 }
 
@@ -83,7 +84,7 @@
 		}
 	}
 	if i == none {
-		return int32(len(a.cfg.Named) + a.cfg.Flows + int(mix(h^a.salt)%uint64(a.cfg.Buckets))), h
+		return int32(len(a.cfg.Named) + a.cfg.Flows + int(identity(h, a.salt, 0)%uint64(a.cfg.Buckets))), h
 	}
 	f := &a.flows[i]
 	f.hash, f.used, f.finish, f.promised, f.tokens, f.admitted, f.refused = h, true, 0, 0, a.cfg.RetryBurst, 0, 0
@@ -93,11 +94,13 @@
 	return i, h
 }
 
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+// identity is one number for three.
+func identity(x, y, z uint64) uint64 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], x)
+	binary.LittleEndian.PutUint64(b[8:], y)
+	binary.LittleEndian.PutUint64(b[16:], z)
+	return xxhash.Sum64(b[:])
 }
 
 func (a *Admission) touch(i int32) {
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -25,7 +25,7 @@
 	var longest float64
 	for _, c := range r.cfg.settings.Config.Classes {
 		ad.class[c.Name] = len(cfg.Classes)
-		// The aim tells, class by class, how much work is meant; what is measured takes its place.
+		// The aim tells, class by class, how much work is meant; attempts beyond the first are charged when it ends.
 		cfg.Classes = append(cfg.Classes, admit.Class{Name: c.Name, Cost: c.Aim, First: c.Effect != decide.Repeatable})
 		longest = max(longest, c.Aim)
 	}
@@ -98,7 +98,7 @@
 	r.door, r.began = doorIn, ad.l.now()
 	ad.l.later = append(ad.l.later, func() {
 		if !r.over {
-			ad.l.decide(r)
+			ad.l.decide(ad.l.now(), r)
 		}
 	})
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -282,12 +282,12 @@
 		l.admission.arrive(r, left)
 		return
 	}
-	l.decide(r)
+	l.decide(now, r)
 }
 
 // decide hands a request to the Balancer.
-func (l *loop) decide(r *request) {
-	now, cmd := l.now(), &r.cmd
+func (l *loop) decide(now float64, r *request) {
+	cmd := &r.cmd
 	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
 		Left: max(0, r.until-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
 }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -230,7 +230,7 @@
 	fails := make([]error, n)
 	var wg sync.WaitGroup
 	for i := range n {
-		listen, err := freeAddr()
+		listen, err := FreeAddr()
 		if err != nil {
 			return err
 		}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -39,8 +39,8 @@
 	done     chan struct{}
 }
 
-// freeAddr finds an address that nobody listens at.
-func freeAddr() (string, error) {
+// FreeAddr finds an address that nobody listens at.
+func FreeAddr() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("no address: %w", err)
@@ -51,7 +51,7 @@
 
 // start runs the router's command with a configuration, and returns once the process is ready.
 func (r *router) start(ctx context.Context, command []string, config map[string]any, ready time.Duration) error {
-	admin, err := freeAddr()
+	admin, err := FreeAddr()
 	if err != nil {
 		return err
 	}
