Let the limit of fair admission follow pressure, and share it between routers

Refusals of the Balancer of up to a quarter were borne before the limit fell, refusals of tries with no time left counted as want of room, the uncrowded latency was the least of noisy means, and so one router's limit fell to a quarter of the other's before the same fleet.

Change: the limit rises with the tenants that want more and falls with pressure (first tries that the Balancer refuses, latency beyond a third of the aim), so that routers come to like limits without a word; what a lower limit doesn't help against is borne. Work is charged as measured. A tenant within its share is not held to its retry budget, and a wait is never thought longer than all that waits. GET /-/admission at the second address shows the door and its tenants.

--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -144,6 +144,13 @@
 	return errors.New("not ready")
 }
 
+func (f *front) Admission(ctx context.Context) ([]byte, error) {
+	if r := f.router.Load(); r != nil {
+		return r.Admission(ctx)
+	}
+	return nil, errors.New("not ready")
+}
+
 // reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
 // nothing.
 func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config, m *metrics.Router) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,13 @@
 	Metrics() ([]byte, error)
 	// SetDisabled leaves a cache server out, or puts it back. ErrUnknown tells that its id was never listed.
 	SetDisabled(ctx context.Context, id string, disabled bool) error
+	// Admission is how the door stands, in JSON; ErrOff tells that there is none.
+	Admission(ctx context.Context) ([]byte, error)
 }
 
+// ErrOff tells that what is asked for is not switched on.
+var ErrOff = errors.New("not switched on")
+
 // ErrUnknown tells that an id was never listed.
 var ErrUnknown = errors.New("no such cache server")
 
@@ -99,6 +104,19 @@
 	}
 	mux.HandleFunc("PUT /-/cache-servers/{id}/disable", set(true))
 	mux.HandleFunc("PUT /-/cache-servers/{id}/enable", set(false))
+	mux.HandleFunc("GET /-/admission", func(w http.ResponseWriter, q *http.Request) {
+		ctx, cancel := context.WithTimeout(q.Context(), workTime)
+		defer cancel()
+		switch text, err := r.Admission(ctx); {
+		case errors.Is(err, ErrOff):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(append(text, '\n')) //nolint:errcheck // the caller has left
+		}
+	})
 	return whole(mux)
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -40,6 +40,15 @@
 	return f.err
 }
 
+func (f *fakeRouter) Admission(context.Context) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unready {
+		return nil, ErrOff
+	}
+	return []byte(`{"waiting":3}`), f.err
+}
+
 func start(t *testing.T, r Router) (addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -96,8 +96,10 @@
 	ID       uint32
 	Served   bool
 	Refused  bool    // by the Balancer, for want of room
-	Latency  float64 // ms
+	Latency  float64 // ms since it was let in
 	Attempts int
+	Work     float64 // ms that its attempts took, together
+	Size     int     // bytes of the answer
 }
 
 // Host carries out what is decided, within the call that led to it. Each request gets one of the two, once.
@@ -108,34 +110,65 @@
 
 // Bounds and constants of the module.
 const (
-	maxName    = 64       // bytes of a tenant's name that are kept
-	bytesCost  = 64 << 10 // bytes that cost as much as a request of their class
-	windowMS   = 200      // between two looks at the limit
-	tolerance  = 2.5      // times the usual latency that is borne
-	keepMS     = 500      // for which a promise holds, beyond a quarter of the time told
-	earlyMS    = 15       // by which a client may be early: clocks and the network
-	repeats    = 4096     // refused requests that are remembered, to know an unmarked try again
-	repeatMS   = 5000     // for which they are
-	leastAfter = 20       // ms, the shortest time told
-	none       = int32(-1)
+	maxName     = 64       // bytes of a tenant's name that are kept
+	bytesCost   = 64 << 10 // bytes that cost as much as a request of their class
+	windowMS    = 200      // between two looks at the limit
+	timedLeast  = 100      // answers whose mean tells of crowding
+	creep       = 1e-6     // a millisecond, by which what is taken for uncrowded rises
+	dearest     = 8        // times what it was thought to cost that a request is charged at most
+	dry         = 0.03     // share that the Balancer may refuse after a miss, for want of the origin
+	easy        = 0.33     // mean latency over the class's aim that is well: few are late at that
+	tolerance   = 1.25     // times the uncrowded one, where that is more
+	slowness    = 0.5      // pressure for what is above
+	rise        = 0.12     // of the limit in a window, times its square root and that of the tenants that want more
+	mostWanting = 16       // of these that count: names that are made up would else draw work to a router
+	fall        = 1.0      // fall of the limit in a window, times the pressure
+	steepest    = 0.05     // fall of the limit in a window
+	borne       = 0.03     // pressure that stays where the limit has fallen, from which on it is taken for one in vain
+	keepMS      = 500      // for which a promise holds, beyond a quarter of the time told
+	earlyMS     = 15       // by which a client may be early: clocks and the network
+	repeats     = 4096     // refused requests that are remembered, to know an unmarked try again
+	repeatMS    = 5000     // for which they are
+	newTokens   = 3        // tries again in the hands of a tenant that is not named and was not known
+	leastAfter  = 20       // ms, the shortest time told
+	none        = int32(-1)
 )
 
 // flow is one tenant's state, or that of a bucket of them, or of all others together.
 type flow struct {
-	hash              uint64
-	name              [maxName]byte
-	nameLen           uint8
-	used              bool // an exact flow holds a tenant
-	inner             bool // stands among the others, not at the top
-	weight            float64
-	finish            float64  // SFQ: the tag at which what it was given ends
-	head, tail        [2]int32 // waiting requests: those that go first, and the others
-	waiting           int
-	backlog           float64 // cost that waits
-	promised          float64 // cost that has been told to come back
-	tokens            float64 // tries again in hand
-	older, newer      int32   // exact flows, by when they were last used
-	admitted, refused uint64
+	hash         uint64
+	name         [maxName]byte
+	nameLen      uint8
+	used         bool // an exact flow holds a tenant
+	inner        bool // stands among the others, not at the top
+	weight       float64
+	finish       float64  // SFQ: the tag at which what it was given ends
+	head, tail   [2]int32 // waiting requests: those that go first, and the others
+	waiting      int
+	backlog      float64 // cost that waits
+	promised     float64 // cost that has been told to come back
+	tokens       float64 // tries again in hand
+	older, newer int32   // exact flows, by when they were last used
+	count        Count
+}
+
+// Count is what became of a tenant's requests since it was known last, and how it stands.
+type Count struct {
+	Tenant   string  `json:"tenant"`   // "" = all that are not known by name
+	Asked    uint64  `json:"asked"`    // requests at the door
+	Admitted uint64  `json:"admitted"` // let in
+	Refused  uint64  `json:"refused"`  // at the door, with a time
+	Retries  uint64  `json:"retries"`  // of these, tries again beyond the retry budget
+	Early    uint64  `json:"early"`    // of these, clients that came before the time they were told
+	Left     uint64  `json:"left"`     // clients that left while they waited
+	Served   uint64  `json:"served"`
+	Turned   uint64  `json:"turned"`       // let in, and refused by the Balancer
+	After    uint64  `json:"turned_after"` // of these, after an attempt: a miss that the origin had no room for
+	Work     float64 `json:"work_ms"`      // that was let in, modelled, ms
+	Waiting  int     `json:"waiting"`
+	Promised float64 `json:"promised_ms"` // work that was told to come back, ms
+	Weight   float64 `json:"weight"`
+	Share    float64 `json:"share"` // of all work, were it to want more now
 }
 
 // node is a request that waits or is in work.
@@ -145,10 +178,12 @@
 	class      int32
 	next, prev int32
 	cost       float64
+	size       int
 	key        uint64  // of tenant, key and class
 	slots      float64 // in work: what it takes of the limit
 	first      uint8   // its list: 0 goes first
 	queued     bool
+	again      bool // its client has tried before
 }
 
 // promise is a time that was told.
@@ -197,20 +232,32 @@
 	pspare   []int32
 	pfind    map[uint64]int32
 	pexpiry  heap
-	base     float64 // mean latency of a window in which nothing is crowded
+	backlog  float64 // cost of all that waits,
+	promised float64 // and of all that was told to come back
+	base     float64 // mean latency over class cost where nothing is crowded
 	heed     float64 // share of those told to come back that do, when they were told
 
-	seen   [repeats]repeat
-	tokens float64
-
-	limit                   float64 // in requests of mean cost
-	inUse                   float64
-	peak                    float64
-	lookAt                  float64
-	ends, timed, turnedAway int       // since the last look
-	ratio                   float64   // sum of latencies over the usual
-	usual                   []float64 // latency by class, lately
-	mean                    float64   // cost
-	lat                     float64   // latency of what is served, lately
-	began                   float64
+	seen [repeats]repeat
+
+	limit            float64 // in requests of mean cost
+	inUse            float64
+	peak             float64
+	lookAt           float64
+	high             float64   // of the limit, lately
+	ends             int       // since the last look,
+	turnedAway       int       // of these, refused by the Balancer with no attempt,
+	missing          int       // and after one
+	refusals, missed float64   // their shares, lately
+	vain             float64   // of that, the share that a lower limit didn't help against
+	timed            int       // answers since latencies were looked at last,
+	stretch          float64   // the sum of their latencies over their classes' costs,
+	timedAt          float64   // and when that was
+	usual            []float64 // latency by class, lately, ms
+	work             []float64 // time of attempts by class, lately, ms
+	wanting          float64   // tenants that want more than they have, lately
+	slower           float64   // latency over class cost beyond what is well, lately
+	scale            float64   // of all classes, over what they were said to cost
+	mean             float64   // cost
+	lat              float64   // latency of what is served, lately
+	began            float64
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -81,7 +81,7 @@
 		if at, ok := s.inWork[id]; ok && at <= s.now {
 			delete(s.inWork, id)
 			s.served[s.of[id]]++
-			s.a.Ended(s.now, End{ID: id, Served: true, Latency: 10, Attempts: 1})
+			s.a.Ended(s.now, End{ID: id, Served: true, Latency: 10, Attempts: 1, Work: 10})
 		}
 	}
 	s.a.Tick(s.now)
@@ -262,7 +262,7 @@
 					id := d.admitted[e.Which%len(d.admitted)]
 					if !ended[id] {
 						ended[id] = true
-						a.Ended(now, End{ID: id, Served: e.Kind == 6, Refused: e.Kind == 7, Latency: e.Gap + 1, Attempts: e.Which % 4})
+						a.Ended(now, End{ID: id, Served: e.Kind == 6, Refused: e.Kind == 7, Latency: e.Gap + 1, Work: e.Gap + 1, Attempts: e.Which % 4})
 					}
 				case e.Kind == 8 && last > 0:
 					id := uint32(e.Which)%last + 1
@@ -284,7 +284,7 @@
 			}
 			for _, id := range d.admitted {
 				if !ended[id] {
-					a.Ended(now+1e6, End{ID: id, Served: true, Latency: 1, Attempts: 1})
+					a.Ended(now+1e6, End{ID: id, Served: true, Latency: 1, Attempts: 1, Work: 10})
 				}
 			}
 			balance(t, a)
@@ -319,7 +319,16 @@
 	for _, p := range a.pfind {
 		promised[a.promises[p].flow] += a.promises[p].cost
 	}
-	top, in := 0.0, 0.0
+	top, in, all, told := 0.0, 0.0, 0.0, 0.0
+	for _, b := range backlog {
+		all += b
+	}
+	for _, p := range promised {
+		told += p
+	}
+	if math.Abs(all-a.backlog) > 1e-6 || math.Abs(told-a.promised) > 1e-6 {
+		t.Fatalf("backlog %v of %v, promised %v of %v", a.backlog, all, a.promised, told)
+	}
 	for i := range a.flows {
 		f, n := &a.flows[i], int32(i)
 		if math.Abs(f.backlog-backlog[n]) > 1e-6 || math.Abs(f.promised-promised[n]) > 1e-6 || f.backlog > 0 != (f.waiting > 0) {
@@ -361,7 +370,7 @@
 		now := float64(i) / 10
 		a.Arrive(now, Request{ID: i, Tenant: names[i%10000], Key: uint64(i), Left: 1000})
 		if i >= 100 {
-			a.Ended(now, End{ID: i - 100, Served: true, Latency: 10, Attempts: 1})
+			a.Ended(now, End{ID: i - 100, Served: true, Latency: 10, Attempts: 1, Work: 10})
 		}
 	}
 }
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -1,8 +1,10 @@
 package admit
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 11)) }
@@ -50,43 +52,67 @@
 	a.begin(now)
 	i, hash := a.find(q.Tenant)
 	f := &a.flows[i]
-	cost := a.cfg.Classes[q.Class].Cost * (1 + float64(q.Size)/bytesCost)
+	f.count.Asked++
+	cost := a.cost(q.Class) * (1 + float64(q.Size)/bytesCost)
 	who := identity(hash, q.Key, uint64(q.Class))
 	again := q.Retry || a.saw(who)
 	due, early := a.redeem(who)
 	if !again && !due {
 		f.tokens = min(a.cfg.RetryBurst, f.tokens+a.cfg.RetryShare)
-		a.tokens = min(a.cfg.RetryBurst*4, a.tokens+a.cfg.RetryShare)
 	}
 	if a.waiting == 0 && a.inUse+cost/a.mean <= a.limit && len(a.spare) > 0 { // there is room: nobody is held back
 		if !due && early > 0 {
 			a.forget(a.pfind[who])
 		}
-		a.start(a.put(q, i, cost, who))
+		a.start(a.put(q, i, cost, who, again || due))
 		return
 	}
-	allowed := min(a.cfg.MaxWaitMS, q.Left/2-a.usual[q.Class])
+	allowed := min(a.cfg.MaxWaitMS, q.Left/2, q.Left-1.5*a.usual[q.Class])
 	switch {
 	case early > 0: // told to come later than this: it gains nothing, and what it was told holds
-		f.refused++
+		f.count.Refused++
+		f.count.Early++
 		a.host.Refuse(q.ID, early)
 		return
-	case again && !due && (f.tokens < 1 || a.tokens < 1), len(a.spare) == 0, a.waiting >= a.cfg.Queue && !a.makeRoom(i):
+	case again && !due && f.tokens < 1 && f.waiting > 0: // who is within its share may try again as it likes
+		f.count.Retries++
+		a.refuse(q.ID, i, cost, who)
+		return
+	case len(a.spare) == 0, a.waiting >= a.cfg.Queue && !a.makeRoom(i):
 		a.refuse(q.ID, i, cost, who)
 		return
 	case again && !due:
-		f.tokens--
-		a.tokens--
+		f.tokens = max(0, f.tokens-1)
 	}
 	if wait := a.wait(i, cost, max(0, allowed)); !due && wait > allowed || allowed <= 0 {
 		a.refuse(q.ID, i, cost, who)
 		return
 	}
-	n := a.put(q, i, cost, who)
+	n := a.put(q, i, cost, who, again || due)
 	a.queue(n, a.now+allowed, due)
 	a.pump()
 }
 
+// cost is what a request of a class is thought to cost, in ms of servers' time: what such requests have taken lately, or
+// what the settings say, in the proportion in which that holds for others.
+func (a *Admission) cost(class int) float64 {
+	if w := a.work[class]; w > 0 {
+		return w
+	}
+	if a.scale > 0 {
+		return a.cfg.Classes[class].Cost * a.scale
+	}
+	return a.cfg.Classes[class].Cost
+}
+
+// drift follows a value with a share of each step, beginning with the first.
+func drift(was, is, share float64) float64 {
+	if was == 0 {
+		return is
+	}
+	return was + share*(is-was)
+}
+
 // Ended tells what became of a request that was let in.
 func (a *Admission) Ended(now float64, e End) {
 	a.begin(now)
@@ -97,28 +123,48 @@
 	n := a.nodes[i]
 	a.release(i)
 	a.inUse = max(0, a.inUse-n.slots)
-	a.ends++
+	if !n.again {
+		a.ends++
+	}
+	f := &a.flows[n.flow]
+	if e.Served {
+		f.count.Served++
+	}
 	if e.Refused {
-		a.turnedAway++
+		f.count.Turned++
+		if e.Attempts > 0 {
+			f.count.After++
+		}
+		if !n.again { // a later try has little time left: that it is refused says nothing of room
+			if e.Attempts > 0 {
+				a.missing++
+			} else {
+				a.turnedAway++
+			}
+		}
 		a.note(n.key)
 	}
-	k := n.class
-	if e.Served && e.Latency > 0 {
-		u := &a.usual[k]
-		if *u == 0 {
-			*u = e.Latency
-		}
-		*u += 0.02 * (e.Latency - *u)
-		a.ratio += e.Latency
-		a.timed++
-		if a.lat == 0 {
-			a.lat = e.Latency
+	cost := n.cost / (1 + float64(n.size)/bytesCost)
+	if e.Served && e.Latency > 0 && e.Work > 0 {
+		a.lat = drift(a.lat, e.Latency, 0.02)
+		a.usual[n.class] = drift(a.usual[n.class], e.Latency, 0.02)
+		if n.size+e.Size <= bytesCost { // what takes long for its size says nothing of crowding
+			a.stretch += e.Latency / a.cfg.Classes[n.class].Cost
+			a.timed++
+			a.work[n.class] = drift(a.work[n.class], e.Work, 0.01)
+			if a.scale == 0 { // from here on costs are in measured terms
+				a.mean *= e.Work / a.cfg.Classes[n.class].Cost
+			}
+			a.scale = drift(a.scale, e.Work/a.cfg.Classes[n.class].Cost, 0.01)
 		}
-		a.lat += 0.02 * (e.Latency - a.lat)
 	}
-	if e.Attempts != 1 { // it cost more or less than was thought: none has run, or several
-		a.correct(n.flow, n.cost*float64(min(e.Attempts, 4)-1))
+	// What it has cost is known now: its time with servers, and the bytes that went through.
+	did := min(e.Work+cost*float64(n.size+e.Size)/bytesCost, dearest*n.cost)
+	if e.Attempts == 0 {
+		did = 0
 	}
+	a.correct(n.flow, did-n.cost)
+	f.count.Work += did - n.cost
 	a.pump()
 }
 
@@ -126,6 +172,7 @@
 func (a *Admission) Gone(now float64, id uint32) {
 	a.begin(now)
 	if i, ok := a.byID[id]; ok && a.nodes[i].queued {
+		a.flows[a.nodes[i].flow].count.Left++
 		a.drop(i)
 	}
 	a.pump()
@@ -141,10 +188,12 @@
 }
 
 // wait is how long a request of a flow would have to wait: what the flow has waiting, and those that were told to come
-// meanwhile and do, who go ahead, at its share of the pace.
+// meanwhile and do, who go ahead, at its share of the pace; but no longer than until all that waits is let in.
 func (a *Admission) wait(i int32, cost, within float64) float64 {
-	f, rate := &a.flows[i], a.share(i)*a.pace()
-	return (f.backlog + a.heed*min(f.promised, rate*within) + cost) / rate
+	f, pace := &a.flows[i], a.pace()
+	rate := a.share(i) * pace
+	own := (f.backlog + a.heed*min(f.promised, rate*within) + cost) / rate
+	return min(own, (a.backlog+a.heed*min(a.promised, pace*within)+cost)/pace)
 }
 
 // share is a flow's part of all work while it wants some, beside the others that do.
@@ -193,14 +242,14 @@
 }
 
 // put takes a record for a request.
-func (a *Admission) put(q Request, flow int32, cost float64, key uint64) int32 {
+func (a *Admission) put(q Request, flow int32, cost float64, key uint64, again bool) int32 {
 	i := a.spare[len(a.spare)-1]
 	a.spare = a.spare[:len(a.spare)-1]
 	first := uint8(1)
 	if a.cfg.Classes[q.Class].First {
 		first = 0
 	}
-	a.nodes[i] = node{id: q.ID, flow: flow, class: int32(q.Class), cost: cost, first: first, next: none, prev: none, key: key}
+	a.nodes[i] = node{id: q.ID, flow: flow, class: int32(q.Class), cost: cost, size: q.Size, again: again, first: first, next: none, prev: none, key: key}
 	a.byID[q.ID] = i
 	return i
 }
@@ -230,6 +279,7 @@
 	}
 	f.waiting++
 	f.backlog += n.cost
+	a.backlog += n.cost
 	a.waiting++
 	a.expiry.set(i, until)
 	a.weigh(n.flow, was)
@@ -287,7 +337,11 @@
 		f.backlog = 0
 		a.unready(n.flow)
 	}
-	a.waiting--
+	if a.waiting--; a.waiting == 0 {
+		a.backlog = 0
+	} else {
+		a.backlog = max(0, a.backlog-n.cost)
+	}
 	a.expiry.remove(i)
 	a.weigh(n.flow, was)
 }
@@ -358,7 +412,8 @@
 	a.inUse += n.slots
 	a.peak = max(a.peak, a.inUse)
 	a.mean += 0.005 * (n.cost - a.mean)
-	f.admitted++
+	f.count.Admitted++
+	f.count.Work += n.cost
 	a.host.Admit(n.id)
 }
 
@@ -399,7 +454,7 @@
 // others of its own that were told to come back before, so that those who are refused together do not return together.
 func (a *Admission) refuse(id uint32, i int32, cost float64, who uint64) {
 	f := &a.flows[i]
-	f.refused++
+	f.count.Refused++
 	after := max(leastAfter, a.wait(i, 0, math.Inf(1))*(1+0.05*a.rng.Float64()))
 	if _, told := a.pfind[who]; !told && after <= a.cfg.MaxAfterMS && len(a.pspare) > 0 {
 		p := a.pspare[len(a.pspare)-1]
@@ -409,6 +464,7 @@
 		a.pexpiry.set(p, a.now+after*1.25+keepMS)
 		was := f.active()
 		f.promised += cost
+		a.promised += cost
 		a.weigh(i, was)
 	}
 	a.note(who)
@@ -437,6 +493,9 @@
 	a.pspare = append(a.pspare, i)
 	f := &a.flows[p.flow]
 	was := f.active()
+	if a.promised -= p.cost; len(a.pfind) == 0 {
+		a.promised = 0
+	}
 	if f.promised -= p.cost; f.promised < 1e-6 {
 		f.promised = 0
 	}
@@ -452,61 +511,114 @@
 	return r.hash == who && a.now-r.at < repeatMS
 }
 
-// look follows what the fleet can take, once a window. The limit falls where the Balancer has no room or answers take a
-// multiple of the usual, and rises while it is in use.
+// look follows what the fleet can take, once a window: the limit falls where the Balancer refuses what was let in, or
+// answers take a multiple of what they do uncrowded, and rises while it is in use. What comes of a signal is looked at
+// too: where the limit has fallen to a third of what it was and the signal stays, fewer at the door don't help, and that
+// much of it is borne from then on.
 func (a *Admission) look() {
+	a.lookAt = a.now + windowMS
+	a.high += 0.02 * (a.limit - a.high) // over ten seconds
+	a.high = max(a.high, a.limit)
+	low := a.limit < a.high/3
 	if a.ends > 0 {
-		slower := 0.0
-		if a.timed >= 5 { // means of windows: single answers vary by far more than crowding makes them
-			mean := a.ratio / float64(a.timed)
-			if a.base == 0 {
-				a.base = mean
-			}
-			if slower = mean / a.base; slower < 1 { // it falls soon and rises slowly: what it takes where nothing is crowded
-				a.base += 0.3 * (mean - a.base)
-			} else {
-				a.base += 0.005 * (mean - a.base)
-			}
-		}
+		a.refusals += 0.25 * (float64(a.turnedAway)/float64(a.ends) - a.refusals)
+		a.missed += 0.25 * (float64(a.missing)/float64(a.ends) - a.missed)
+	}
+	if a.timed >= timedLeast { // means of many: single answers vary by far more than crowding makes them
+		mean := a.stretch / float64(a.timed)
 		switch {
-		case float64(a.turnedAway) > 0.25*float64(a.ends):
-			a.limit *= 0.95
-		case slower > tolerance:
-			a.limit *= max(0.8, tolerance/slower)
-		case a.peak >= 0.8*a.limit:
-			a.limit += max(1, math.Sqrt(a.limit)/2)
+		case a.base == 0:
+			a.base = mean
+		case mean < a.base:
+			a.base += 0.3 * (mean - a.base)
+		case low:
+			a.base += 0.05 * (mean - a.base)
+		default: // the fleet may have become slower, though most likely it is crowded
+			a.base *= 1 + (a.now-a.timedAt)*creep
 		}
-		a.limit = min(a.cfg.Most, max(a.cfg.Least, a.limit))
-	}
-	a.ends, a.timed, a.turnedAway, a.ratio, a.peak, a.lookAt = 0, 0, 0, 0, a.inUse, a.now+windowMS
-}
-
-// Count is what one tenant was given.
-type Count struct {
-	Tenant            string
-	Admitted, Refused uint64
-	Waiting           int
-	Promised          float64 // ms of work told to come back
+		a.slower = drift(a.slower, mean-max(easy, tolerance*a.base), 0.5)
+		a.timed, a.stretch, a.timedAt = 0, 0, a.now
+	}
+	// Rise and fall balance at a limit of wanting*(rise/fall/pressure)^2. Routers before one fleet feel much the same
+	// pressure, and so come to limits in the proportion of the tenants that want more there, without a word between them:
+	// a router at which one tenant crowds gives way to one at which many are short.
+	wanting := a.in.weights
+	for i := range a.cfg.Named {
+		wanting += unless(!a.flows[i].active(), 1)
+	}
+	a.wanting += 0.1 * (min(mostWanting, wanting) - a.wanting)
+	pressure := max(0, a.refusals+max(0, a.missed-dry)+slowness*max(0, a.slower)-a.vain)
+	if a.ends > 0 && a.peak >= 0.8*a.limit {
+		a.limit += rise * math.Sqrt(a.limit*max(1, a.wanting))
+	}
+	if a.limit *= 1 - min(steepest, fall*pressure); low && pressure > borne {
+		a.vain += 0.02 * pressure
+	}
+	a.vain *= 1 - windowMS*creep
+	a.limit = min(a.cfg.Most, max(a.cfg.Least, a.limit))
+	a.ends, a.turnedAway, a.missing, a.peak = 0, 0, 0, a.inUse
 }
 
-// Tenants lists those that are known exactly and have asked, the named ones first; others stand under "".
-func (a *Admission) Tenants() (all []Count) {
-	rest := Count{}
+// Tenants lists those that are known by name and have asked, the named ones first and then by what they have asked, at
+// most so many; what the rest has asked and got stands under "".
+func (a *Admission) Tenants(most int) (all []Count) {
+	rest := Count{Weight: a.cfg.OthersWeight}
+	add := func(c Count) {
+		rest.Asked, rest.Admitted, rest.Refused, rest.Retries = rest.Asked+c.Asked, rest.Admitted+c.Admitted, rest.Refused+c.Refused, rest.Retries+c.Retries
+		rest.Early, rest.Left, rest.Served, rest.Turned = rest.Early+c.Early, rest.Left+c.Left, rest.Served+c.Served, rest.Turned+c.Turned
+		rest.After += c.After
+		rest.Work, rest.Waiting, rest.Promised = rest.Work+c.Work, rest.Waiting+c.Waiting, rest.Promised+c.Promised
+	}
 	for i := range a.flows[:a.others()] {
 		f := &a.flows[i]
-		if c := (Count{string(f.name[:f.nameLen]), f.admitted, f.refused, f.waiting, f.promised}); f.used {
-			if c.Admitted+c.Refused > 0 {
-				all = append(all, c)
-			}
+		c := f.count
+		if c.Asked == 0 {
+			continue
+		}
+		c.Tenant, c.Waiting, c.Promised, c.Weight, c.Share = string(f.name[:f.nameLen]), f.waiting, f.promised, f.weight, a.share(int32(i))
+		if f.used && c.Tenant != "" {
+			all = append(all, c)
 		} else {
-			rest.Admitted, rest.Refused, rest.Waiting, rest.Promised = rest.Admitted+c.Admitted, rest.Refused+c.Refused, rest.Waiting+c.Waiting, rest.Promised+c.Promised
+			add(c)
+		}
+	}
+	named := 0
+	for ; named < len(all); named++ {
+		if _, ok := a.named[all[named].Tenant]; !ok {
+			break
+		}
+	}
+	slices.SortStableFunc(all[named:], func(x, y Count) int { return cmp.Compare(y.Asked, x.Asked) })
+	if len(all) > most {
+		for _, c := range all[most:] {
+			add(c)
 		}
+		all = all[:most]
 	}
-	if rest.Admitted+rest.Refused > 0 {
+	if rest.Asked > 0 {
 		all = append(all, rest)
 	}
 	return all
 }
 
+// State is how the door stands.
+type State struct {
+	Limit   float64 `json:"limit"`    // on concurrency, in requests of mean cost
+	InUse   float64 `json:"in_use"`   // of it
+	Waiting int     `json:"waiting"`  // requests
+	MeanMS  float64 `json:"mean_ms"`  // cost of a request
+	TakesMS float64 `json:"takes_ms"` // until a request that is let in is answered, lately
+	Calm    float64 `json:"calm"`     // the same where nothing is crowded, as a share of its class's aim
+	Refused float64 `json:"refused"`  // share of what is let in that the Balancer refuses, lately
+	Vain    float64 `json:"vain"`     // of that, what fewer at the door don't help against
+	Heed    float64 `json:"heed"`     // share of those told to come back that do, when they were told
+	Tenants []Count `json:"tenants"`
+}
+
+// State tells how the door stands, with at most so many tenants by name.
+func (a *Admission) State(tenants int) State {
+	return State{a.limit, a.inUse, a.waiting, a.mean, a.lat, a.base, a.refusals + a.missed, a.vain, a.heed, a.Tenants(tenants)}
+}
+
 // Limit tells the limit on concurrency and what is in use, in requests of mean cost, and how many requests wait.
 func (a *Admission) Limit() (limit, inUse float64, waiting int) { return a.limit, a.inUse, a.waiting }
--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -18,7 +18,7 @@
 	a := &Admission{cfg: cfg, host: host, rng: newRand(seed), flows: make([]flow, n), named: map[string]int32{},
 		exact: make(map[uint64]int32, cfg.Flows), oldest: none, newest: none, nodes: make([]node, records), byID: make(map[uint32]int32, records),
 		expiry: newHeap(records), promises: make([]promise, cfg.Promises), pfind: make(map[uint64]int32, cfg.Promises), pexpiry: newHeap(cfg.Promises),
-		limit: cfg.Start, began: -1, heed: 1, tokens: cfg.RetryBurst}
+		limit: cfg.Start, began: -1, heed: 1}
 	a.salt = a.rng.Uint64()
 	a.top.ready, a.in.ready = newHeap(n), newHeap(n)
 	for i := range a.flows {
@@ -44,7 +44,8 @@
 	for i := range a.promises {
 		a.pspare = append(a.pspare, int32(len(a.promises)-1-i))
 	}
-	a.usual, a.mean = make([]float64, len(cfg.Classes)), cfg.Classes[0].Cost
+	a.usual, a.work, a.mean = make([]float64, len(cfg.Classes)), make([]float64, len(cfg.Classes)), cfg.Classes[0].Cost
+	a.high = a.limit
 	return a, nil
 }
 
@@ -87,7 +88,7 @@
 		return int32(len(a.cfg.Named) + a.cfg.Flows + int(identity(h, a.salt, 0)%uint64(a.cfg.Buckets))), h
 	}
 	f := &a.flows[i]
-	f.hash, f.used, f.finish, f.promised, f.tokens, f.admitted, f.refused = h, true, 0, 0, a.cfg.RetryBurst, 0, 0
+	f.hash, f.used, f.finish, f.promised, f.tokens, f.count = h, true, 0, 0, min(a.cfg.RetryBurst, newTokens), Count{}
 	f.rename(tenant)
 	a.exact[h] = i
 	a.link(i)
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"context"
+	"encoding/json"
 	"math"
 	"net"
 	"net/netip"
 
 	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/admin"
 	"dockhinge.example/dockhinge/internal/admit"
 )
 
@@ -64,13 +67,13 @@
 }
 
 // ended tells what became of a request that was let in.
-func (ad *admission) ended(r *request, served, refused bool) {
+func (ad *admission) ended(r *request, served, refused bool, size int) {
 	if r.door != doorIn {
 		return
 	}
 	r.door = doorOut
 	now := ad.l.now()
-	ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.began, Attempts: len(r.tries)})
+	ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.began, Attempts: len(r.tries), Work: r.work, Size: size})
 	ad.arm()
 }
 
@@ -115,6 +118,21 @@
 	}
 }
 
+// shownTenants is how many tenants are shown by name.
+const shownTenants = 100
+
+// Admission is how the door stands, in JSON; admin.ErrOff tells that there is none.
+func (r *Router) Admission(ctx context.Context) ([]byte, error) {
+	if r.l.admission == nil {
+		return nil, admin.ErrOff
+	}
+	var s admit.State
+	if err := r.l.do(ctx, func() error { s = r.l.admission.a.State(shownTenants); return nil }); err != nil {
+		return nil, err
+	}
+	return json.Marshal(s)
+}
+
 // The places of a request before the Balancer.
 const (
 	doorNone  = iota // there is no door
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -70,6 +70,7 @@
 	from  netip.Addr // its client, where admission wants to know
 	door  int        // where it stands before the Balancer
 	began float64    // when it was let in
+	work  float64    // ms that its attempts have taken
 	out   int
 }
 
@@ -320,7 +321,7 @@
 	}
 	if l.admission != nil {
 		l.admission.gone(r) // where it waits still
-		l.admission.ended(r, how == metrics.Success, how == metrics.Overload)
+		l.admission.ended(r, how == metrics.Success, how == metrics.Overload, len(answer))
 	}
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
@@ -343,7 +344,8 @@
 	sl := r.slot
 	r.slot.req, r.slot = nil, nil
 	if l.admission != nil {
-		l.admission.ended(r, true, false)
+		r.work += l.now() - a.at
+		l.admission.ended(r, true, false, got.length)
 	}
 	l.forget(r)
 	now := l.now()
@@ -381,6 +383,7 @@
 	l.timers.stop(a.due)
 	r := a.r
 	r.out--
+	r.work += l.now() - a.at
 	if got.status == decide.OK {
 		l.finish(r, served(&r.cmd, got.body), metrics.Success)
 	}
