--- a/cmd/dockhinge-lab/experiments.go
+++ b/cmd/dockhinge-lab/experiments.go
@@ -82,7 +82,8 @@
 			}
 			report.CompareTable(os.Stdout, report.Compare(a, b))
 			if c.out != "" {
-				return report.Write(c.out, append(a, b...))
+				runs := []fleet.Result{a[0], b[0]} // the first pair beside one another
+				return report.Write(c.out, append(append(runs, a[1:]...), b[1:]...), "A: "+args[0], "B: "+args[1])
 			}
 			return nil
 		}}
--- a/cmd/dockhinge/cmd_test.go
+++ b/cmd/dockhinge/cmd_test.go
@@ -57,7 +57,7 @@
 
 func TestCommandLine(t *testing.T) {
 	for args, want := range map[string]string{
-		"version": "handover 1", "completion bash": "serve check version completion", "completion zsh": "bashcompinit",
+		"version": "handover 1", "completion bash": "serve check tenants version completion", "completion zsh": "bashcompinit",
 		"completion fish": "-l operator", "serve --help": "--operator", "--help": "dockhinge check FILE...", "help": "version",
 	} {
 		var said bytes.Buffer
--- a/cmd/dockhinge/main.go
+++ b/cmd/dockhinge/main.go
@@ -57,7 +57,7 @@
 Without a sub-command the program serves as well, by the configuration that GW_CONFIG names.
 
 SIGTERM, SIGINT  take nothing new, answer what was taken, end with 0
-SIGHUP           read the platform's configuration again and take it whole or not at all
+SIGHUP           read the platform's configuration, and the operator file's [admission], again and take both or none
 
 Started beside a process that serves at the same address and has the same $TMPDIR, it takes over from that one without
 losing a request. It ends with 1 where it can't start; the message names the setting.`,
@@ -68,6 +68,14 @@
 
 It ends with 0 where all is well and with 2 where a file has a mistake.`,
 			flags(), func(files []string) error { return check(files, stdout, stderr) }},
+		{"tenants", "ADDRESS...", "show who asks and what each was told", `
+Asks routers at their second addresses how fair admission stands, and prints a table of the tenants of each: the part of all
+work that each was given, the part that is its own were it to want more now, and what became of its requests: let in,
+served, turned away by the module for want of room in the fleet, refused at the door (of these: tries again beyond the
+retry budget, and clients that came before the time they were told).
+
+It ends with 0 where all routers answered, else with 1.`,
+			flags(), func(addrs []string) error { return tenants(addrs, stdout) }},
 		{"version", "", "print the versions of the program and of its forms", "",
 			flags(), func([]string) error { return version(stdout) }},
 		{"completion", "bash|zsh|fish", "print a script that completes this command line", `
--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -42,7 +42,7 @@
 	if path == "" {
 		return fmt.Errorf("GW_CONFIG: not set")
 	}
-	cfg, err := router.LoadConfig(path, os.Getenv)
+	cfg, err := load(path, extra)
 	if err != nil {
 		return err
 	}
@@ -81,15 +81,6 @@
 		return err
 	}
 	r.OnShare(share)
-	if extra.Admission.Enabled {
-		rules, who, err := extra.Admission.Config()
-		if err == nil {
-			err = r.Admit(rules, who)
-		}
-		if err != nil {
-			return err
-		}
-	}
 	if link != nil {
 		if err := r.Inherit(state, link); err != nil {
 			slog.Warn("handover", "error", err)
@@ -102,7 +93,7 @@
 		}
 	})
 	updates := make(chan *router.Config)
-	wg.Go(func() { reload(alive, path, hup, updates, m) })
+	wg.Go(func() { reload(alive, path, o.operator, hup, updates, m) })
 	return r.Run(ctx, updates)
 }
 
@@ -144,23 +135,41 @@
 	return errors.New("not ready")
 }
 
-func (f *front) Admission(ctx context.Context) ([]byte, error) {
+func (f *front) Door(ctx context.Context) ([]byte, error) {
 	if r := f.router.Load(); r != nil {
-		return r.Admission(ctx)
+		return r.Door(ctx)
 	}
 	return nil, errors.New("not ready")
 }
 
-// reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
-// nothing.
-func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config, m *metrics.Router) {
+// load reads the configuration at path, with what an operator file adds.
+func load(path string, extra operator.File) (*router.Config, error) {
+	cfg, err := router.LoadConfig(path, os.Getenv)
+	if err != nil || !extra.Admission.Enabled {
+		return cfg, err
+	}
+	rules, who, err := extra.Admission.Config()
+	cfg.Admission = &router.Admission{Rules: rules, Who: who}
+	return cfg, err
+}
+
+// reload hands on the configuration at path, and what the operator file adds, as they are at each SIGHUP, until ctx ends.
+// A bad one is logged and changes nothing; nor does the other then.
+func reload(ctx context.Context, path, more string, hup <-chan os.Signal, updates chan<- *router.Config, m *metrics.Router) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
 		}
-		cfg, err := router.LoadConfig(path, os.Getenv)
+		extra, err := operator.Default(), error(nil)
+		if more != "" {
+			extra, err = operator.Load(more)
+		}
+		var cfg *router.Config
+		if err == nil {
+			cfg, err = load(path, extra)
+		}
 		if err != nil {
 			m.Refused.Add(1)
 			slog.Warn("SIGHUP: the configuration is kept", "error", err)
--- /dev/null
+++ b/cmd/dockhinge/tenants.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/admit"
+)
+
+// Bounds of a call at a second address.
+const (
+	callTime  = 2 * time.Second
+	maxReport = 1 << 20 // bytes
+)
+
+// tenants prints how fair admission stands at each router, by its second address: who asks, and what each was told.
+func tenants(addrs []string, stdout io.Writer) error {
+	var bad []error
+	for _, addr := range addrs {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			bad = append(bad, fmt.Errorf("tenants: %q is no host:port of a second address", addr))
+			continue
+		}
+		s, err := askDoor(addr)
+		if err != nil {
+			bad = append(bad, fmt.Errorf("tenants: %s: %w", addr, err))
+			continue
+		}
+		if err := printDoor(stdout, addr, s); err != nil {
+			return err
+		}
+	}
+	return errors.Join(bad...)
+}
+
+func askDoor(addr string) (s admit.State, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/-/admission", nil)
+	if err != nil {
+		return s, err
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return s, err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxReport))
+	switch {
+	case err != nil:
+		return s, err
+	case a.StatusCode == http.StatusNotFound:
+		return s, errors.New("fair admission is not switched on there")
+	case a.StatusCode != http.StatusOK:
+		return s, fmt.Errorf("%s: %.200s", a.Status, body)
+	}
+	return s, json.Unmarshal(body, &s)
+}
+
+// printDoor prints a table, who has taken most work first.
+func printDoor(out io.Writer, addr string, s admit.State) error {
+	fmt.Fprintf(out, "%s: limit %.0f, in use %.0f, waiting %d; a request takes %.0f ms; the fleet refuses %.1f%% of what is let in\n",
+		addr, s.Limit, s.InUse, s.Waiting, s.TakesMS, 100*s.Refused)
+	all := 0.0
+	for _, t := range s.Tenants {
+		all += t.Work
+	}
+	slices.SortStableFunc(s.Tenants, func(x, y admit.Count) int { return cmp.Compare(y.Work, x.Work) })
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "tenant\tweight\twork %\tshare now %\tasked\tlet in\tserved\tturned\trefused\tretries\tearly\twaiting\ttold ms\t")
+	for _, t := range s.Tenants {
+		name := fmt.Sprintf("%q", t.Tenant)
+		if t.Tenant == "" {
+			name = "(others)"
+		}
+		fmt.Fprintf(w, "%s\t%g\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t\n", name, t.Weight, 100*t.Work/max(all, 1), 100*t.Share,
+			t.Asked, t.Admitted, t.Served, t.Turned, t.Refused, t.Retries, t.Early, t.Waiting, t.Told)
+	}
+	return w.Flush()
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,8 @@
 	Metrics() ([]byte, error)
 	// SetDisabled leaves a cache server out, or puts it back. ErrUnknown tells that its id was never listed.
 	SetDisabled(ctx context.Context, id string, disabled bool) error
-	// Admission is how the door stands, in JSON; ErrOff tells that there is none.
-	Admission(ctx context.Context) ([]byte, error)
+	// Door is how fair admission stands, in JSON; ErrOff tells that there is none.
+	Door(ctx context.Context) ([]byte, error)
 }
 
 // ErrOff tells that what is asked for is not switched on.
@@ -107,7 +107,7 @@
 	mux.HandleFunc("GET /-/admission", func(w http.ResponseWriter, q *http.Request) {
 		ctx, cancel := context.WithTimeout(q.Context(), workTime)
 		defer cancel()
-		switch text, err := r.Admission(ctx); {
+		switch text, err := r.Door(ctx); {
 		case errors.Is(err, ErrOff):
 			http.Error(w, err.Error(), http.StatusNotFound)
 		case err != nil:
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -40,7 +40,7 @@
 	return f.err
 }
 
-func (f *fakeRouter) Admission(context.Context) ([]byte, error) {
+func (f *fakeRouter) Door(context.Context) ([]byte, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unready {
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -22,6 +22,8 @@
 type Tenant struct {
 	Name   string
 	Weight float64 // its share against the others' weights
+	Rate   float64 // requests a second that go ahead of all shares; 0 = none
+	Burst  float64 // of these at once, after a time without
 }
 
 // Config is what the operator sets. Every table has a fixed size, taken at the start.
@@ -67,6 +69,12 @@
 	}
 	seen := map[string]bool{}
 	for i, t := range c.Named {
+		switch {
+		case i == mostNamed:
+			return &Error{"tenant", fmt.Sprintf("%d of them, %d at most", len(c.Named), mostNamed)}
+		case !(t.Rate >= 0) || t.Rate > 0 && !(t.Burst >= 1):
+			return &Error{fmt.Sprintf("tenant[%d]", i), "needs a rate of at least 0, and with one a burst of at least 1"}
+		}
 		if t.Name == "" || len(t.Name) > maxName || seen[t.Name] || !(t.Weight > 0) {
 			return &Error{fmt.Sprintf("tenant[%d]", i), fmt.Sprintf("needs a name of its own of up to %d bytes and a weight above 0", maxName)}
 		}
@@ -110,6 +118,7 @@
 
 // Bounds and constants of the module.
 const (
+	mostNamed   = 256      // tenants that are named
 	maxName     = 64       // bytes of a tenant's name that are kept
 	bytesCost   = 64 << 10 // bytes that cost as much as a request of their class
 	windowMS    = 200      // between two looks at the limit
@@ -129,27 +138,44 @@
 	earlyMS     = 15       // by which a client may be early: clocks and the network
 	repeats     = 4096     // refused requests that are remembered, to know an unmarked try again
 	repeatMS    = 5000     // for which they are
-	newTokens   = 3        // tries again in the hands of a tenant that is not named and was not known
-	leastAfter  = 20       // ms, the shortest time told
+	offStep     = 0.02
+	mostOff     = 100
+	givenMS     = 1000 // over which what a flow gets is told
+	leastRate   = 0.1  // of its share that a flow is thought to get at least
+	newTokens   = 3    // tries again in the hands of a tenant that is not named and was not known
+	leastAfter  = 20   // ms, the shortest time told
 	none        = int32(-1)
 )
 
+// The lists in which a flow's requests wait, in the order in which they go.
+const (
+	sureList = iota // within the tenant's guaranteed rate
+	firstList
+	otherList
+	lists
+)
+
 // flow is one tenant's state, or that of a bucket of them, or of all others together.
 type flow struct {
-	hash         uint64
-	name         [maxName]byte
-	nameLen      uint8
-	used         bool // an exact flow holds a tenant
-	inner        bool // stands among the others, not at the top
-	weight       float64
-	finish       float64  // SFQ: the tag at which what it was given ends
-	head, tail   [2]int32 // waiting requests: those that go first, and the others
-	waiting      int
-	backlog      float64 // cost that waits
-	promised     float64 // cost that has been told to come back
-	tokens       float64 // tries again in hand
-	older, newer int32   // exact flows, by when they were last used
-	count        Count
+	hash           uint64
+	name           [maxName]byte
+	nameLen        uint8
+	used           bool // an exact flow holds a tenant
+	inner          bool // stands among the others, not at the top
+	weight         float64
+	finish         float64      // SFQ: the tag at which what it was given ends
+	head, tail     [lists]int32 // waiting requests
+	waiting        int
+	open           int     // requests that wait or are in work
+	given, givenAt float64 // work lately given, which fades with givenMS, and when that was
+	since          float64 // it has wanted more
+	rate, burst    float64 // guaranteed: requests a millisecond, and at once
+	sure, sureAt   float64 // of these in hand, and when that was
+	backlog        float64 // cost that waits
+	promised       float64 // cost that has been told to come back
+	tokens         float64 // tries again in hand
+	older, newer   int32   // exact flows, by when they were last used
+	count          Count
 }
 
 // Count is what became of a tenant's requests since it was known last, and how it stands.
@@ -168,7 +194,8 @@
 	Waiting  int     `json:"waiting"`
 	Promised float64 `json:"promised_ms"` // work that was told to come back, ms
 	Weight   float64 `json:"weight"`
-	Share    float64 `json:"share"` // of all work, were it to want more now
+	Told     float64 `json:"told_ms"` // time that those refused lately were told to stay away, ms
+	Share    float64 `json:"share"`   // of all work, were it to want more now
 }
 
 // node is a request that waits or is in work.
@@ -181,9 +208,12 @@
 	size       int
 	key        uint64  // of tenant, key and class
 	slots      float64 // in work: what it takes of the limit
-	first      uint8   // its list: 0 goes first
+	list       uint8
 	queued     bool
-	again      bool // its client has tried before
+	free       bool    // its tenant's share was free when it came
+	told       float64 // it has come back as it was told, after so many ms,
+	toldAt     float64 // at this time
+	again      bool    // its client has tried before
 }
 
 // promise is a time that was told.
@@ -191,6 +221,7 @@
 	who  uint64 // tenant, key and class
 	flow int32
 	at   float64
+	told float64 // ms, before that
 	cost float64
 }
 
@@ -202,7 +233,8 @@
 // level is one server of start-time fair queueing.
 type level struct {
 	v       float64 // virtual time
-	ready   heap    // flows with something to send, by start tag
+	ready   heap    // flows with something to send, by start tag,
+	long    heap    // and by how much they have waiting for their weight, the most first
 	weights float64 // of those that have something to send or have been promised something
 }
 
@@ -215,7 +247,7 @@
 	now    float64
 	turned float64
 
-	flows          []flow // named, exact, buckets, and last: all others together
+	flows          []flow // mostNamed of them for the named, then exact ones, buckets, and last: all others together
 	named          map[string]int32
 	exact          map[uint64]int32 // by tenant's hash
 	oldest, newest int32
@@ -225,7 +257,9 @@
 	nodes   []node
 	spare   []int32
 	byID    map[uint32]int32
-	expiry  heap // waiting nodes, by when they are refused at the latest
+	expiry  heap    // waiting nodes, by when they are refused at the latest
+	sure    heap    // flows with requests within their guaranteed rate, by when the first of these came
+	sureAll float64 // their cost
 	waiting int
 
 	promises []promise
@@ -239,6 +273,10 @@
 
 	seen [repeats]repeat
 
+	returnedFree, keptFree uint64              // the same of those whose tenant's share was free then
+	returned, kept         uint64              // clients that came back when they were told, and of these those let in
+	offs                   [mostOff + 1]uint64 // of those, by how far the real time was from the told, in steps of offStep
+
 	limit            float64 // in requests of mean cost
 	inUse            float64
 	peak             float64
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -77,8 +79,8 @@
 // step lets a millisecond pass.
 func (s *shop) step() {
 	s.now++
-	for id := uint32(1); id <= s.next; id++ { // in one order
-		if at, ok := s.inWork[id]; ok && at <= s.now {
+	for _, id := range slices.Sorted(maps.Keys(s.inWork)) { // in one order
+		if s.inWork[id] <= s.now {
 			delete(s.inWork, id)
 			s.served[s.of[id]]++
 			s.a.Ended(s.now, End{ID: id, Served: true, Latency: 10, Attempts: 1, Work: 10})
@@ -129,7 +131,7 @@
 
 func TestWeightsShareWorkNotCounts(t *testing.T) {
 	c := config()
-	c.Named = []Tenant{{"a", 1}, {"b", 3}}
+	c.Named = []Tenant{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}}
 	s := newShop(t, c)
 	for s.now < 4000 {
 		s.ask("a", Request{Key: uint64(s.next)})
@@ -190,7 +192,7 @@
 
 func TestInventedNamesStayAmongTheOthers(t *testing.T) {
 	c := config()
-	c.Named = []Tenant{{"ministry", 1}}
+	c.Named = []Tenant{{Name: "ministry", Weight: 1}}
 	s := newShop(t, c)
 	for s.now < 3000 {
 		for range 3 {
@@ -239,7 +241,7 @@
 		}), 1, 150).Draw(t, "events")
 		play := func() (*door, []uint32) {
 			c := config()
-			c.Named = []Tenant{{"n0", 2}, {"n1", 1}}
+			c.Named = []Tenant{{Name: "n0", Weight: 2, Rate: 20, Burst: 2}, {Name: "n1", Weight: 1}}
 			c.Flows, c.Buckets, c.Queue, c.Promises, c.Start, c.Least, c.Most = 4, 2, 6, 5, 3, 2, 6
 			a, err := New(c, 5, newDoor())
 			if err != nil {
@@ -274,8 +276,10 @@
 					a.Tick(now)
 				}
 				balance(t, a)
-				if limit, inUse, waiting := a.Limit(); waiting > 0 && inUse == 0 {
-					t.Fatalf("%d wait and nothing is in work, of %v", waiting, limit)
+				if limit, inUse, waiting := a.Limit(); waiting > 0 { // work conservation: what is next does not fit
+					if c := a.nodes[a.next()].cost / a.mean; inUse == 0 || inUse+c <= limit {
+						t.Fatalf("%d wait, the next for %v, and %v of %v are in work", waiting, c, inUse, limit)
+					}
 				}
 			}
 			a.Tick(now + 1e6)
@@ -353,28 +357,34 @@
 	}
 }
 
-func BenchmarkArrive(b *testing.B) {
+// benchmark plays requests of so many tenants at so many a millisecond, of which 6.4 can be served.
+func benchmark(b *testing.B, tenants int, rate float64) {
 	c := config()
 	c.Start, c.Least, c.Most = 64, 64, 64
 	a, err := New(c, 1, quiet{})
 	if err != nil {
 		b.Fatal(err)
 	}
-	names := make([]string, 10000)
+	names := make([]string, tenants)
 	for i := range names {
 		names[i] = fmt.Sprint("tenant-", i)
 	}
+	lag := uint32(10 * rate)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range uint32(b.N) {
-		now := float64(i) / 10
-		a.Arrive(now, Request{ID: i, Tenant: names[i%10000], Key: uint64(i), Left: 1000})
-		if i >= 100 {
-			a.Ended(now, End{ID: i - 100, Served: true, Latency: 10, Attempts: 1, Work: 10})
+		now := float64(i) / rate
+		a.Arrive(now, Request{ID: i, Tenant: names[int(i)%tenants], Key: uint64(i), Left: 1000})
+		if i >= lag {
+			a.Ended(now, End{ID: i - lag, Served: true, Latency: 10, Work: 10, Attempts: 1})
 		}
 	}
 }
 
+func BenchmarkRoom(b *testing.B)       { benchmark(b, 100, 5) }      // the usual case: all are let in
+func BenchmarkContention(b *testing.B) { benchmark(b, 100, 12) }     // half are refused
+func BenchmarkStrangers(b *testing.B)  { benchmark(b, 100_000, 12) } // and their tables don't stay in the caches
+
 type quiet struct{}
 
 func (quiet) Admit(uint32)           {}
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -56,25 +56,40 @@
 	cost := a.cost(q.Class) * (1 + float64(q.Size)/bytesCost)
 	who := identity(hash, q.Key, uint64(q.Class))
 	again := q.Retry || a.saw(who)
-	due, early := a.redeem(who)
+	told, toldAt, early := a.redeem(who)
+	due := told > 0
+	free := due && f.waiting == 0 && f.finish <= a.levelOf(f).v
+	if due {
+		a.returned++
+	}
+	if free {
+		a.returnedFree++
+	}
 	if !again && !due {
 		f.tokens = min(a.cfg.RetryBurst, f.tokens+a.cfg.RetryShare)
 	}
+	f.refill(a.now)
+	sure := f.sure >= 1
 	if a.waiting == 0 && a.inUse+cost/a.mean <= a.limit && len(a.spare) > 0 { // there is room: nobody is held back
 		if !due && early > 0 {
 			a.forget(a.pfind[who])
 		}
-		a.start(a.put(q, i, cost, who, again || due))
+		n := a.put(q, i, cost, who, again || due, sure)
+		a.nodes[n].told, a.nodes[n].toldAt, a.nodes[n].free = told, toldAt, free
+		a.start(n)
 		return
 	}
 	allowed := min(a.cfg.MaxWaitMS, q.Left/2, q.Left-1.5*a.usual[q.Class])
+	if due { // it came when it was told: while there is a fair chance it is given one
+		allowed = min(a.cfg.MaxWaitMS, q.Left-a.usual[q.Class])
+	}
 	switch {
 	case early > 0: // told to come later than this: it gains nothing, and what it was told holds
 		f.count.Refused++
 		f.count.Early++
 		a.host.Refuse(q.ID, early)
 		return
-	case again && !due && f.tokens < 1 && f.waiting > 0: // who is within its share may try again as it likes
+	case again && !due && !sure && f.tokens < 1 && f.waiting > 0: // who is within its share may try again as it likes
 		f.count.Retries++
 		a.refuse(q.ID, i, cost, who)
 		return
@@ -84,11 +99,16 @@
 	case again && !due:
 		f.tokens = max(0, f.tokens-1)
 	}
-	if wait := a.wait(i, cost, max(0, allowed)); !due && wait > allowed || allowed <= 0 {
+	wait := a.wait(i, max(0, allowed))
+	if sure {
+		wait = min(wait, (a.sureAll+cost)/a.pace())
+	}
+	if !due && wait > allowed || allowed <= 0 {
 		a.refuse(q.ID, i, cost, who)
 		return
 	}
-	n := a.put(q, i, cost, who, again || due)
+	n := a.put(q, i, cost, who, again || due, sure)
+	a.nodes[n].told, a.nodes[n].toldAt, a.nodes[n].free = told, toldAt, free
 	a.queue(n, a.now+allowed, due)
 	a.pump()
 }
@@ -187,13 +207,25 @@
 	return a.limit * a.mean / a.lat
 }
 
-// wait is how long a request of a flow would have to wait: what the flow has waiting, and those that were told to come
-// meanwhile and do, who go ahead, at its share of the pace; but no longer than until all that waits is let in.
-func (a *Admission) wait(i int32, cost, within float64) float64 {
-	f, pace := &a.flows[i], a.pace()
-	rate := a.share(i) * pace
-	own := (f.backlog + a.heed*min(f.promised, rate*within) + cost) / rate
-	return min(own, (a.backlog+a.heed*min(a.promised, pace*within)+cost)/pace)
+// wait is how long a request of a flow would have to wait until its start tag: what the flow was given beyond its share,
+// what it has waiting, and those that were told to come meanwhile and do, who go ahead, all at the flow's rate.
+func (a *Admission) wait(i int32, within float64) float64 {
+	f := &a.flows[i]
+	rate := a.rate(f, i)
+	debt := max(0, f.finish-a.levelOf(f).v) * f.weight
+	return (debt + f.backlog + a.heed*min(f.promised, rate*within)) / rate
+}
+
+// rate is the work that a flow is given in a millisecond while it wants more: its share, and once it has wanted more for a
+// while what it did get. That differs, as those within their shares take theirs without ever standing in line.
+func (a *Admission) rate(f *flow, i int32) float64 {
+	share := a.share(i) * a.pace()
+	if !f.active() {
+		return share
+	}
+	got := f.given * math.Exp((f.givenAt-a.now)/givenMS) / givenMS
+	known := min(1, (a.now-f.since)/givenMS)
+	return share + known*(max(got, leastRate*share)-share)
 }
 
 // share is a flow's part of all work while it wants some, beside the others that do.
@@ -222,6 +254,9 @@
 	if f.active() == was {
 		return
 	}
+	if !was {
+		f.since = a.now
+	}
 	l, d := &a.top, f.weight
 	if f.inner {
 		l = &a.in
@@ -242,21 +277,28 @@
 }
 
 // put takes a record for a request.
-func (a *Admission) put(q Request, flow int32, cost float64, key uint64, again bool) int32 {
+func (a *Admission) put(q Request, flow int32, cost float64, key uint64, again, sure bool) int32 {
 	i := a.spare[len(a.spare)-1]
 	a.spare = a.spare[:len(a.spare)-1]
-	first := uint8(1)
-	if a.cfg.Classes[q.Class].First {
-		first = 0
+	list := uint8(otherList)
+	switch {
+	case sure:
+		list = sureList
+		a.flows[flow].sure--
+	case a.cfg.Classes[q.Class].First:
+		list = firstList
 	}
-	a.nodes[i] = node{id: q.ID, flow: flow, class: int32(q.Class), cost: cost, size: q.Size, again: again, first: first, next: none, prev: none, key: key}
+	a.nodes[i] = node{id: q.ID, flow: flow, class: int32(q.Class), cost: cost, size: q.Size, again: again, list: list, next: none, prev: none, key: key}
 	a.byID[q.ID] = i
+	a.flows[flow].open++
 	return i
 }
 
 func (a *Admission) release(i int32) {
 	delete(a.byID, a.nodes[i].id)
 	a.spare = append(a.spare, i)
+	a.flows[a.nodes[i].flow].open--
+	a.retire(a.nodes[i].flow)
 }
 
 // queue has a request wait, until a time at the latest. One that was told to come at this time goes ahead of the others
@@ -264,7 +306,7 @@
 func (a *Admission) queue(i int32, until float64, ahead bool) {
 	n := &a.nodes[i]
 	f := &a.flows[n.flow]
-	was, l := f.active(), n.first
+	was, l := f.active(), n.list
 	n.queued = true
 	if ahead && f.head[l] != none {
 		n.next = f.head[l]
@@ -283,9 +325,22 @@
 	a.waiting++
 	a.expiry.set(i, until)
 	a.weigh(n.flow, was)
+	if l == sureList {
+		if a.sureAll += n.cost; !a.sure.has(n.flow) {
+			a.sure.set(n.flow, a.now)
+		}
+	}
 	if f.waiting == 1 {
 		a.ready(n.flow)
 	}
+	a.levelOf(f).long.set(n.flow, -f.backlog/f.weight)
+}
+
+func (a *Admission) levelOf(f *flow) *level {
+	if f.inner {
+		return &a.in
+	}
+	return &a.top
 }
 
 // ready puts a flow among those that have something to send, at its start tag.
@@ -320,7 +375,7 @@
 func (a *Admission) unqueue(i int32) {
 	n := &a.nodes[i]
 	f := &a.flows[n.flow]
-	was, l := f.active(), n.first
+	was, l := f.active(), n.list
 	if n.prev != none {
 		a.nodes[n.prev].next = n.next
 	} else {
@@ -333,9 +388,20 @@
 	}
 	n.next, n.prev, n.queued = none, none, false
 	f.waiting--
+	if l == sureList {
+		if a.sureAll -= n.cost; f.head[l] == none {
+			a.sure.remove(n.flow)
+		}
+		if a.sure.len() == 0 {
+			a.sureAll = 0
+		}
+	}
 	if f.backlog -= n.cost; f.waiting == 0 {
 		f.backlog = 0
 		a.unready(n.flow)
+		a.levelOf(f).long.remove(n.flow)
+	} else {
+		a.levelOf(f).long.set(n.flow, -f.backlog/f.weight)
 	}
 	if a.waiting--; a.waiting == 0 {
 		a.backlog = 0
@@ -356,25 +422,24 @@
 // wants the room.
 func (a *Admission) makeRoom(wants int32) bool {
 	worst, most := none, 0.0
-	for _, i := range a.top.ready.at {
-		if i != a.others() {
+	for _, l := range []*level{&a.top, &a.in} {
+		if l.long.len() > 0 {
+			i := l.long.least()
 			if d := a.flows[i].backlog / a.share(i); d > most {
 				worst, most = i, d
 			}
 		}
 	}
-	for _, i := range a.in.ready.at {
-		if d := a.flows[i].backlog / a.share(i); d > most {
-			worst, most = i, d
-		}
-	}
 	if worst == none || worst == wants {
 		return false
 	}
 	f := &a.flows[worst]
-	i := f.tail[1]
+	i := f.tail[otherList]
 	if i == none {
-		i = f.tail[0]
+		i = f.tail[firstList]
+	}
+	if i == none { // only what is guaranteed
+		return false
 	}
 	n := a.nodes[i]
 	a.drop(i)
@@ -382,19 +447,10 @@
 	return true
 }
 
-// pump lets waiting requests in while there is room, by start tags.
+// pump lets waiting requests in while there is room.
 func (a *Admission) pump() {
 	for a.waiting > 0 {
-		t := a.top.ready.least()
-		i := t
-		if t == a.others() {
-			i = a.in.ready.least()
-		}
-		f := &a.flows[i]
-		n := f.head[0]
-		if n == none {
-			n = f.head[1]
-		}
+		n := a.next()
 		if a.inUse > 0 && a.inUse+a.nodes[n].cost/a.mean > a.limit {
 			return
 		}
@@ -403,6 +459,23 @@
 	}
 }
 
+// next is the waiting request whose turn it is: of what is guaranteed the one that came first, which goes ahead of all
+// shares and counts in them; else by start tags.
+func (a *Admission) next() int32 {
+	if a.sure.len() > 0 {
+		return a.flows[a.sure.least()].head[sureList]
+	}
+	i := a.top.ready.least()
+	if i == a.others() {
+		i = a.in.ready.least()
+	}
+	f := &a.flows[i]
+	if f.head[firstList] != none {
+		return f.head[firstList]
+	}
+	return f.head[otherList]
+}
+
 // start lets a request in and charges its flow.
 func (a *Admission) start(i int32) {
 	n := &a.nodes[i]
@@ -412,7 +485,16 @@
 	a.inUse += n.slots
 	a.peak = max(a.peak, a.inUse)
 	a.mean += 0.005 * (n.cost - a.mean)
+	f.given = f.given*math.Exp((f.givenAt-a.now)/givenMS) + n.cost
+	f.givenAt = a.now
 	f.count.Admitted++
+	if n.told > 0 {
+		a.kept++
+		if n.free {
+			a.keptFree++
+		}
+		a.offs[int(min(mostOff, math.Abs(a.now-n.toldAt-n.told)/n.told/offStep))]++
+	}
 	f.count.Work += n.cost
 	a.host.Admit(n.id)
 }
@@ -455,34 +537,46 @@
 func (a *Admission) refuse(id uint32, i int32, cost float64, who uint64) {
 	f := &a.flows[i]
 	f.count.Refused++
-	after := max(leastAfter, a.wait(i, 0, math.Inf(1))*(1+0.05*a.rng.Float64()))
-	if _, told := a.pfind[who]; !told && after <= a.cfg.MaxAfterMS && len(a.pspare) > 0 {
-		p := a.pspare[len(a.pspare)-1]
-		a.pspare = a.pspare[:len(a.pspare)-1]
-		a.promises[p] = promise{who: who, flow: i, at: a.now + after, cost: cost}
-		a.pfind[who] = p
-		a.pexpiry.set(p, a.now+after*1.25+keepMS)
-		was := f.active()
-		f.promised += cost
-		a.promised += cost
-		a.weigh(i, was)
+	after := max(leastAfter, a.wait(i, math.Inf(1))*(1+0.05*a.rng.Float64()))
+	f.count.Told = drift(f.count.Told, after, 0.1)
+	if after <= a.cfg.MaxAfterMS {
+		a.promise(who, i, after, cost)
 	}
 	a.note(who)
 	a.host.Refuse(id, after)
 }
 
-// redeem looks for what a client was told: it is due, or it is so much too early.
-func (a *Admission) redeem(who uint64) (due bool, early float64) {
-	p, ok := a.pfind[who]
+// promise remembers a time that was told, while there is room.
+func (a *Admission) promise(who uint64, i int32, after, cost float64) {
+	if _, told := a.pfind[who]; told || len(a.pspare) == 0 {
+		return
+	}
+	p := a.pspare[len(a.pspare)-1]
+	a.pspare = a.pspare[:len(a.pspare)-1]
+	a.promises[p] = promise{who: who, flow: i, at: a.now + after, told: max(after, leastAfter), cost: cost}
+	a.pfind[who] = p
+	a.pexpiry.set(p, a.now+after*1.25+keepMS)
+	f := &a.flows[i]
+	was := f.active()
+	f.promised += cost
+	a.promised += cost
+	a.weigh(i, was)
+}
+
+// redeem looks for what a client was told: after how many ms it was to come, and when it was told, where that is due; or
+// else by how much it is too early.
+func (a *Admission) redeem(who uint64) (told, toldAt, early float64) {
+	i, ok := a.pfind[who]
 	if !ok {
-		return false, 0
+		return 0, 0, 0
 	}
-	if early = a.promises[p].at - a.now; early > earlyMS {
-		return false, early
+	p := a.promises[i]
+	if early = p.at - a.now; early > earlyMS {
+		return 0, 0, early
 	}
-	a.forget(p)
+	a.forget(i)
 	a.heed += 0.01 * (1 - a.heed)
-	return true, 0
+	return p.told, p.at - p.told, 0
 }
 
 // forget ends a promise.
@@ -500,6 +594,7 @@
 		f.promised = 0
 	}
 	a.weigh(p.flow, was)
+	a.retire(p.flow)
 }
 
 // note remembers a request that was turned away, by tenant, key and class.
@@ -543,7 +638,7 @@
 	// pressure, and so come to limits in the proportion of the tenants that want more there, without a word between them:
 	// a router at which one tenant crowds gives way to one at which many are short.
 	wanting := a.in.weights
-	for i := range a.cfg.Named {
+	for i := range mostNamed {
 		wanting += unless(!a.flows[i].active(), 1)
 	}
 	a.wanting += 0.1 * (min(mostWanting, wanting) - a.wanting)
@@ -611,13 +706,33 @@
 	Calm    float64 `json:"calm"`     // the same where nothing is crowded, as a share of its class's aim
 	Refused float64 `json:"refused"`  // share of what is let in that the Balancer refuses, lately
 	Vain    float64 `json:"vain"`     // of that, what fewer at the door don't help against
-	Heed    float64 `json:"heed"`     // share of those told to come back that do, when they were told
-	Tenants []Count `json:"tenants"`
+	// Clients that came back when they were told, of these those let in, and how far the real time was from the told, as a
+	// share of it.
+	Returned     uint64  `json:"returned"`
+	Kept         uint64  `json:"kept"`
+	ReturnedFree uint64  `json:"returned_free"` // of those that came back, those whose tenant's share was free,
+	KeptFree     uint64  `json:"kept_free"`     // and of these those let in
+	Off50        float64 `json:"off_p50"`
+	Off90        float64 `json:"off_p90"`
+	Heed         float64 `json:"heed"` // share of those told to come back that do, when they were told
+	Tenants      []Count `json:"tenants"`
+}
+
+// off is a quantile of how far real times were from told ones, to the upper end of its step.
+func (a *Admission) off(q float64) float64 {
+	below := 0.0
+	for i, n := range a.offs {
+		if below += float64(n); below > 0 && below >= q*float64(a.kept) {
+			return float64(i+1) * offStep
+		}
+	}
+	return 0
 }
 
 // State tells how the door stands, with at most so many tenants by name.
 func (a *Admission) State(tenants int) State {
-	return State{a.limit, a.inUse, a.waiting, a.mean, a.lat, a.base, a.refusals + a.missed, a.vain, a.heed, a.Tenants(tenants)}
+	return State{Limit: a.limit, InUse: a.inUse, Waiting: a.waiting, MeanMS: a.mean, TakesMS: a.lat, Calm: a.base, Refused: a.refusals + a.missed,
+		Vain: a.vain, Returned: a.returned, Kept: a.kept, ReturnedFree: a.returnedFree, KeptFree: a.keptFree, Off50: a.off(0.5), Off90: a.off(0.9), Heed: a.heed, Tenants: a.Tenants(tenants)}
 }
 
 // Limit tells the limit on concurrency and what is in use, in requests of mean cost, and how many requests wait.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -60,6 +60,8 @@
 type Tenant struct {
 	Name   string  `toml:"name"`
 	Weight float64 `toml:"weight"`
+	Rate   float64 `toml:"rate"`
+	Burst  float64 `toml:"burst"`
 }
 
 // Match tells whom a request is of.
@@ -76,7 +78,7 @@
 		Promises: a.Promises, MaxWaitMS: a.MaxWaitMS, MaxAfterMS: a.MaxAfterMS, Start: a.Start, Least: a.Least, Most: a.Most,
 		RetryShare: a.RetryShare, RetryBurst: a.RetryBurst}
 	for _, t := range a.Tenants {
-		c.Named = append(c.Named, admit.Tenant{Name: t.Name, Weight: t.Weight})
+		c.Named = append(c.Named, admit.Tenant{Name: t.Name, Weight: t.Weight, Rate: t.Rate, Burst: t.Burst})
 	}
 	var who admit.Identify
 	for i, m := range a.Identify {
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"math"
 	"net"
 	"net/netip"
@@ -14,35 +15,70 @@
 
 // admission stands between a request's arrival and the Balancer, where the operator file has it. All of it is the loop's.
 type admission struct {
-	l      *loop
-	a      *admit.Admission
-	who    admit.Identify
-	class  map[string]int
-	others int    // the place of classes that a reload has brought
-	due    *timer // for what waits
+	l         *loop
+	a         *admit.Admission
+	who       admit.Identify
+	class     map[string]int
+	others    int    // the place of classes that a reload has brought
+	due       *timer // for what waits
+	processes int    // that are this router, and share the limit
 }
 
-// Admit has requests pass fair admission from now on. It must be called before Run.
-func (r *Router) Admit(cfg admit.Config, who admit.Identify) error {
-	ad := &admission{l: r.l, who: who, class: map[string]int{}}
+// Admission is what an operator file says of fair admission.
+type Admission struct {
+	Rules admit.Config // but for the classes, which are the platform's
+	Who   admit.Identify
+}
+
+// newAdmission places the door before the Balancer.
+func newAdmission(l *loop, cfg *Config) (*admission, error) {
+	ad := &admission{l: l, who: cfg.Admission.Who, class: map[string]int{}}
+	rules := cfg.Admission.Rules
+	rules.Classes = nil
 	var longest float64
-	for _, c := range r.cfg.settings.Config.Classes {
-		ad.class[c.Name] = len(cfg.Classes)
-		// The aim tells, class by class, how much work is meant; attempts beyond the first are charged when it ends.
-		cfg.Classes = append(cfg.Classes, admit.Class{Name: c.Name, Cost: c.Aim, First: c.Effect != decide.Repeatable})
+	for _, c := range cfg.settings.Config.Classes {
+		ad.class[c.Name] = len(rules.Classes)
+		// The aim tells, class by class, how much work is meant, until it has been measured.
+		rules.Classes = append(rules.Classes, admit.Class{Name: c.Name, Cost: c.Aim, First: c.Effect != decide.Repeatable})
 		longest = max(longest, c.Aim)
 	}
-	ad.others = len(cfg.Classes)
-	cfg.Classes = append(cfg.Classes, admit.Class{Name: "(others)", Cost: longest})
-	if m := r.cfg.settings.Config.MaxAfter; m > 0 {
-		cfg.MaxAfterMS = m
-	}
+	ad.others = len(rules.Classes)
+	rules.Classes = append(rules.Classes, admit.Class{Name: "(others)", Cost: longest})
 	var err error
-	if ad.a, err = admit.New(cfg, r.cfg.seed, ad); err != nil {
-		return err
+	ad.a, err = admit.New(withCaps(rules, cfg), cfg.seed, ad)
+	return ad, err
+}
+
+// withCaps has the platform's bound on times told go before the operator's.
+func withCaps(rules admit.Config, cfg *Config) admit.Config {
+	if m := cfg.settings.Config.MaxAfter; m > 0 {
+		rules.MaxAfterMS = m
+	}
+	return rules
+}
+
+// check tells why the rules of a configuration can't hold from now on.
+func (ad *admission) check(cfg *Config) error {
+	switch {
+	case ad == nil && cfg.Admission == nil:
+		return nil
+	case ad == nil || cfg.Admission == nil:
+		return &admit.Error{Setting: "enabled", Reason: "changes, which takes a new process"}
 	}
-	r.l.admission = ad
-	return nil
+	return ad.a.Check(withCaps(cfg.Admission.Rules, cfg))
+}
+
+// reconfigure has the rules of a configuration, which has been checked, hold from now on.
+func (ad *admission) reconfigure(cfg *Config) {
+	if ad == nil {
+		return
+	}
+	if err := ad.a.Reconfigure(ad.l.now(), withCaps(cfg.Admission.Rules, cfg)); err != nil {
+		slog.Warn("admission: the rules are kept", "error", err)
+		return
+	}
+	ad.who = cfg.Admission.Who
+	ad.arm()
 }
 
 // arrive takes a request that the loop has taken.
@@ -121,8 +157,8 @@
 // shownTenants is how many tenants are shown by name.
 const shownTenants = 100
 
-// Admission is how the door stands, in JSON; admin.ErrOff tells that there is none.
-func (r *Router) Admission(ctx context.Context) ([]byte, error) {
+// Door is how admission stands, in JSON; admin.ErrOff tells that there is none.
+func (r *Router) Door(ctx context.Context) ([]byte, error) {
 	if r.l.admission == nil {
 		return nil, admin.ErrOff
 	}
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -31,13 +31,11 @@
 	cfg := testConfig(t, d.Listener.Addr().String(), list{})
 	ln := listenLocal(t)
 	m := metrics.New()
-	r, err := New(cfg, ln, m)
-	if err != nil {
-		t.Fatal(err)
-	}
 	rules := admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 1e6, MaxAfterMS: 1500,
 		Start: 1, Least: 1, Most: 1, RetryShare: 1, RetryBurst: 10}
-	if err := r.Admit(rules, admit.Identify{{By: "fact"}}); err != nil {
+	cfg.Admission = &Admission{rules, admit.Identify{{By: "fact"}}}
+	r, err := New(cfg, ln, m)
+	if err != nil {
 		t.Fatal(err)
 	}
 	run(t, r, ln)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -30,6 +30,9 @@
 	Known    list            `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	// Admission is what an operator file says of fair admission; nil = it is off.
+	Admission *Admission `json:"-"`
+
 	text     []byte // the file
 	seed     uint64
 	settings settings.Settings
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -136,9 +136,13 @@
 
 // reconfigure takes the settings of a new configuration, or tells why not.
 func (l *loop) reconfigure(cfg *Config) error {
+	if err := l.admission.check(cfg); err != nil {
+		return err
+	}
 	if err := l.b.Reconfigure(l.now(), cfg.settings.Config); err != nil {
 		return err
 	}
+	l.admission.reconfigure(cfg)
 	l.rules.Store(newRules(cfg.settings.Config, l.metrics))
 	l.up.retime(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout))
 	return nil
@@ -155,7 +159,9 @@
 	l.memory = cfg.Limits.MemoryMB << 20
 	l.share(1)
 	var err error
-	l.b, err = decide.New(s, cfg.seed, l)
+	if l.b, err = decide.New(s, cfg.seed, l); err == nil && cfg.Admission != nil {
+		l.admission, err = newAdmission(l, cfg)
+	}
 	return l, err
 }
 
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -11,6 +11,7 @@
 
 	"dockhinge.example/dockhinge/decide"
 	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/admit"
 	"dockhinge.example/dockhinge/internal/handover"
 )
 
@@ -21,6 +22,7 @@
 	Module decide.Carried
 	List   list
 	Names  names
+	Door   *admit.Carried // nil = admission is off
 }
 
 // ban is a call of the operators, as it goes from one process to the other.
@@ -98,7 +100,14 @@
 	r.up.share(n)
 	r.up.unsized.limit.Store(r.cfg.Limits.MemoryMB << 20 / 16 / int64(n))
 	r.s.share(n)
-	r.l.post(func() { r.l.b.Share(r.l.now(), n) })
+	r.l.post(func() {
+		r.l.b.Share(r.l.now(), n)
+		if ad := r.l.admission; ad != nil {
+			ad.a.Share(r.l.now(), float64(max(1, ad.processes))/float64(n))
+			ad.processes = n
+			ad.arm()
+		}
+	})
 	slog.Info("processes are this router", "name", r.cfg.Name, "processes", n)
 }
 
@@ -108,6 +117,10 @@
 	err := r.l.do(ctx, func() error {
 		r.peers.add(k, false)
 		h = handed{Module: r.l.b.HandOver(r.l.now()), List: r.l.known(), Names: r.l.names.copied()}
+		if r.l.admission != nil {
+			door := r.l.admission.a.HandOver(r.l.now())
+			h.Door = &door
+		}
 		return nil
 	})
 	return h, err
@@ -135,6 +148,11 @@
 		if err := l.b.TakeOver(l.now(), h.Module); err != nil {
 			slog.Warn("what the process before has learnt is of no use", "error", err)
 		}
+		if l.admission != nil && h.Door != nil {
+			if err := l.admission.a.TakeOver(l.now(), *h.Door); err != nil {
+				slog.Warn("what the process before has learnt of tenants is of no use", "error", err)
+			}
+		}
 		l.names, known = h.Names, h.List
 		l.floor.raise(known.Version)
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -16,6 +18,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"dockhinge.example/dockhinge/internal/admit"
 	"dockhinge.example/dockhinge/lab/load"
 	"dockhinge.example/dockhinge/lab/model"
 	"dockhinge.example/dockhinge/lab/referee"
@@ -53,22 +56,23 @@
 
 // Result is what became of a run.
 type Result struct {
-	Scenario   string           `json:"scenario"`
-	Command    string           `json:"command"`
-	Load       load.Result      `json:"load"`
-	Service    float64          `json:"service"` // after the warm-up
-	Tail       float64          `json:"tail"`    // in the last fifth
-	Attempts   float64          `json:"attempts_a_request"`
-	AttemptsBy []int            `json:"attempts_by_second"` // written whole in each second of the load
-	Broken     []referee.Breach `json:"broken"`
-	Marks      []Mark           `json:"marks"`
-	Samples    []Sample         `json:"samples"`
-	Servers    []ServerResult   `json:"servers"`
-	Calls      int              `json:"discovery_calls"`
-	LateMS     float64          `json:"machine_late_ms"` // the longest time by which the machine was late
-	Rude       [2]int           `json:"rude"`            // misbehaving clients: told or closed on in time, of all
-	Failures   []string         `json:"failures"`        // what did not hold
-	Cut        bool             `json:"cut"`             // stopped before its end
+	Scenario   string                 `json:"scenario"`
+	Command    string                 `json:"command"`
+	Load       load.Result            `json:"load"`
+	Doors      map[string]admit.State `json:"doors,omitempty"` // fair admission at the end of the load, by router
+	Service    float64                `json:"service"`         // after the warm-up
+	Tail       float64                `json:"tail"`            // in the last fifth
+	Attempts   float64                `json:"attempts_a_request"`
+	AttemptsBy []int                  `json:"attempts_by_second"` // written whole in each second of the load
+	Broken     []referee.Breach       `json:"broken"`
+	Marks      []Mark                 `json:"marks"`
+	Samples    []Sample               `json:"samples"`
+	Servers    []ServerResult         `json:"servers"`
+	Calls      int                    `json:"discovery_calls"`
+	LateMS     float64                `json:"machine_late_ms"` // the longest time by which the machine was late
+	Rude       [2]int                 `json:"rude"`            // misbehaving clients: told or closed on in time, of all
+	Failures   []string               `json:"failures"`        // what did not hold
+	Cut        bool                   `json:"cut"`             // stopped before its end
 }
 
 // maxEvents bounds the referee's journal.
@@ -408,10 +412,27 @@
 	}
 	got := l.Run(running)
 	cut := ctx.Err() != nil
+	doors := fl.doors(ctx)
 	end()
 	stop()
 	wg.Wait()
-	return fl.result(got, cut), nil
+	res := fl.result(got, cut)
+	res.Doors = doors
+	return res, nil
+}
+
+// doors asks each router how fair admission stands there; nothing of those where it is off.
+func (fl *Fleet) doors(ctx context.Context) map[string]admit.State {
+	all := map[string]admit.State{}
+	for _, r := range fl.allRouters() {
+		var s admit.State
+		if p := r.newest(); p != nil {
+			if text, err := call(ctx, p.admin, http.MethodGet, "/-/admission"); err == nil && json.Unmarshal(text, &s) == nil {
+				all[r.name] = s
+			}
+		}
+	}
+	return all
 }
 
 // heartbeat watches whether the machine lets the lab run when it should.
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -63,6 +63,7 @@
 	Zones       []Zone    `toml:"-"`            // of the clients; none = any
 	Seed        uint64    `toml:"-"`            // the scenario's
 	Progress    func(Now) `toml:"-" json:"-"`   // called each second
+	FromMS      float64   `toml:"-"`            // what was meant to be sent before counts for no tenant: the scenario's warm-up
 	Marks       bool      `toml:"marks_retry"`  // a further try says r=1
 }
 
@@ -104,7 +105,7 @@
 type Result struct {
 	Seconds  []Second               `json:"seconds"`
 	Classes  map[string]ClassResult `json:"classes"`
-	Tenants  map[string]Share       `json:"tenants,omitempty"` // up to maxTenants of them
+	Tenants  map[string]Share       `json:"tenants,omitempty"` // up to maxTenants of them, after the warm-up
 	Tries    int                    `json:"tries"`
 	Worth    float64                `json:"worth"`
 	Gained   float64                `json:"gained"`
@@ -118,6 +119,18 @@
 // Share is what one tenant asked for and got, in worth.
 type Share struct{ Worth, Gained float64 }
 
+// Jain is Jain's index of fairness over what tenants gained: 1 where all gained the same, 1/n where one gained all.
+func (r Result) Jain() float64 {
+	sum, squares := 0.0, 0.0
+	for _, t := range r.Tenants {
+		sum, squares = sum+t.Gained, squares+t.Gained*t.Gained
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / float64(len(r.Tenants)) / squares
+}
+
 // maxTenants bounds the tenants that are told apart.
 const maxTenants = 1000
 
@@ -367,7 +380,7 @@
 	share, known := l.tenants[tenant]
 	share.Worth += c.Worth
 	defer func() {
-		if known || tenant != "" && len(l.tenants) < maxTenants {
+		if intended-l.began >= l.p.FromMS && (known || tenant != "" && len(l.tenants) < maxTenants) {
 			l.tenants[tenant] = share
 		}
 	}()
--- a/lab/report/compare.go
+++ b/lab/report/compare.go
@@ -51,6 +51,14 @@
 		}
 		return gained / math.Max(worth, 1)
 	}},
+	{"Jain's index over tenants", func(r fleet.Result) float64 { return r.Load.Jain() }},
+	{"requests served in their aim, a second", func(r fleet.Result) float64 {
+		n := 0
+		for _, s := range r.Load.Seconds {
+			n += s.InAim
+		}
+		return float64(n) / math.Max(1, float64(len(r.Load.Seconds)))
+	}},
 	{"broken rules", func(r fleet.Result) float64 { return float64(len(r.Broken)) }},
 }
 
--- a/lab/report/html.go
+++ b/lab/report/html.go
@@ -219,7 +219,7 @@
 pre { background: #f5f5f3; padding: .8rem; white-space: pre-wrap; font-size: 12px } .bad { color: #b00020; font-weight: 600 } .good { color: #00734f; font-weight: 600 }
 .marks { columns: 2; font-size: 13px; padding-left: 1.2rem }
 </style></head><body><h1>dockhinge laboratory</h1>
-{{range .}}<h2>{{.Scenario}}</h2>
+{{.Beside}}{{range .Runs}}<h2>{{.Scenario}}{{if .Name}}, {{.Name}}{{end}}</h2>
 <p>{{if .Failures}}<span class="bad">Something does not hold:</span>{{else}}<span class="good">All rules kept, all expectations hold.</span>{{end}}</p>
 {{if .Failures}}<ul>{{range .Failures}}<li>{{.}}</li>{{end}}</ul>{{end}}
 {{if .Marks}}<p>What happened; the dashed lines have these numbers:</p><ol class="marks">{{range .Marks}}<li>{{printf "%.1f" .AtS}} s: {{.Text}}</li>{{end}}</ol>{{end}}
@@ -228,25 +228,46 @@
 {{end}}</body></html>
 `))
 
-// Write writes runs as one HTML page that needs nothing beside itself, and the same as JSON beside it.
-func Write(path string, runs []fleet.Result) error {
+// Write writes runs as one HTML page that needs nothing beside itself, and the same as JSON beside it. The first runs may
+// have names, and are shown in one plot then.
+func Write(path string, runs []fleet.Result, names ...string) error {
 	type shown struct {
 		fleet.Result
+		Name   string
 		Charts []template.HTML
 		Table  string
 	}
 	var all []shown
-	for _, r := range runs {
+	for i, r := range runs {
 		svgs, err := charts(r)
 		if err != nil {
 			return err
 		}
 		var b strings.Builder
 		Table(&b, r)
-		all = append(all, shown{r, svgs, strings.TrimSpace(b.String())})
+		name := ""
+		if i < len(names) {
+			name = names[i]
+		}
+		all = append(all, shown{r, name, svgs, strings.TrimSpace(b.String())})
+	}
+	var beside template.HTML
+	if len(names) > 1 {
+		var lines []series
+		for i, name := range names {
+			secs := runs[i].Load.Seconds
+			lines = append(lines, bySecond(runs[i], name, func(j int) float64 { return secs[j].Gained }))
+		}
+		var err error
+		if beside, err = chart("Worth answered in aim, beside one another", "a second", runs[0].Marks, lines); err != nil {
+			return err
+		}
 	}
 	var b bytes.Buffer
-	if err := page.Execute(&b, all); err != nil {
+	if err := page.Execute(&b, struct {
+		Beside template.HTML
+		Runs   []shown
+	}{beside, all}); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
 	if err := os.WriteFile(path, b.Bytes(), 0o644); err != nil {
--- a/lab/report/table.go
+++ b/lab/report/table.go
@@ -33,6 +33,19 @@
 		}
 		t.Flush()
 	}
+	if len(r.Load.Tenants) > 1 {
+		fmt.Fprintf(w, "\nJain's index of what the tenants gained after the warm-up: %.4f\n", r.Load.Jain())
+	}
+	if len(r.Doors) > 0 {
+		fmt.Fprintln(t, "\nrouter\tlimit\twaiting\ttakes ms\tcame when told\tlet in\tshare free\tlet in\ttold and real apart, p50 %\tp90 %\t")
+		for _, name := range sorted(r.Doors) {
+			d := r.Doors[name]
+			fmt.Fprintf(t, "%s\t%.0f\t%d\t%.0f\t%d\t%.3f\t%d\t%.3f\t%.0f\t%.0f\t\n", name, d.Limit, d.Waiting, d.TakesMS, d.Returned,
+				float64(d.Kept)/float64(max(1, d.Returned)),
+				d.ReturnedFree, float64(d.KeptFree)/float64(max(1, d.ReturnedFree)), 100*d.Off50, 100*d.Off90)
+		}
+		t.Flush()
+	}
 	if len(r.Servers) > 0 {
 		fmt.Fprintln(t, "\nserver\tkind\tzone\tserved\tmissed\tturned away\tfailed\tconnections\tprobes\t")
 		for _, s := range r.Servers {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -174,7 +174,7 @@
 
 // finish hands to the load what it takes from the rest of the scenario.
 func (f *File) finish() {
-	f.Load.Classes, f.Load.Seed, f.Load.Zones = f.Classes, f.Seed, nil
+	f.Load.Classes, f.Load.Seed, f.Load.Zones, f.Load.FromMS = f.Classes, f.Seed, nil, f.WarmS*1000
 	for i, z := range f.Fleet.Zones { // uneven on purpose: the first zone has more traffic than its share
 		f.Load.Zones = append(f.Load.Zones, load.Zone{Name: z, Share: 1 + 0.5*float64(len(f.Fleet.Zones)-1-i)})
 	}
