--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -123,13 +123,13 @@
 	bytesCost   = 64 << 10 // bytes that cost as much as a request of their class
 	windowMS    = 200      // between two looks at the limit
 	timedLeast  = 100      // answers whose mean tells of crowding
-	creep       = 1e-6     // a millisecond, by which what is taken for uncrowded rises
+	creep       = 1e-6     // a millisecond, by which what was found to be in vain is forgotten
 	dearest     = 8        // times what it was thought to cost that a request is charged at most
-	dry         = 0.03     // share that the Balancer may refuse after a miss, for want of the origin
+	dry         = 0.01     // share that the Balancer may refuse after a miss, for want of the origin
 	easy        = 0.33     // mean latency over the class's aim that is well: few are late at that
 	tolerance   = 1.25     // times the uncrowded one, where that is more
-	slowness    = 0.5      // pressure for what is above
-	rise        = 0.12     // of the limit in a window, times its square root and that of the tenants that want more
+	slowness    = 1.5      // pressure for what is above
+	rise        = 0.10     // of the limit in a window, times its square root and that of the tenants that want more
 	mostWanting = 16       // of these that count: names that are made up would else draw work to a router
 	fall        = 1.0      // fall of the limit in a window, times the pressure
 	steepest    = 0.05     // fall of the limit in a window
@@ -268,7 +268,7 @@
 	pexpiry  heap
 	backlog  float64 // cost of all that waits,
 	promised float64 // and of all that was told to come back
-	base     float64 // mean latency over class cost where nothing is crowded
+	base     float64 // mean latency over class cost that a low limit didn't help against
 	heed     float64 // share of those told to come back that do, when they were told
 
 	seen [repeats]repeat
@@ -289,7 +289,6 @@
 	vain             float64   // of that, the share that a lower limit didn't help against
 	timed            int       // answers since latencies were looked at last,
 	stretch          float64   // the sum of their latencies over their classes' costs,
-	timedAt          float64   // and when that was
 	usual            []float64 // latency by class, lately, ms
 	work             []float64 // time of attempts by class, lately, ms
 	wanting          float64   // tenants that want more than they have, lately
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -621,18 +621,11 @@
 	}
 	if a.timed >= timedLeast { // means of many: single answers vary by far more than crowding makes them
 		mean := a.stretch / float64(a.timed)
-		switch {
-		case a.base == 0:
-			a.base = mean
-		case mean < a.base:
-			a.base += 0.3 * (mean - a.base)
-		case low:
-			a.base += 0.05 * (mean - a.base)
-		default: // the fleet may have become slower, though most likely it is crowded
-			a.base *= 1 + (a.now-a.timedAt)*creep
+		if low { // it is so slow with little in work too
+			a.base += 0.05 * max(0, mean-a.base)
 		}
 		a.slower = drift(a.slower, mean-max(easy, tolerance*a.base), 0.5)
-		a.timed, a.stretch, a.timedAt = 0, 0, a.now
+		a.timed, a.stretch = 0, 0
 	}
 	// Rise and fall balance at a limit of wanting*(rise/fall/pressure)^2. Routers before one fleet feel much the same
 	// pressure, and so come to limits in the proportion of the tenants that want more there, without a word between them:
@@ -650,6 +643,7 @@
 		a.vain += 0.02 * pressure
 	}
 	a.vain *= 1 - windowMS*creep
+	a.base *= 1 - windowMS*creep
 	a.limit = min(a.cfg.Most, max(a.cfg.Least, a.limit))
 	a.ends, a.turnedAway, a.missing, a.peak = 0, 0, 0, a.inUse
 }
@@ -703,7 +697,7 @@
 	Waiting int     `json:"waiting"`  // requests
 	MeanMS  float64 `json:"mean_ms"`  // cost of a request
 	TakesMS float64 `json:"takes_ms"` // until a request that is let in is answered, lately
-	Calm    float64 `json:"calm"`     // the same where nothing is crowded, as a share of its class's aim
+	Calm    float64 `json:"calm"`     // the same with little in work, as a share of the class's aim; 0 = all is well then
 	Refused float64 `json:"refused"`  // share of what is let in that the Balancer refuses, lately
 	Vain    float64 `json:"vain"`     // of that, what fewer at the door don't help against
 	// Clients that came back when they were told, of these those let in, and how far the real time was from the told, as a
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -87,3 +88,63 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Rules of admission are taken with the rest of a configuration, or nothing is and the setting is named.
+func TestAdmissionRulesAtReload(t *testing.T) {
+	rules := admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 100, MaxAfterMS: 1500,
+		Start: 1, Least: 1, Most: 1, RetryShare: 1, RetryBurst: 10}
+	with := func(r *admit.Config) *Config {
+		cfg := testConfig(t, "127.0.0.1:9", list{})
+		if r != nil {
+			cfg.Admission = &Admission{*r, nil}
+		}
+		return cfg
+	}
+	on := with(&rules)
+	l, err := newLoop(on, newUpstreams(time.Second, time.Second, 1), metrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	named, larger := rules, rules
+	named.Named = []admit.Tenant{{Name: "a", Weight: 2}}
+	larger.Flows = 9
+	if err := l.reconfigure(with(&named)); err != nil || len(l.admission.a.HandOver(l.now()).Tenants) != 1 {
+		t.Errorf("a new tenant: %v", err)
+	}
+	for setting, cfg := range map[string]*Config{"admission.flows": with(&larger), "admission.enabled": with(nil)} {
+		before := l.rules.Load()
+		if err := l.reconfigure(cfg); err == nil || !strings.Contains(err.Error(), setting) || l.rules.Load() != before {
+			t.Errorf("%s: %v", setting, err)
+		}
+	}
+}
+
+// A process takes over what the one before it has told clients.
+func TestAdmissionIsHandedOver(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:9", list{})
+	cfg.Admission = &Admission{admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 100,
+		MaxAfterMS: 1500, Start: 7, Least: 1, Most: 9, RetryShare: 1, RetryBurst: 10}, admit.Identify{{By: "fact"}}}
+	start := func() *Router {
+		r, err := New(cfg, listenLocal(t), metrics.New())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { r.s.ln.Close() })
+		return r
+	}
+	before, after := start(), start()
+	before.l.names.add("s-0000000b", 11) // a state without names is none
+	before.l.admission.a.Share(before.l.now(), 0.5)
+	door := before.l.admission.a.HandOver(before.l.now())
+	text, err := json.Marshal(handed{Module: before.l.b.HandOver(before.l.now()), Names: before.l.names.copied(), Door: &door})
+	if err == nil {
+		err = after.Inherit(text, nil)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	after.begin()
+	if limit, _, _ := after.l.admission.a.Limit(); limit != 3.5 {
+		t.Errorf("limit %v after the upgrade, 3.5 before", limit)
+	}
+}
