--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -82,6 +82,9 @@
 	allowed := min(a.cfg.MaxWaitMS, q.Left/2, q.Left-1.5*a.usual[q.Class])
 	if due { // it came when it was told: while there is a fair chance it is given one
 		allowed = min(a.cfg.MaxWaitMS, q.Left-a.usual[q.Class])
+		if free { // and its share is: it goes next, so that a moment will do
+			allowed = max(allowed, min(a.cfg.MaxWaitMS, q.Left/4))
+		}
 	}
 	switch {
 	case early > 0: // told to come later than this: it gains nothing, and what it was told holds
