--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -31,6 +31,7 @@
 	if a.now >= a.lookAt {
 		a.look()
 	}
+	a.pump() // a higher limit, or a smaller request at the head, may let some in
 }
 
 // Next is when Tick wants to be called; +Inf where nothing waits.
@@ -70,7 +71,7 @@
 	}
 	f.refill(a.now)
 	sure := f.sure >= 1
-	if a.waiting == 0 && a.inUse+cost/a.mean <= a.limit && len(a.spare) > 0 { // there is room: nobody is held back
+	if a.waiting == 0 && (a.inUse == 0 || a.inUse+cost/a.mean <= a.limit) && len(a.spare) > 0 { // there is room: nobody is held back
 		if !due && early > 0 {
 			a.forget(a.pfind[who])
 		}
