--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -127,7 +127,7 @@
 	dearest     = 8        // times what it was thought to cost that a request is charged at most
 	dry         = 0.01     // share that the Balancer may refuse after a miss, for want of the origin
 	easy        = 0.33     // mean latency over the class's aim that is well: few are late at that
-	tolerance   = 1.25     // times the uncrowded one, where that is more
+	tolerance   = 1.25     // times what a low limit didn't help against, where that is more
 	slowness    = 1.5      // pressure for what is above
 	rise        = 0.10     // of the limit in a window, times its square root and that of the tenants that want more
 	mostWanting = 16       // of these that count: names that are made up would else draw work to a router
@@ -138,12 +138,12 @@
 	earlyMS     = 15       // by which a client may be early: clocks and the network
 	repeats     = 4096     // refused requests that are remembered, to know an unmarked try again
 	repeatMS    = 5000     // for which they are
-	offStep     = 0.02
-	mostOff     = 100
-	givenMS     = 1000 // over which what a flow gets is told
-	leastRate   = 0.1  // of its share that a flow is thought to get at least
-	newTokens   = 3    // tries again in the hands of a tenant that is not named and was not known
-	leastAfter  = 20   // ms, the shortest time told
+	offStep     = 0.02     // of the time told: how finely it is known how far the real time was from it,
+	mostOff     = 100      // and up to so many steps
+	givenMS     = 1000     // over which what a flow gets is told
+	leastRate   = 0.1      // of its share that a flow is thought to get at least
+	newTokens   = 3        // tries again in the hands of a tenant that is not named and was not known
+	leastAfter  = 20       // ms, the shortest time told
 	none        = int32(-1)
 )
 
@@ -266,8 +266,6 @@
 	pspare   []int32
 	pfind    map[uint64]int32
 	pexpiry  heap
-	backlog  float64 // cost of all that waits,
-	promised float64 // and of all that was told to come back
 	base     float64 // mean latency over class cost that a low limit didn't help against
 	heed     float64 // share of those told to come back that do, when they were told
 
--- a/internal/admit/decide.go
+++ b/internal/admit/decide.go
@@ -3,12 +3,9 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 )
 
-func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 11)) }
-
 // begin brings the time up to now and carries out what is due by it.
 func (a *Admission) begin(now float64) {
 	if a.began < 0 {
@@ -43,10 +40,7 @@
 }
 
 // Tick carries out what is due at now: a request that has waited for as long as it may is refused.
-func (a *Admission) Tick(now float64) {
-	a.begin(now)
-	a.pump()
-}
+func (a *Admission) Tick(now float64) { a.begin(now) }
 
 // Arrive takes a request at the door. It is let in, refused or has to wait; the Host is told.
 func (a *Admission) Arrive(now float64, q Request) {
@@ -261,10 +255,7 @@
 	if !was {
 		f.since = a.now
 	}
-	l, d := &a.top, f.weight
-	if f.inner {
-		l = &a.in
-	}
+	l, d := a.levelOf(f), f.weight
 	if was {
 		d = -d
 	}
@@ -325,7 +316,6 @@
 	}
 	f.waiting++
 	f.backlog += n.cost
-	a.backlog += n.cost
 	a.waiting++
 	a.expiry.set(i, until)
 	a.weigh(n.flow, was)
@@ -350,10 +340,7 @@
 // ready puts a flow among those that have something to send, at its start tag.
 func (a *Admission) ready(i int32) {
 	f := &a.flows[i]
-	l := &a.top
-	if f.inner {
-		l = &a.in
-	}
+	l := a.levelOf(f)
 	f.finish = max(f.finish, l.v)
 	l.ready.set(i, f.finish)
 	if f.inner && !a.top.ready.has(a.others()) {
@@ -407,11 +394,7 @@
 	} else {
 		a.levelOf(f).long.set(n.flow, -f.backlog/f.weight)
 	}
-	if a.waiting--; a.waiting == 0 {
-		a.backlog = 0
-	} else {
-		a.backlog = max(0, a.backlog-n.cost)
-	}
+	a.waiting--
 	a.expiry.remove(i)
 	a.weigh(n.flow, was)
 }
@@ -506,9 +489,8 @@
 // charge moves a flow's tag on by what it was given, and the virtual time to where that began.
 func (a *Admission) charge(i int32, cost float64) {
 	f := &a.flows[i]
-	l := &a.top
+	l := a.levelOf(f)
 	if f.inner {
-		l = &a.in
 		a.charge(a.others(), cost)
 	}
 	l.v = max(l.v, f.finish)
@@ -520,19 +502,14 @@
 
 // correct charges a flow for what a request cost beyond what was thought, or gives back.
 func (a *Admission) correct(i int32, cost float64) {
-	for _, j := range []int32{i, a.others()} {
-		f := &a.flows[j]
-		if j == a.others() && !a.flows[i].inner {
-			break
-		}
-		l := &a.top
-		if f.inner {
-			l = &a.in
-		}
-		f.finish = max(l.v, f.finish+cost/f.weight)
-		if l.ready.has(j) {
-			l.ready.set(j, f.finish)
-		}
+	f := &a.flows[i]
+	l := a.levelOf(f)
+	if f.inner {
+		a.correct(a.others(), cost)
+	}
+	f.finish = max(l.v, f.finish+cost/f.weight)
+	if l.ready.has(i) {
+		l.ready.set(i, f.finish)
 	}
 }
 
@@ -563,7 +540,6 @@
 	f := &a.flows[i]
 	was := f.active()
 	f.promised += cost
-	a.promised += cost
 	a.weigh(i, was)
 }
 
@@ -591,9 +567,6 @@
 	a.pspare = append(a.pspare, i)
 	f := &a.flows[p.flow]
 	was := f.active()
-	if a.promised -= p.cost; len(a.pfind) == 0 {
-		a.promised = 0
-	}
 	if f.promised -= p.cost; f.promised < 1e-6 {
 		f.promised = 0
 	}
@@ -611,7 +584,7 @@
 }
 
 // look follows what the fleet can take, once a window: the limit falls where the Balancer refuses what was let in, or
-// answers take a multiple of what they do uncrowded, and rises while it is in use. What comes of a signal is looked at
+// answers take over a third of their class's aim, and rises while it is in use. What comes of a signal is looked at
 // too: where the limit has fallen to a third of what it was and the signal stays, fewer at the door don't help, and that
 // much of it is borne from then on.
 func (a *Admission) look() {
@@ -712,7 +685,8 @@
 	KeptFree     uint64  `json:"kept_free"`     // and of these those let in
 	Off50        float64 `json:"off_p50"`
 	Off90        float64 `json:"off_p90"`
-	Heed         float64 `json:"heed"` // share of those told to come back that do, when they were told
+	Tables       int     `json:"table_bytes"` // that all tables take, whatever comes
+	Heed         float64 `json:"heed"`        // share of those told to come back that do, when they were told
 	Tenants      []Count `json:"tenants"`
 }
 
@@ -730,8 +704,6 @@
 // State tells how the door stands, with at most so many tenants by name.
 func (a *Admission) State(tenants int) State {
 	return State{Limit: a.limit, InUse: a.inUse, Waiting: a.waiting, MeanMS: a.mean, TakesMS: a.lat, Calm: a.base, Refused: a.refusals + a.missed,
-		Vain: a.vain, Returned: a.returned, Kept: a.kept, ReturnedFree: a.returnedFree, KeptFree: a.keptFree, Off50: a.off(0.5), Off90: a.off(0.9), Heed: a.heed, Tenants: a.Tenants(tenants)}
+		Vain: a.vain, Returned: a.returned, Kept: a.kept, ReturnedFree: a.returnedFree, KeptFree: a.keptFree, Off50: a.off(0.5), Off90: a.off(0.9), Tables: a.Bytes(),
+		Heed: a.heed, Tenants: a.Tenants(tenants)}
 }
-
-// Limit tells the limit on concurrency and what is in use, in requests of mean cost, and how many requests wait.
-func (a *Admission) Limit() (limit, inUse float64, waiting int) { return a.limit, a.inUse, a.waiting }
--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,7 +18,7 @@
 	// costs less than the mean may stand there in greater number; beyond the records a request is refused.
 	records := cfg.Queue + 2*int(cfg.Most)
 	n := mostNamed + cfg.Flows + cfg.Buckets + 1
-	a := &Admission{cfg: cfg, host: host, rng: newRand(seed), flows: make([]flow, n), named: map[string]int32{},
+	a := &Admission{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 11)), flows: make([]flow, n), named: map[string]int32{},
 		exact: make(map[uint64]int32, cfg.Flows), oldest: none, newest: none, nodes: make([]node, records), byID: make(map[uint32]int32, records),
 		expiry: newHeap(records), promises: make([]promise, cfg.Promises), pfind: make(map[uint64]int32, cfg.Promises), pexpiry: newHeap(cfg.Promises),
 		limit: cfg.Start, began: -1, heed: 1}
--- a/internal/admit/identify.go
+++ b/internal/admit/identify.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 )
 
@@ -35,6 +36,11 @@
 	return m, nil
 }
 
+// ByNetwork tells whether the client's address counts.
+func (ms Identify) ByNetwork() bool {
+	return slices.ContainsFunc(ms, func(m Match) bool { return m.By == "network" })
+}
+
 // Tenant tells whom a request is of: fact is what its client says, addr where it comes from.
 func (ms Identify) Tenant(fact, key string, addr netip.Addr) string {
 	for _, m := range ms {
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -83,33 +83,36 @@
 
 // arrive takes a request that the loop has taken.
 func (ad *admission) arrive(r *request, left float64) {
+	var from netip.Addr
+	if ad.who.ByNetwork() {
+		from = addrOf(r.slot.c.Conn)
+	}
 	class, ok := ad.class[r.cmd.class]
 	if !ok {
 		class = ad.others
 	}
 	r.door = doorWaits
-	ad.a.Arrive(ad.l.now(), admit.Request{ID: r.id, Tenant: ad.who.Tenant(r.cmd.tenant, r.cmd.key, r.from), Class: class,
+	ad.a.Arrive(ad.l.now(), admit.Request{ID: r.id, Tenant: ad.who.Tenant(r.cmd.tenant, r.cmd.key, from), Class: class,
 		Key: keyID(r.cmd.key), Size: r.cmd.length, Left: left, Retry: r.cmd.retry})
 	ad.arm()
 }
 
-// gone tells that the client of a request has left.
-func (ad *admission) gone(r *request) {
-	if r.door == doorWaits {
-		r.door = doorOut
-		ad.a.Gone(ad.l.now(), r.id)
-		ad.arm()
-	}
-}
-
-// ended tells what became of a request that was let in.
-func (ad *admission) ended(r *request, served, refused bool, size int) {
-	if r.door != doorIn {
+// over tells that a request has ended: served or not, refused by the Balancer or not, with an answer of so many bytes. One
+// that waited has lost its client, or was refused at its deadline.
+func (ad *admission) over(r *request, served, refused bool, size int) {
+	if ad == nil {
 		return
 	}
+	was, now := r.door, ad.l.now()
 	r.door = doorOut
-	now := ad.l.now()
-	ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.began, Attempts: len(r.tries), Work: r.work, Size: size})
+	switch was {
+	case doorWaits:
+		ad.a.Gone(now, r.id)
+	case doorIn:
+		ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.began, Attempts: len(r.tries), Work: r.work, Size: size})
+	default:
+		return
+	}
 	ad.arm()
 }
 
@@ -171,10 +174,9 @@
 
 // The places of a request before the Balancer.
 const (
-	doorNone  = iota // there is no door
+	doorOut   = iota // is no matter of the door's, or not any more
 	doorWaits        // waits there
 	doorIn           // was let in
-	doorOut          // is no matter of the door's any more
 )
 
 // addrOf is the address of a client, without the port.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,7 +5,6 @@
 	"context"
 	"log/slog"
 	"math"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,12 +64,11 @@
 	over  bool   // has its final answer, or its client has gone
 	tries []*attempt
 	rule  *rule
-	most  int        // attempts, and
-	two   bool       // whether two may be out at once: as the settings were on arrival
-	from  netip.Addr // its client, where admission wants to know
-	door  int        // where it stands before the Balancer
-	began float64    // when it was let in
-	work  float64    // ms that its attempts have taken
+	most  int     // attempts, and
+	two   bool    // whether two may be out at once: as the settings were on arrival
+	door  int     // where it stands before the Balancer
+	began float64 // when it was let in
+	work  float64 // ms that its attempts have taken
 	out   int
 }
 
@@ -285,7 +283,6 @@
 		l.b.Gone(l.now(), r.id)
 	})
 	if l.admission != nil {
-		r.from = addrOf(s.c.Conn)
 		l.admission.arrive(r, left)
 		return
 	}
@@ -325,10 +322,7 @@
 	if how != leftEarly {
 		r.rule.count.Ended(how)
 	}
-	if l.admission != nil {
-		l.admission.gone(r) // where it waits still
-		l.admission.ended(r, how == metrics.Success, how == metrics.Overload, len(answer))
-	}
+	l.admission.over(r, how == metrics.Success, how == metrics.Overload, len(answer))
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
 	l.timers.stop(r.due)
@@ -349,12 +343,10 @@
 	r.out--
 	sl := r.slot
 	r.slot.req, r.slot = nil, nil
-	if l.admission != nil {
-		r.work += l.now() - a.at
-		l.admission.ended(r, true, false, got.length)
-	}
-	l.forget(r)
 	now := l.now()
+	r.work += now - a.at
+	l.admission.over(r, true, false, got.length)
+	l.forget(r)
 	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: decide.OK, Latency: now - a.at,
 		Final: true, Note: got.note, Load: got.load})
 	return sl
@@ -389,12 +381,12 @@
 	l.timers.stop(a.due)
 	r := a.r
 	r.out--
-	r.work += l.now() - a.at
+	now := l.now()
+	r.work += now - a.at
 	if got.status == decide.OK {
 		l.finish(r, served(&r.cmd, got.body), metrics.Success)
 	}
 	l.forget(r)
-	now := l.now()
 	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: got.status, Latency: now - a.at,
 		Final: r.over, Note: got.note, Load: got.load})
 }
