--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -22,6 +22,7 @@
 	"dockhinge.example/dockhinge/internal/metrics"
 	"dockhinge.example/dockhinge/internal/operator"
 	"dockhinge.example/dockhinge/internal/router"
+	"dockhinge.example/dockhinge/internal/trace"
 )
 
 // options are the flags of serve.
@@ -46,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if extra.Log.Trace {
+		cfg.Trace = trace.New(os.Stderr)
+	}
 	runtime.GOMAXPROCS(1) // the router has one core, which it may share
 	share := func(processes int) { debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10 / int64(processes)) }
 	share(1)
--- a/decide/api.go
+++ b/decide/api.go
@@ -302,6 +302,9 @@
 	}
 }
 
+// Why is the cause of the refusal or failure that the Host is being told of: a word or two for the log.
+func (b *Balancer) Why() string { return b.why }
+
 // Gone tells that the client has left.
 func (b *Balancer) Gone(now float64, id uint32) {
 	b.begin(now)
@@ -328,7 +331,7 @@
 		if i := int(token & 255); i > 0 {
 			b.stalled(r, i-1)
 		} else if r.held > 0 && r.out == 0 { // waited too long
-			b.end(r)
+			b.end(r, "held")
 		}
 		b.pump()
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -225,6 +225,7 @@
 // pick draws a server by the solved probabilities; a cold key's is its first candidate.
 func (b *Balancer) pick(r *request) *server {
 	if b.now >= r.until-1 || r.class.Late == 0 && b.now >= r.aim {
+		b.why = "late"
 		return nil // nothing left to earn
 	}
 	var drawn, any *server
@@ -244,6 +245,7 @@
 	// The wait that is borne falls with the worth: the least worth is shed first, and early rather than late.
 	bear := (b.bear + 0.55*math.Sqrt(r.worth/max(b.maxWorth, 1e-9))) * (r.aim - b.now)
 	list := append([]*server{r.missed, drawn}, r.key.list...)
+	b.why = "no server"
 	for sick := 0; sick < 2 && any == nil; sick++ {
 		for _, s := range list {
 			if s == nil || s != r.missed && r.tried(s) || !b.mayRun(r, s) ||
@@ -254,6 +256,7 @@
 			if s != drawn && s != r.missed && s != r.key.storeAt {
 				wait += b.olat.v // it takes a fetch there; spreading keys would jam a slow origin for good
 			}
+			b.why = "queue"
 			if any = s; wait <= bear-0.7*s.lat.floor*math.Exp((s.lat.at-b.now)/10000)*r.work {
 				return s
 			}
@@ -290,7 +293,7 @@
 	if s := b.pick(r); s != nil {
 		b.send(r, s)
 	} else {
-		b.end(r)
+		b.end(r, b.why)
 	}
 }
 
@@ -338,12 +341,12 @@
 		!slices.ContainsFunc(r.tries, func(a attempt) bool { return a.ran })
 }
 
-// end gives the final answer, unless an attempt is still out that may give a better one.
-func (b *Balancer) end(r *request) {
+// end gives the final answer, unless an attempt is still out that may give a better one. The cause is for the log.
+func (b *Balancer) end(r *request, why string) {
 	if r.closed || r.out > 0 && b.now < r.until-1 {
 		return
 	}
-	if b.mayRefuse(r) {
+	if b.why = why; b.mayRefuse(r) {
 		b.host.Refuse(r.ID, b.comeBack(r))
 	} else {
 		b.host.Fail(r.ID)
@@ -419,12 +422,12 @@
 		b.spare--
 		b.hold(r)
 	case b.now >= r.until-1 || a.s == b.origin && !spoilt || lost:
-		b.end(r)
+		b.end(r, "attempt")
 	case o.Status == Miss && b.cfg.Aside:
 		r.missed = a.s
 		b.hold(r)
 	case r.out > 0 || b.spare < 1: // retries must not become a storm
-		b.end(r)
+		b.end(r, "no retry")
 	default:
 		b.spare--
 		b.try(r)
@@ -513,7 +516,7 @@
 			r.missed, r.held = k.storeAt, 0
 			b.try(r)
 		case b.cfg.Aside && (o == nil || !o.open() || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
-			b.end(r)
+			b.end(r, "origin")
 		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
 			return false
 		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, 100):
--- a/decide/state.go
+++ b/decide/state.go
@@ -53,6 +53,7 @@
 	sized      bool    // whether sizes are told
 	portion    float64 // own part of all traffic, as far as reports tell
 	watchAt    float64 // when to ask for the list again,
+	why        string  // the cause of the last answer that served nobody
 	refused    int     // and how often in a row that was refused
 	processes  int     // that work as this router; 0 = this one only
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -14,6 +14,7 @@
 	"dockhinge.example/dockhinge/internal/admin"
 	"dockhinge.example/dockhinge/internal/diag"
 	"dockhinge.example/dockhinge/internal/settings"
+	"dockhinge.example/dockhinge/internal/trace"
 )
 
 // Config is what a router is told at its start.
@@ -33,6 +34,9 @@
 	// Admission is what an operator file says of fair admission; nil = it is off.
 	Admission *Admission `json:"-"`
 
+	// Trace takes single events; nil = none are kept.
+	Trace *trace.Trace `json:"-"`
+
 	text     []byte // the file
 	seed     uint64
 	settings settings.Settings
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,12 +5,14 @@
 	"context"
 	"log/slog"
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dockhinge.example/dockhinge/decide"
 	"dockhinge.example/dockhinge/internal/metrics"
+	"dockhinge.example/dockhinge/internal/trace"
 )
 
 // clock is one monotonic clock in milliseconds on which the starts of servers lie too: it counts from 1970 but steps
@@ -51,7 +53,8 @@
 	names      names
 	memory     int64       // bytes that the router may take
 	ready      atomic.Bool // a list is held
-	admission  *admission  // nil = every request goes to the Balancer
+	trace      *trace.Trace
+	admission  *admission // nil = every request goes to the Balancer
 }
 
 // request is a request from its arrival until it is answered and its attempts are back.
@@ -151,7 +154,7 @@
 
 func newLoop(cfg *Config, up *upstreams, m *metrics.Router) (*loop, error) {
 	s := cfg.settings.Config
-	l := &loop{clock: clock{time.Now()}, up: up, metrics: m, urgent: make(chan func(), 32), originKind: s.OriginKind, events: make(chan func(), 1024),
+	l := &loop{clock: clock{time.Now()}, up: up, trace: cfg.Trace, metrics: m, urgent: make(chan func(), 32), originKind: s.OriginKind, events: make(chan func(), 1024),
 		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{}}
 	l.rules.Store(newRules(s, m))
 	l.memory = cfg.Limits.MemoryMB << 20
@@ -277,6 +280,9 @@
 	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s, rule: rule, most: rules.most, two: rules.copies}
 	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
+	if l.trace.On() {
+		l.trace.Event(now, "ask", "r=%d class=%s key=%x retry=%t left=%.0f", r.id, cmd.class, keyID(cmd.key), cmd.retry, left)
+	}
 	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
 		slog.Warn("no answer by its deadline", "request", r.cmd.id)
 		l.Fail(r.id)
@@ -322,6 +328,9 @@
 	if how != leftEarly {
 		r.rule.count.Ended(how)
 	}
+	if l.trace.On() {
+		l.traceEnd(r, how)
+	}
 	l.admission.over(r, how == metrics.Success, how == metrics.Overload, len(answer))
 	r.slot.answer(answer)
 	r.slot.req, r.slot = nil, nil
@@ -382,7 +391,9 @@
 	r := a.r
 	r.out--
 	now := l.now()
-	r.work += now - a.at
+	if r.work += now - a.at; l.trace.On() {
+		l.trace.Event(now, "got", "r=%d n=%d s=%08x status=%d note=%d ms=%.1f", r.id, a.n, a.server, got.status, got.note, now-a.at)
+	}
 	if got.status == decide.OK {
 		l.finish(r, served(&r.cmd, got.body), metrics.Success)
 	}
@@ -452,6 +463,7 @@
 			}
 		}
 	}
+	l.trace.Event(l.now(), "list", "kind=%d lines=%d version=%d", kind, len(entries), got.Version)
 	l.b.Servers(l.now(), kind, entries)
 	l.count()
 	if len(l.targets) > 0 {
@@ -465,6 +477,7 @@
 // report keeps the figures of servers up to date.
 func (l *loop) report() {
 	l.count()
+	l.trace.Flush(l.now())
 	l.after(reportEvery, l.report)
 }
 
@@ -501,6 +514,15 @@
 	}
 }
 
+// traceEnd keeps how a request ended.
+func (l *loop) traceEnd(r *request, how metrics.End) {
+	why := "-"
+	if how == metrics.Overload || how == metrics.Error {
+		why = strings.ReplaceAll(l.b.Why(), " ", "-")
+	}
+	l.trace.Event(l.now(), "end", "r=%d how=%d why=%s left=%.0f tries=%d", r.id, how, why, r.until-l.now(), len(r.tries))
+}
+
 // The methods of decide.Host.
 
 // Send starts an attempt. A time-out of 0, and any later than the client's, ends with the client's wait.
@@ -524,6 +546,9 @@
 		return
 	}
 	a.due = l.after(left, func() { l.timeOut(a) })
+	if l.trace.On() {
+		l.trace.Event(now, "send", "r=%d n=%d s=%08x origin=%t started=%.0f key=%x", r.id, a.n, server, t.origin, t.started, keyID(r.cmd.key))
+	}
 	l.work.Go(func() {
 		defer stop()
 		var passed *sink
@@ -582,6 +607,7 @@
 		ctx, stop := context.WithTimeout(l.ctx, probeTimeout*time.Millisecond)
 		defer stop()
 		st, load := l.up.probe(ctx, t)
+		l.trace.Event(l.now(), "probe", "s=%08x status=%d qps=%.1f util=%.3f", server, st, load.QPS, load.Util)
 		l.post(func() { l.b.Probed(l.now(), server, st, load) })
 	})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,7 @@
 	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/maxWhole))
 	r := &Router{cfg: cfg, metrics: m}
 	r.up = newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), attempts)
+	r.up.trace = cfg.Trace
 	r.up.unsized.limit.Store(cfg.Limits.MemoryMB << 20 / 16)
 	var err error
 	if r.l, err = newLoop(cfg, r.up, m); err != nil {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/trace"
 )
 
 // target is a cache server or the origin, at one address.
@@ -81,6 +82,7 @@
 	open    int    // connections open or being opened
 	targets map[*target]struct{}
 
+	trace     *trace.Trace // of connections made
 	uploading atomic.Int64 // large writes on their way
 }
 
@@ -247,6 +249,9 @@
 	dialer := u.dialer
 	u.mu.Unlock()
 	c, err := dialer.DialContext(ctx, "tcp", t.addr)
+	if u.trace.On() {
+		u.trace.Event(float64(time.Now().UnixMicro())/1000, "dial", "to=%s ok=%t", t.addr, err == nil)
+	}
 	if err != nil {
 		u.mu.Lock()
 		u.open--
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,36 @@
+package trace
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestEventsBeyondTheBoundAreCounted(t *testing.T) {
+	var out bytes.Buffer
+	tr := New(&out)
+	for i := range MaxPerFlush + 7 {
+		tr.Event(1000, "dial", "to=a ok=%t", i%2 == 0)
+	}
+	tr.Flush(1200)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != MaxPerFlush+1 || lines[0] != "trace 1000.00 dial to=a ok=true" || lines[MaxPerFlush] != "trace 1200.00 dropped n=7" {
+		t.Errorf("%d lines from %q to %q", len(lines), lines[0], lines[len(lines)-1])
+	}
+	out.Reset()
+	tr.Event(1300, "dial", "to=b ok=true")
+	tr.Flush(1400)
+	tr.Flush(1500)
+	if out.String() != "trace 1300.00 dial to=b ok=true\n" {
+		t.Errorf("after a flush: %q", out.String())
+	}
+}
+
+func TestNoTraceTakesEvents(t *testing.T) {
+	var tr *Trace
+	tr.Event(1, "dial", "to=a ok=true")
+	tr.Flush(2)
+	if tr.On() {
+		t.Error("a trace that is none is on")
+	}
+}
