Keep idle connections when a server is dead: only a full table asks for fewer

Change: only a server that turns a connection away and serves on another within a second has a full table; then keep is halved.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,8 +51,8 @@
 	switch {
 	case ok || st == Failed || st == QueueFull || st == Spoilt:
 		s.reply, s.strikes, s.passed = b.now, 0, max(s.passed, sent)
-	case st == ConnectError: // dead, or its table is full of idle connections: all routers hold fewer
-		b.keep = max(200, b.keep/2)
+	case st == ConnectError: // dead, or its table is full
+		s.turned = b.now
 	case st == Reset:
 	case s.reply < sent:
 		s.strikes++
@@ -76,7 +76,11 @@
 		}
 		return
 	}
-	b.keep = min(b.cfg.ConnIdle, 1.01*b.keep)
+	// What turns a connection away and serves on another within a second lives: its table is full of idle ones, and all
+	// routers hold fewer. Harm: closing them for each dead server, every router made as many handshakes again.
+	if b.keep = min(b.cfg.ConnIdle, 1.01*b.keep); b.now-s.turned < 1000 {
+		b.keep, s.turned = max(200, b.keep/2), math.Inf(-1)
+	}
 	s.accept, s.pause = s.accept+0.12*(1-s.accept), 0.8*s.pause
 	if s.ejected { // the trial came back: in again at half its channels, and half way out
 		s.ejected, s.accept, s.doubt, b.dirty = false, 0.75, maxDoubt/2, true
--- a/decide/state.go
+++ b/decide/state.go
@@ -74,6 +74,7 @@
 	accept       float64 // share of attempts accepted, lately
 	doubt        float64 // how much its failures speak for a sickness of its own,
 	fails        float64 // and their share, over thirty outcomes
+	turned       float64 // when it last let no connection come up
 	strikes      int     // signs of silence since the last reply
 	reply        float64 // time of the last reply
 	passed       float64 // when the latest of those that it has answered was sent
