Spread homes by capacity, keep waits by server, and learn of dead servers at once

Causes: candidates spread homes evenly whatever a server can do; waitAt added one guess for the whole fleet, fed by attempts, so by the worst servers; observe wanted two refused connections of each dead server at each router, and each retry took from spare; firstCall spread first calls over 250 ms a router, 20 s for 80.

Change: a server takes keys by its part of the largest capacity of its kind, times warmth and acceptance (rejection sampling over the memento list, alike at all routers); waits are kept by server, with what all show as the prior, one voice each; a refused connection ejects a server that has not answered for a second, and its retry is free; a stall takes keys from a server; first calls come within 0.6 of mustAskIn.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 	hotSeen   = 1.5  // arrivals in memory from which a key is solved singly; the hottest 32 at most
 	epsilon   = 1e-3 // relative change of F that ends the sweeps; 40 at most
 	keyTau    = 5000 // memory of the rates of keys and tenants, ms
+	jamTau    = 2000 // memory of waits seen, ms
 	sendTau   = 2000 // memory of own sends to a server, ms
 	minPause  = 500  // first pause of an ejected server, ms; doubles up to eight times that
 	maxStrike = 3    // signs of silence that eject
@@ -51,8 +52,10 @@
 	switch {
 	case ok || st == Failed || st == QueueFull || st == Spoilt:
 		s.reply, s.strikes, s.passed = b.now, 0, max(s.passed, sent)
-	case st == ConnectError: // dead, or its table is full
-		s.turned = b.now
+	case st == ConnectError: // its table is full, or where it has not answered lately it is dead
+		if s.turned = b.now; b.now-s.reply > 1000 {
+			s.doubt = maxDoubt
+		}
 	case st == Reset:
 	case s.reply < sent:
 		s.strikes++
@@ -109,11 +112,11 @@
 	seen := math.Exp((s.lat.at - b.now) / 1000)
 	others := max(0, s.qps-b.perSecond(&s.sent, sendTau)) * s.lat.v / 1000 * seen
 	// Where each server is seldom asked, what all show is the best guess of a queue, and the only one.
-	guess := (b.jam.v - b.jam.floor) * math.Exp((b.jam.at-b.now)/2000)
+	guess := (s.over.add(b.now, jamTau, 0) + 2*b.common()) / (s.seen.add(b.now, jamTau, 0) + 2)
 	if !s.ejected { // one taken for sick, tried as the last resort, has no better
 		guess *= b.seldom()
 	}
-	return max(0, guess) + max(0, (float64(s.out)+others+1)*1000/(b.capacity(s)*b.warmth(s))-s.lat.floor)
+	return guess + max(0, (float64(s.out)+others+1)*1000/(b.capacity(s)*b.warmth(s))-s.lat.floor)
 }
 
 // capacity has a stand-in until a report comes, or the first second chokes all servers.
@@ -124,9 +127,19 @@
 	return b.typical(s, 4000/max(1, b.x.mean)) // or four channels
 }
 
-// candidates leaves out the servers that can't be used: they are skipped in their place.
+// candidates leaves out the servers that can't be used: they are skipped in their place. The first of the others that
+// takes the key is its home. Each takes keys by its part of the largest capacity, so that homes are spread by capacity
+// (von Neumann's rejection); a key and a server always draw the same, so that routers agree and few keys move.
 func (b *Balancer) candidates(k *flow) []*server {
-	return slices.DeleteFunc(slices.Clone(b.list(k)), func(s *server) bool { return !b.usable(s, nil) })
+	c := slices.DeleteFunc(slices.Clone(b.list(k)), func(s *server) bool { return !b.usable(s, nil) })
+	for i, s := range c {
+		if float64(mix(k.id^uint64(s.ID)<<32)>>11)/(1<<53) < s.part {
+			copy(c[1:], c[:i])
+			c[0] = s
+			break
+		}
+	}
+	return c
 }
 
 // balance moves the rates x over the servers by the procedure of Table 1 and returns F.
@@ -187,9 +200,13 @@
 
 // model sets channels and background of all servers and the scale to the utilisation that is solved for.
 func (b *Balancer) model() {
-	mu, mean, mine, total, room := 1000/max(1, b.x.mean), b.survey(), 0.0, 0.0, 0.0
+	mu, mean, mine, total, room, most := 1000/max(1, b.x.mean), b.survey(), 0.0, 0.0, 0.0, 0.0
+	for _, s := range b.order {
+		most = max(most, b.typical(s, 1))
+	}
 	for _, s := range b.order {
 		s.mu, s.n = mu, int(min(256, max(1, b.capacity(s)*s.accept*s.accept*b.warmth(s)/mu))) // bounds work
+		s.part = b.typical(s, 1) * s.accept * s.accept * b.warmth(s) / most
 		own := b.perSecond(&s.sent, sendTau)
 		fresh := math.Exp((s.heard - b.now) / keyTau) // an old report tells the mean, hot keys come on top
 		s.load, s.hot = fresh*max(0, s.qps-own-s.hot)+(1-fresh)*mean, 0
@@ -380,7 +397,7 @@
 		b.observe(a.s, o.Status, a.at)
 	}
 	if timeout := o.Status == TimedOut && !asked; a.s != b.origin && (timeout || o.Status == QueueFull) {
-		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1)
+		b.note(a.s, r.class.Aim)
 		if took := o.Latency / r.work; timeout && took > a.s.lat.v { // a jam, though some are answered
 			a.s.lat.see(b.now, took, min(0.5, 0.2*r.work))
 		}
@@ -402,6 +419,7 @@
 			}
 			b.x.see(o.Latency)
 			b.jam.see(b.now, o.Latency/r.work, 0.1)
+			b.note(a.s, o.Latency/r.work-max(b.jam.floor, a.s.lat.floor))
 			if a.s.lat.v == 0 { // a light request tells little: the fleet's mean stands in for the rest
 				a.s.lat.see(b.now, b.x.mean+min(1, r.work)*(o.Latency/r.work-b.x.mean), 1)
 			}
@@ -430,10 +448,12 @@
 	case o.Status == Miss && b.cfg.Aside:
 		r.missed = a.s
 		b.hold(r)
-	case r.out > 0 || b.spare < 1: // retries must not become a storm
+	case r.out > 0 || b.spare < 1 && o.Status != ConnectError: // retries must not become a storm
 		b.end(r, "no retry")
 	default:
-		b.spare--
+		if o.Status != ConnectError { // which took nobody's time
+			b.spare--
+		}
 		b.try(r)
 	}
 	b.pump()
@@ -460,9 +480,10 @@
 		return
 	}
 	if !r.asks {
-		r.key.rate.add(b.now, b.keyMem(), b.seldom())  // the key that meets a jam most likely makes it
-		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1) // known a second before the time-out
+		r.key.rate.add(b.now, b.keyMem(), b.seldom()) // the key that meets a jam most likely makes it
+		b.note(a.s, r.class.Aim)                      // known a second before the time-out
 		a.s.strikes++
+		a.s.accept *= 0.7
 		b.eject(a.s, true)
 	}
 	if b.spare < 1 || r.out > 1 {
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -79,27 +79,30 @@
 	return nil
 }
 
-// One discovery serves all routers in turn. With few of them it has time for each every second, with many it has not.
+// One discovery serves all routers in turn: with few of them it has time for each every second, with many it has not.
 const (
-	askEvery  = 1000 // ms between two calls of a router that is refused, at least,
-	askSlot   = 250  // and for each router that there is
-	fewEnough = 8    // routers that may all call at once
+	askEvery = 1000 // ms between two calls of a router that is refused, at least,
+	askSlot  = 250  // and for each router that there is
+	askPart  = 0.6  // of the time after which news counts as told: all routers together must be able to ask within it
 )
 
+// askTime is the time over which the calls of all routers are spread.
+func (b *Balancer) askTime() float64 {
+	if t := askSlot * float64(b.cfg.Routers-1); b.cfg.MustAsk <= 0 || t < askPart*b.cfg.MustAsk {
+		return t
+	}
+	return askPart * b.cfg.MustAsk
+}
+
 // backOff is how long to wait after a refused call: longer after each one in a row, and spread, as all were refused.
 func (b *Balancer) backOff() float64 {
-	mean := max(askEvery, askSlot*float64(b.cfg.Routers)) * min(2, 1+float64(b.refused)/4)
+	mean := max(askEvery, b.askTime()) * min(2, 1+float64(b.refused)/4)
 	b.refused++
 	return mean * (0.5 + b.rng.Float64())
 }
 
 // firstCall is how long to wait after a start: in a release most routers start at once.
-func (b *Balancer) firstCall() float64 {
-	if b.cfg.Routers <= fewEnough {
-		return 0
-	}
-	return askSlot * float64(b.cfg.Routers) * b.rng.Float64()
-}
+func (b *Balancer) firstCall() float64 { return b.askTime() * b.rng.Float64() }
 
 // WritesGoTo names the server that a write goes to, if there is one: large values are on their way there while they come.
 func (b *Balancer) WritesGoTo(now float64) (server uint32, open bool) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -35,27 +35,28 @@
 	hint       float64 // mean hint
 	x          moments // served latencies, ms
 	solvedAt   float64
-	scale      float64 // of rates to the utilisation that is solved for
-	dirty      bool    // something calls for a solve
-	spare      float64 // further attempts in hand
-	probes     float64 // and probes,
-	turn       int     // and whose turn it is to be probed
-	jam        level   // latency of a unit of work, over all servers
-	keep       float64 // how long idle connections are kept
-	bear       float64 // least share of the aim that is borne as wait
-	fetches    float64 // bound on outstanding fetches; under 1, they pause between two
-	cutAt      float64 // when it was last cut,
-	asked      rate    // fetches sent
-	olat       level   // latency of fetches
-	usual      float64 // share of attempts that fail at the median server
-	lost       float64 // share of overtaken attempts whose answers are lost
-	median     float64 // capacity for a unit of size, of the servers that reported one
-	sized      bool    // whether sizes are told
-	portion    float64 // own part of all traffic, as far as reports tell
-	watchAt    float64 // when to ask for the list again,
-	why        string  // the cause of the last answer that served nobody
-	refused    int     // and how often in a row that was refused
-	processes  int     // that work as this router; 0 = this one only
+	scale      float64            // of rates to the utilisation that is solved for
+	dirty      bool               // something calls for a solve
+	spare      float64            // further attempts in hand
+	probes     float64            // and probes,
+	turn       int                // and whose turn it is to be probed
+	jam        level              // latency of a unit of work, over all servers
+	wait       rate               // the wait that servers showed lately, and when that was found
+	keep       float64            // how long idle connections are kept
+	bear       float64            // least share of the aim that is borne as wait
+	fetches    float64            // bound on outstanding fetches; under 1, they pause between two
+	cutAt      float64            // when it was last cut,
+	asked      rate               // fetches sent
+	olat       level              // latency of fetches
+	usual      float64            // share of attempts that fail at the median server
+	lost       float64            // share of overtaken attempts whose answers are lost
+	median     map[string]float64 // capacity for a unit of size by kind, of the servers that reported one; "" = of all
+	sized      bool               // whether sizes are told
+	portion    float64            // own part of all traffic, as far as reports tell
+	watchAt    float64            // when to ask for the list again,
+	why        string             // the cause of the last answer that served nobody
+	refused    int                // and how often in a row that was refused
+	processes  int                // that work as this router; 0 = this one only
 }
 
 // perSecond reads a rate, corrected for a memory that has not filled yet.
@@ -89,6 +90,8 @@
 	qps, heard   float64 // reported, a second, and when
 	cap          level   // capacity, requests a second; 0 = not reported
 	lat          level   // latency of a unit of work
+	over, seen   rate    // waits that it has shown lately, and how many
+	part         float64 // of the keys that come to it, those that it takes
 	n            int     // the model's channels,
 	mu, load     float64 // their rate, and the load set on the server so far,
 	hot          float64 // and what others are thought to send there of the keys solved singly
