Let cold servers be met evenly, and bound fetches at the origin by sums over the fleet

Causes: afford began each budget at nothing and wants a whole request, 2.7 s at a part of 1/80, for all routers alike; waitAt lent a fresh server the wait of the others; fetched raised each router's bound by one a round trip, 80 over the fleet; pump sent fetches while the quickest ever could be in time, whatever the queue; a single report of a kind moved a third of its keys.

Change: a budget begins at a drawn part of a request; a fresh server's wait is what it showed itself; the bound grows by a tenth a round trip; a fetch is sent while it is likely to be in time; a kind's capacity is a quotient of sums with three reports of the mean beside.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,8 +32,7 @@
 	}
 	for _, s := range b.apply(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process has a new record
-			s.fresh, s.budget, s.ejected, s.strikes, s.accept = s.Started, rate{0, now}, false, 0, 1
-			s.doubt, s.fails = 0, b.usual
+			b.renew(s, s.Started)
 		}
 	}
 	b.buildTable()
@@ -112,7 +111,11 @@
 	seen := math.Exp((s.lat.at - b.now) / 1000)
 	others := max(0, s.qps-b.perSecond(&s.sent, sendTau)) * s.lat.v / 1000 * seen
 	// Where each server is seldom asked, what all show is the best guess of a queue, and the only one.
-	guess := (s.over.add(b.now, jamTau, 0) + 2*b.common()) / (s.seen.add(b.now, jamTau, 0) + 2)
+	prior := 2.0
+	if b.warmth(s) < 1 { // its queue began empty, and the budgets of all bound it
+		prior = 0
+	}
+	guess := (s.over.add(b.now, jamTau, 0) + prior*b.common()) / (s.seen.add(b.now, jamTau, 0) + 2)
 	if !s.ejected { // one taken for sick, tried as the last resort, has no better
 		guess *= b.seldom()
 	}
@@ -540,7 +543,7 @@
 		case !r.Write && k.stored > r.held:
 			r.missed, r.held = k.storeAt, 0
 			b.try(r)
-		case b.cfg.Aside && (o == nil || !o.open() || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
+		case b.cfg.Aside && (o == nil || !o.open() || !b.mayRun(r, o) || b.now+b.fetchTime() > r.useful()):
 			b.end(r, "origin")
 		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
 			return false
@@ -563,6 +566,11 @@
 	})
 }
 
+// fetchTime is how long a fetch is likely to take: a queue at the origin fades from memory.
+func (b *Balancer) fetchTime() float64 {
+	return b.olat.floor + (b.olat.v-b.olat.floor)*math.Exp((b.olat.at-b.now)/2000)
+}
+
 // fetched moves the bound on fetches: up while answers stay quick, down when they slow or fail.
 func (b *Balancer) fetched(r *request, st Status, lat float64) {
 	if st == Spoilt { // it did its work, and its answer was stored
@@ -579,7 +587,9 @@
 	// short for the origin, few are out at once. A floor risen in overload excuses no useless answer.
 	slow := min(2.5*b.olat.floor, max(1.3*b.olat.floor, 0.5*r.class.Aim), 0.8*r.class.Aim)
 	if (st == OK || late) && b.olat.v < slow {
-		b.fetches = min(64, b.fetches+min(1/max(1, b.fetches), max(0.25*b.fetches, 4/float64(b.cfg.Routers))))
+		// Each time that its fetches have come back a router adds a tenth, and all together four at least: one a router
+		// was a step of two thirds for eighty.
+		b.fetches = min(64, b.fetches+min(1/max(1, b.fetches), max(0.1*min(1, b.fetches), 4/float64(b.cfg.Routers)/max(1, b.fetches))))
 	} else if st.tells() && (st != TimedOut || late) && b.now-b.cutAt > 500 {
 		cut, least := 0.8, min(2, 8/float64(b.cfg.Routers))
 		if st == Failed { // stopped, or working off a queue that nobody waits for: it needs room
--- a/decide/model.go
+++ b/decide/model.go
@@ -86,33 +86,37 @@
 	return k.list
 }
 
-// survey brings the median capacities for a unit of size up to date, and returns the mean rate of the servers that
-// reported one, 0 where none did. Where sizes are missing all count alike.
+// survey brings the capacities for a unit of size by kind up to date, and returns the mean rate of the servers that
+// reported one, 0 where none did. Where sizes are missing all count alike. A kind's is all that its servers served over
+// all that they were busy, with three reports of the mean server beside: one noisy report moves few keys.
 func (b *Balancer) survey() (mean float64) {
 	b.sized = !slices.ContainsFunc(b.order, func(s *server) bool { return !figure(s.Size) || s.Size == 0 })
-	xs, n := map[string][]float64{}, 0.0
+	type sum struct{ rate, busy, n float64 }
+	kinds, all := map[string]sum{}, sum{}
 	for _, s := range b.order {
-		if s.qps > 0 {
-			mean, n = mean+s.qps, n+1
-		}
-		if s.cap.v > 0 {
-			c := s.cap.v / s.unit(b.sized)
-			xs[""], xs[s.Kind] = append(xs[""], c), append(xs[s.Kind], c)
+		if s.qps > 0 && s.cap.v > 0 {
+			k := kinds[s.Kind]
+			rate, busy := s.qps/s.unit(b.sized), s.qps/s.cap.v
+			kinds[s.Kind] = sum{k.rate + rate, k.busy + busy, k.n + 1}
+			all = sum{all.rate + rate, all.busy + busy, all.n + 1}
+			mean += s.qps
 		}
 	}
-	b.median = map[string]float64{}
-	for kind, of := range xs {
-		slices.Sort(of)
-		b.median[kind] = of[len(of)/2]
+	if b.typicals = map[string]float64{}; all.n == 0 {
+		return 0
+	}
+	b.typicals[""] = all.rate / all.busy
+	for kind, k := range kinds {
+		b.typicals[kind] = (k.rate + 3*all.rate/all.n) / (k.busy + 3*all.busy/all.n)
 	}
-	return mean / max(1, n)
+	return mean / all.n
 }
 
-// typical is the capacity that the median of its kind gives a server of the size of s; def where there is none.
+// typical is the capacity that its kind gives a server of the size of s; def where there is none.
 func (b *Balancer) typical(s *server, def float64) float64 {
-	c := b.median[s.Kind]
+	c := b.typicals[s.Kind]
 	if c == 0 {
-		c = b.median[""]
+		c = b.typicals[""]
 	}
 	if c == 0 {
 		return def
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -43,9 +43,10 @@
 	b.pump()
 }
 
-// renew gives a server the record of a new process that started at the given time.
+// renew gives a server the record of a new process that started at the given time. Its budget begins with a drawn part of
+// a request: each of many routers may send a whole one seldom, and all together send as evenly as few do.
 func (b *Balancer) renew(s *server, started float64) {
-	s.fresh, s.budget, s.ejected, s.strikes, s.accept = started, rate{0, b.now}, false, 0, 1
+	s.fresh, s.budget, s.ejected, s.strikes, s.accept = started, rate{b.rng.Float64(), b.now}, false, 0, 1
 	s.doubt, s.fails, s.pause = 0, b.usual, 0
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -983,7 +983,7 @@
 		for i, s := range b.order {
 			// Reports are noisy, and each router has its own.
 			s.cap.v = map[string]float64{"fast": 90, "slow": 30}[s.Kind] * (1 + 0.1*float64((i+router)%3-1))
-			s.heard = b.now
+			s.qps, s.heard = 0.5*s.cap.v, b.now
 		}
 		b.model()
 		homes := map[string]int{}
@@ -1058,3 +1058,79 @@
 		t.Errorf("a wait of %v at the jammed server, of %v at another", jammed, well)
 	}
 }
+
+// Eighty routers each held back a whole request's budget from a cold server: for three seconds none sent there, and then
+// all at once. All together send evenly, and no more than a few routers do.
+func TestManyRoutersWarmAServerEvenly(t *testing.T) {
+	const seconds, capacity = 4, 50.0
+	for _, routers := range []int{4, 80} {
+		var sent [seconds]float64
+		for me := range routers {
+			cfg := testConfig()
+			cfg.Routers, cfg.Me = routers, me
+			b, err := New(cfg, uint64(me)*977+5, newHost())
+			if err != nil {
+				t.Fatal(err)
+			}
+			es := fleet(6)
+			b.Servers(100000, Remembered, es)
+			for _, s := range b.order {
+				s.cap.v, s.qps = capacity, 20
+			}
+			b.survey()
+			es[0].Started = 100100
+			b.Servers(100100, Changes, es[:1])
+			s := b.servers[es[0].ID]
+			for b.now = 100100; b.now < 100100+1000*seconds; b.now += 10 { // sends whatever it may
+				if b.afford(s, 1) {
+					s.budget.v--
+					sent[int(b.now-100100)/1000]++
+				}
+			}
+		}
+		limit := testConfig().FallMult * testConfig().ColdFrom * capacity // a second, at its coldest
+		for second, n := range sent {
+			if n < 0.2*limit || n > limit {
+				t.Errorf("%d routers: %v requests in second %d, at a limit of %v", routers, n, second, limit)
+			}
+		}
+	}
+}
+
+// The bound on fetches grew by one a router each time that fetches came back: a step of two thirds for eighty routers.
+func TestTheBoundOnFetchesGrowsAlikeOverTheFleet(t *testing.T) {
+	for _, routers := range []int{1, 4, 80} {
+		cfg := testConfig()
+		cfg.Routers = routers
+		b, _ := start(t, cfg, fleet(6))
+		b.olat = level{v: 100, floor: 100, at: b.now}
+		b.fetches = 128 / float64(routers)
+		b.fetches = min(64, b.fetches)
+		was := b.fetches
+		for range int(math.Ceil(was)) { // a round of fetches
+			b.fetched(&request{class: b.classes["read"], key: &flow{}}, OK, 100)
+		}
+		if grown := (b.fetches - was) * float64(routers); b.fetches < 64 && (grown < 0.5 || grown > 32) {
+			t.Errorf("%d routers: the bounds of all grew from 128 by %.1f in one round", routers, grown)
+		}
+	}
+}
+
+// Work at the origin that comes back too late helps nobody and delays what could be in time.
+func TestNoFetchThatCantBeInTime(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, h := start(t, cfg, append(fleet(6), Entry{ID: 77, Kind: "origin"}))
+	b.olat = level{v: 280, floor: 100, at: 100000}
+	ask(b, 100010, 1, "read", 9)
+	b.Outcome(100050, Outcome{ID: 1, Server: h.last().server, Status: Miss, Latency: 40, Note: 2, Load: NoLoad})
+	if h.last().server == 77 || h.answers(1) != 1 {
+		t.Errorf("sent %v with 260 ms left of an aim, and fetches that take 280", h.sends)
+	}
+	b.Timer(110000, tickToken) // what was seen of a queue fades
+	ask(b, 110010, 2, "read", 9)
+	b.Outcome(110050, Outcome{ID: 2, Server: h.last().server, Status: Miss, Latency: 40, Note: 2, Load: NoLoad})
+	if h.last().server != 77 {
+		t.Errorf("sent %v, want the origin asked once its queue is past", h.sends)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -50,7 +50,7 @@
 	olat       level              // latency of fetches
 	usual      float64            // share of attempts that fail at the median server
 	lost       float64            // share of overtaken attempts whose answers are lost
-	median     map[string]float64 // capacity for a unit of size by kind, of the servers that reported one; "" = of all
+	typicals   map[string]float64 // capacity for a unit of size by kind, as far as reports tell; "" = of all
 	sized      bool               // whether sizes are told
 	portion    float64            // own part of all traffic, as far as reports tell
 	watchAt    float64            // when to ask for the list again,
@@ -141,6 +141,14 @@
 	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.s == s })
 }
 
+// useful is until when an answer is worth something.
+func (r *request) useful() float64 {
+	if r.class.Late == 0 {
+		return min(r.until, r.aim)
+	}
+	return r.until
+}
+
 // settle books the outcome of an attempt and returns it, or nil if it is not outstanding.
 func (r *request) settle(i int, st Status) *attempt {
 	if r == nil || i < 0 || i >= len(r.tries) || r.tries[i].over {
