Take three quarters of its keys from a server at each stall

Cause: stalled lowered acceptance by 0.7 only, and each answer put back an eighth of the rest; a router sees 0.6 attempts a second at such a server.

Change: a stall halves acceptance, so that the part of the keys falls to a quarter until answers come.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -486,7 +486,7 @@
 		r.key.rate.add(b.now, b.keyMem(), b.seldom()) // the key that meets a jam most likely makes it
 		b.note(a.s, r.class.Aim)                      // known a second before the time-out
 		a.s.strikes++
-		a.s.accept *= 0.7
+		a.s.accept *= 0.5
 		b.eject(a.s, true)
 	}
 	if b.spare < 1 || r.out > 1 {
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -1134,3 +1134,25 @@
 		t.Errorf("sent %v, want the origin asked once its queue is past", h.sends)
 	}
 }
+
+// A choked server kept its keys until three requests in a row had got no answer at each of eighty routers.
+func TestAStallMovesKeysAtOnce(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(20))
+	ask(b, 100010, 1, "read", 9)
+	s := b.servers[h.last().server]
+	b.model()
+	homes := func() (n int) {
+		for i := range uint64(2000) {
+			if b.candidates(&flow{id: mix(i)})[0] == s {
+				n++
+			}
+		}
+		return n
+	}
+	was := homes()
+	b.Timer(100200, 1<<8|1)
+	b.model()
+	if is := homes(); is > was/2 {
+		t.Errorf("%d homes before a stall, %d after", was, is)
+	}
+}
