Count the aim of a client's last try from its first

Retries have 1,212 ms left of a deadline of 1,297 where first tries have 708.

Cause: Request set the aim of each try to the whole aim from now on, while worth counts from the first try; under overload, fetches and slots went to answers that earned nothing.

Change: a try that is marked, and whose time left is not that of first tries, has all that is left of the deadline; what has passed comes off its aim. Where nothing is left to earn it is refused at once.

--- a/decide/api.go
+++ b/decide/api.go
@@ -284,7 +284,7 @@
 // take has requests that arrive from now on come under the settings.
 func (b *Balancer) take(cfg Config) {
 	b.cfg, b.maxWorth = cfg, 0
-	b.classes, b.quota = map[string]*Class{}, map[string]float64{}
+	b.classes, b.quota, b.firstLeft = map[string]*Class{}, map[string]float64{}, map[string]float64{}
 	for i, c := range cfg.Classes {
 		b.classes[c.Name], b.maxWorth = &cfg.Classes[i], max(b.maxWorth, c.Worth)
 	}
@@ -346,7 +346,7 @@
 		return
 	}
 	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts, until: now + q.Left, worth: c.Worth, work: b.workOf(q.Hint), key: b.flow(q)}
-	r.aim = now + min(q.Left, c.Aim+c.Stretch*q.Hint)
+	r.aim = now + min(q.Left, c.Aim+c.Stretch*q.Hint-b.elapsed(c, q))
 	b.reqs[q.ID] = r
 	b.arrive(r)
 }
--- a/decide/model.go
+++ b/decide/model.go
@@ -294,3 +294,16 @@
 	b.wait = rate{sum / n, b.now}
 	return b.wait.v
 }
+
+// elapsed is how long the client has waited in earlier tries, as far as that shows: its aim counts from the first. A first
+// try gets a part of the deadline, alike for all of a class; a later one that has another time left has all that is left.
+func (b *Balancer) elapsed(c *Class, q Request) float64 {
+	if !q.Retry {
+		b.firstLeft[c.Name] = q.Left
+		return 0
+	}
+	if first := b.firstLeft[c.Name]; first == 0 || math.Abs(q.Left-first) < 0.02*first {
+		return 0
+	}
+	return max(0, c.Deadline-q.Left)
+}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -1158,3 +1158,28 @@
 		t.Errorf("%d homes before a stall, %d after", was, is)
 	}
 }
+
+// What a client asks again is worth something until its first try's aim: routers worked on for its deadline.
+func TestTheAimOfALastTryCountsFromTheFirst(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	now := 100010.0
+	try := func(id uint32, left float64, retry bool) float64 { // how long its answer is worth something
+		b.Request(now, Request{ID: id, Class: "read", Key: uint64(id), HasKey: true, Left: left, Retry: retry})
+		if r := b.reqs[id]; r != nil {
+			return r.aim - now
+		}
+		return 0
+	}
+	for i, c := range []struct {
+		left  float64
+		retry bool
+		want  float64
+	}{{400, false, 300}, {400, true, 300}, {500, true, 200}, {350, true, 50}, {250, true, 0}} {
+		if got := try(uint32(i+1), c.left, c.retry); got != c.want {
+			t.Errorf("%v ms left, again %v: an aim of %v ms, want %v", c.left, c.retry, got, c.want)
+		}
+	}
+	if h.refused[5] != 1 {
+		t.Error("what can earn nothing any more is not refused at once")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -18,6 +18,7 @@
 	rng        *rand.Rand
 	now, began float64
 	classes    map[string]*Class
+	firstLeft  map[string]float64 // by class, the time that a client's first try had
 	quota      map[string]float64
 	used       map[string]*rate // by tenant
 	maxWorth   float64
