Let hot keys have copies at the price of what a copy costs, not of a fetch a request

Cause: split weighed the wait that a copy saves against a fetch for each request of the key, though a copy that is asked often is fetched once for each time that it is forgotten.

Change: a copy costs a fetch a request at most, and four for each memory of the keys (5 s) at most: one for each time that it is forgotten and one for what it pushes out.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,7 +187,9 @@
 			g, _, _ := delay((s.load+y[j])/b.scale, s.n, s.mu, c2)
 			gain += f - g
 		}
-		if gain <= total/b.scale*b.olat.v/1000+epsilon {
+		// What the new server takes costs a fetch each, or where it is asked often one for each time that it forgets, and
+		// one for what the copy pushes out: a fetch a request kept hot keys at homes that they jammed.
+		if gain <= min(y[i]/b.scale, 4000.0/keyTau)*b.olat.v/1000+epsilon {
 			x = x[:i]
 			break
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -474,6 +474,17 @@
 	}
 }
 
+// A key that is hot enough stays on its copies: each costs a few fetches for all of its requests together.
+func TestAHotKeyIsCopiedBeforeItsHomeIsFull(t *testing.T) {
+	b := &Balancer{scale: 1}
+	b.olat.v = 200
+	k := &flow{}
+	b.split(k, models(3, 3, 3), 24) // 24 of 30: two wait
+	if len(k.v) < 2 {
+		t.Errorf("%d servers for a key that fills one to four fifths", len(k.v))
+	}
+}
+
 // At 90% utilisation almost every home looks full, and copies made for that pushed each other out of the caches.
 func TestCopiesPayAtRealRates(t *testing.T) {
 	b := &Balancer{scale: 3}
