--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -547,3 +547,29 @@
 		}
 	}
 }
+
+// BenchmarkRouter is what a request with its outcome, and its part of housekeeping, costs the module: docs/fleet.md.
+func BenchmarkRouter(b *testing.B) {
+	for _, servers := range []int{12, 30, 60} {
+		for _, routers := range []int{4, 20, 80} {
+			b.Run(fmt.Sprintf("servers=%d/routers=%d", servers, routers), func(b *testing.B) {
+				cfg := testConfig()
+				cfg.Routers, cfg.Aside, cfg.OriginKind = routers, true, "origin"
+				m, h := start(b, cfg, append(fleet(servers), Entry{ID: 77, Kind: "origin"}))
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					now := 100010 + 50*float64(i) // 20 a second
+					ask(m, now, uint32(i+1), "read", mix(uint64(i%500)))
+					if n := len(h.sends); n > 0 && h.sends[n-1].id == uint32(i+1) {
+						m.Outcome(now+40, Outcome{ID: uint32(i + 1), Server: h.sends[n-1].server, Status: OK, Latency: 40, Final: true, Note: 1, Load: NoLoad})
+					}
+					if i%2 == 0 {
+						m.Timer(now+45, tickToken)
+					}
+					h.sends, h.timers = h.sends[:0], h.timers[:0]
+				}
+			})
+		}
+	}
+}
