Keep tally's bound on a line while it reads, and drop an event that nobody writes

Seen on reading the change once more: a line was read whole before its length was looked at, so the bound bounded nothing; the event 'lost' is written nowhere.

Result: a line of three times the bound is one fault, and the rest is counted.

--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -50,7 +50,7 @@
 // fields are what each event has to have.
 var fields = map[string][]string{"ask": {"r", "class", "key", "retry", "left"}, "send": {"r", "n", "s", "origin", "started", "key"},
 	"got": {"r", "n", "s", "status", "note", "ms"}, "end": {"r", "how", "why", "left", "tries"}, "dial": {"to", "ok"},
-	"probe": {"s", "status", "qps", "util"}, "list": {"kind", "lines", "version"}, "dropped": {"n"}, "lost": {"s", "n"}}
+	"probe": {"s", "status", "qps", "util"}, "list": {"kind", "lines", "version"}, "dropped": {"n"}}
 
 // parse reads a line; ok is false where it holds no event.
 func parse(line string) (e Event, ok bool, err error) {
@@ -84,11 +84,15 @@
 
 // Read reads one log. What can't be read is a fault, and the rest is still read.
 func Read(name string, r io.Reader) (events []Event, faults []Fault) {
-	in := bufio.NewReaderSize(r, 64<<10)
+	in := bufio.NewReaderSize(r, maxLine)
 	for n := 1; ; n++ {
-		line, err := in.ReadString('\n')
-		whole := strings.HasSuffix(line, "\n")
-		if len(line) > maxLine {
+		text, err := in.ReadSlice('\n')
+		line, whole := string(text), err == nil
+		long := err == bufio.ErrBufferFull
+		for err == bufio.ErrBufferFull { // the rest of a line that nobody keeps
+			_, err = in.ReadSlice('\n')
+		}
+		if long {
 			faults = append(faults, Fault{name, n, fmt.Sprintf("over %d bytes", maxLine)})
 		} else if e, ok, bad := parse(line); bad != nil {
 			faults = append(faults, Fault{name, n, bad.Error()})
--- a/lab/tally/tally_test.go
+++ b/lab/tally/tally_test.go
@@ -77,6 +77,10 @@
 			t.Errorf("%q: %d events, %q, want 2 and %q", line, len(events), said, want)
 		}
 	}
+	long := strings.Repeat("x", 3*maxLine) + "\ntrace 2.0 dial to=a ok=true\n"
+	if events, faults := Read("l.log", strings.NewReader(long)); len(events) != 1 || len(faults) != 1 || faults[0].Line != 1 {
+		t.Errorf("a line over the bound: %d events, faults %v", len(events), faults)
+	}
 	if _, faults := Read("l.log", strings.NewReader("trace 1.0 dial to=a ok=tru")); len(faults) != 1 || faults[0].String() != "l.log:1: cut short" {
 		t.Errorf("a last line without an end: %v", faults)
 	}
