Never let the load send a request again that a killed router may have read

Excluded: the referee (it counts what servers saw) and the module (each process made at most 3 attempts). Lines at fault: lab/load/client.go, the loop in try that sent the same request on after every close without an answer on a connection used before, also when the process behind it was killed. Another fault beside it: ports that were found free could be taken by another laboratory before they were bound.

--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/lab/standin"
 )
 
 // router is one router: a name and an address, and the processes that are it, two of them during an upgrade.
@@ -40,14 +41,24 @@
 	done     chan struct{}
 }
 
-// FreeAddr finds an address that nobody listens at.
+// given are the addresses that FreeAddr has given: whoever got one may not have bound it yet, or again.
+var given sync.Map
+
+// FreeAddr finds an address that nobody listens at, on the laboratory's own host and never the same twice, so that neither
+// another laboratory nor another part of this one takes it before it is bound.
 func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("no address: %w", err)
+	for range 100 {
+		ln, err := net.Listen("tcp", standin.Host()+":0")
+		if err != nil {
+			return "", fmt.Errorf("no address: %w", err)
+		}
+		addr := ln.Addr().String()
+		ln.Close()
+		if _, taken := given.LoadOrStore(addr, true); !taken {
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no address: all are given")
 }
 
 // Spawn starts a command in a process group of its own, as Ctrl-C is for the laboratory, which ends its processes in order.
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dockhinge.example/dockhinge/lab/referee"
 	"dockhinge.example/dockhinge/lab/standin"
 )
@@ -84,17 +86,17 @@
 			break
 		}
 		id := l.newID()
-		var after float64
-		var reached bool
-		end, after, answered, reached = l.try(id, c, key, zone, tenant, idem, size, patience, try > 0)
-		again := !answered || end != referee.Served
-		again = again && (end == referee.Refused && answered || !reached || c.Effect == "repeatable" || c.Effect == "by_key" && c.Scope == "all")
-		if !again || try >= l.p.Retries {
+		t := l.try(id, c, key, zone, tenant, idem, size, patience, try > 0)
+		end, answered = t.end, t.answered
+		if try >= l.p.Retries || !mayRepeat(c, t) {
 			break
 		}
+		if t.crossed {
+			continue // once more at once, on a connection that is open
+		}
 		pause := l.p.BackoffMS * math.Pow(2, float64(try)) * (0.5 + honours)
-		if answered && after > 0 && honours < l.p.Honour && after <= l.p.MaxAfterMS {
-			pause = after
+		if answered && t.after > 0 && honours < l.p.Honour && t.after <= l.p.MaxAfterMS {
+			pause = t.after
 		}
 		if l.clock.Now()+pause >= until {
 			break
@@ -104,11 +106,34 @@
 	l.record(c, tenant, intended, end, answered)
 }
 
-// try sends a request once, or once more on a new connection where the router closed an idle one as it was sent.
-func (l *Load) try(id string, c Class, key, zone, tenant, idem string, size int, patience float64, again bool) (end referee.Answer, after float64, answered, reached bool) {
+// mayRepeat reports whether an honest client asks again: what was refused, what no router can have read, and what does no harm
+// when it runs twice.
+func mayRepeat(c Class, t attempt) bool {
+	switch {
+	case t.answered && t.end == referee.Served:
+		return false
+	case t.answered && t.end == referee.Refused, !t.reached:
+		return true
+	}
+	return c.Effect == "repeatable" || c.Effect == "by_key" && c.Scope == "all"
+}
+
+// attempt is how one try ended.
+type attempt struct {
+	end      referee.Answer
+	after    float64 // come again in so many milliseconds; 0 = not told
+	answered bool
+	reached  bool // a router may have read it
+	crossed  bool // a connection that had stood idle was closed as it was sent
+}
+
+// try sends a request once, under an id that was never sent before. A client can't tell whether a router that closed the
+// connection, or was killed, had read the request: it never sends the same one again, and request decides by its class whether
+// there is a further try.
+func (l *Load) try(id string, c Class, key, zone, tenant, idem string, size int, patience float64, again bool) attempt {
 	router, addr, err := l.front.Pick(zone)
 	if err != nil {
-		return referee.Failed, 0, false, false
+		return attempt{end: referee.Failed}
 	}
 	var wire strings.Builder
 	facts := fmt.Sprintf("c=%s,d=%d", c.Name, int(patience))
@@ -131,54 +156,44 @@
 		l.journal.Add(referee.Event{At: sent, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
 		l.journal.Add(referee.Event{At: l.clock.Now(), Kind: k, Request: id, Router: router})
 	}
-	for first := 0.0; ; {
-		conn, used, err := l.pool.take(addr, patience)
-		if err != nil {
-			if first > 0 { // it may have been taken over the connection before
-				book(first, referee.Closed)
-			}
-			return referee.Failed, 0, false, first > 0
-		}
-		sent := l.clock.Now()
-		_ = conn.SetDeadline(time.Now().Add(time.Duration((patience + slackMS) * float64(time.Millisecond))))
-		if _, err := io.WriteString(conn, wire.String()); err != nil {
-			conn.Close()
-			if used {
-				continue // it was closed before we wrote
-			}
-			return referee.Failed, 0, false, false
-		}
-		if first == 0 {
-			first = sent
-		}
-		end, after, sum, err := readAnswer(conn.r)
-		var timeout net.Error
-		switch {
-		case errors.Is(err, errNothing) && used: // closed between requests: the same once more on a new connection
-			conn.Close()
-			continue
-		case errors.As(err, &timeout) && timeout.Timeout():
-			conn.Close()
-			book(first, referee.Left)
-			return referee.Failed, 0, false, true
-		case err != nil:
-			conn.Close()
-			book(first, referee.Closed)
-			return referee.Failed, 0, false, true
-		}
-		l.journal.Add(referee.Event{At: first, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
-		now := l.clock.Now()
-		l.journal.Add(referee.Event{At: now, Kind: referee.Answered, Request: id, Router: router, Answer: end, Sum: sum})
-		if conn.r.Buffered() > 0 { // more than one answer
-			l.journal.Add(referee.Event{At: now, Kind: referee.Extra, Request: id, Router: router})
-			conn.Close()
-		} else if l.again() {
-			l.pool.put(addr, conn)
-		} else {
-			conn.Close()
+	conn, used, err := l.pool.take(addr, patience)
+	if err != nil {
+		return attempt{end: referee.Failed}
+	}
+	sent := l.clock.Now()
+	_ = conn.SetDeadline(time.Now().Add(time.Duration((patience + slackMS) * float64(time.Millisecond))))
+	if n, err := io.WriteString(conn, wire.String()); err != nil {
+		conn.Close()
+		if n == 0 { // nothing of it has left
+			return attempt{end: referee.Failed, crossed: used}
 		}
-		return end, after, true, true
+		book(sent, referee.Closed)
+		return attempt{end: referee.Failed, reached: true, crossed: used}
+	}
+	end, after, sum, err := readAnswer(conn.r)
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		conn.Close()
+		book(sent, referee.Left)
+		return attempt{end: referee.Failed, reached: true}
+	case err != nil:
+		conn.Close()
+		book(sent, referee.Closed)
+		return attempt{end: referee.Failed, reached: true, crossed: used && errors.Is(err, errNothing)}
 	}
+	l.journal.Add(referee.Event{At: sent, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
+	now := l.clock.Now()
+	l.journal.Add(referee.Event{At: now, Kind: referee.Answered, Request: id, Router: router, Answer: end, Sum: sum})
+	if conn.r.Buffered() > 0 { // more than one answer
+		l.journal.Add(referee.Event{At: now, Kind: referee.Extra, Request: id, Router: router})
+		conn.Close()
+	} else if l.again() {
+		l.pool.put(addr, conn)
+	} else {
+		conn.Close()
+	}
+	return attempt{end: end, after: after, answered: true, reached: true}
 }
 
 // again draws whether a connection is kept.
@@ -239,6 +254,21 @@
 	since float64
 }
 
+// alive reports whether the other side has not closed an idle connection yet, as far as is known here.
+func (c *conn) alive() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = n > 0 || err == unix.EAGAIN
+		return true
+	})
+	return open && err == nil
+}
+
 // pool keeps idle connections by address, up to a bound for each.
 type pool struct {
 	most  int
@@ -262,7 +292,7 @@
 	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
 		c := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
-		if p.clock.Now()-c.since < keepMS {
+		if p.clock.Now()-c.since < keepMS && c.alive() {
 			p.mu.Unlock()
 			return c, true, nil
 		}
