Agree on sessions and leases: the machine, the coordinators and their clients

Need: a fleet-wide task must have one holder at a time, whatever fails. Nothing let processes agree so far.

Change: internal/coord is the agreed state as a pure machine (time enters with each command, as measured by the leader and dropped under another term); internal/coord/node runs it on hashicorp/raft with checksums on every entry and vote, and tells a wiped disk and one that was put back from the voter that it was; internal/coord/client keeps a session; lab/explore goes through every order of events of the machine and the clients' books.

Eight planted faults: each is found.

--- /dev/null
+++ b/internal/coord/client/client.go
@@ -0,0 +1,500 @@
+// Package client holds a session and leases at the coordinators, as routers and tools do. Whether a lease may be acted on is
+// decided by Book alone, at the moment of asking; nothing here ever waits on the way of a request.
+package client
+
+import (
+	"bytes"
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/clock"
+)
+
+// Options are those of a client.
+type Options struct {
+	Coordinators map[string]string    // addresses for clients, by name
+	Client       string               // its name, by which leases are handed over
+	TTL          time.Duration        // of the session
+	TryMS        int                  // one coordinator is given so long to answer; 0: a sixth of TTL, 1 s at most
+	Clock        func() time.Duration // nil: clock.Now
+	Log          *slog.Logger
+}
+
+// Bounds of a client.
+const (
+	maxUnderWay = coord.MaxRemembered / 2 // commands of a session under way at once
+	maxAnswer   = 8 << 20                 // bytes
+	leastPause  = 20 * time.Millisecond   // before a further try, doubled each time
+	mostPause   = time.Second
+	watchFor    = 10 * time.Second
+	lookAgain   = 100 * time.Millisecond // whether a lease under which something runs is still there
+)
+
+// Errors of a client.
+var (
+	ErrNoSession = errors.New("no session with the coordinators")
+	ErrLost      = errors.New("the lease's time is out")
+)
+
+// RefusedError is what the coordinators answered where it is no OK.
+type RefusedError struct{ coord.Answer }
+
+// Client is a session with what it holds.
+type Client struct {
+	o    Options
+	http *http.Client
+	room chan struct{}
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex // guards what follows
+	book    Book
+	session string        // its id; also while it is not known whether it is there
+	opened  chan struct{} // closed once a session is there; a new one after each loss
+	life    context.Context
+	seq     uint64
+	under   map[uint64]bool // commands whose answer has not come
+	leader  string
+	bytes   int64 // of all that was sent and answered
+}
+
+// New prepares a client; Run makes it live.
+func New(o Options) *Client {
+	if o.Clock == nil {
+		o.Clock = clock.Now
+	}
+	if o.TryMS == 0 {
+		o.TryMS = int(min(o.TTL/6, time.Second).Milliseconds())
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Client{o: o, room: make(chan struct{}, maxUnderWay), opened: make(chan struct{}), under: map[uint64]bool{},
+		http: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 2 * maxUnderWay,
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}}
+}
+
+// Run opens a session, keeps it, and opens another where it was lost, until ctx ends; then it closes it.
+func (c *Client) Run(ctx context.Context) {
+	defer c.http.CloseIdleConnections()
+	defer c.wg.Wait()
+	for ctx.Err() == nil {
+		life, end := context.WithCancel(ctx)
+		if c.open(life) {
+			c.keep(life)
+		}
+		c.mu.Lock()
+		c.book.Lost()
+		c.opened = make(chan struct{})
+		c.mu.Unlock()
+		end()
+	}
+}
+
+// open asks for a session with a new id until there is one.
+func (c *Client) open(ctx context.Context) bool {
+	raw := make([]byte, 16)
+	_, _ = crand.Read(raw) // never fails
+	id := hex.EncodeToString(raw)
+	c.mu.Lock()
+	c.session, c.seq, c.under, c.life = id, 0, map[uint64]bool{}, ctx
+	c.mu.Unlock()
+	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
+		// Each try counts from its own sending: the coordinators count the newest that they carried out.
+		sent := c.o.Clock()
+		a, err := c.once(ctx, coord.Command{Op: coord.Open, Session: id, Client: c.o.Client, TTL: c.o.TTL})
+		switch {
+		case err == nil && a.Code == coord.OK:
+			c.mu.Lock()
+			c.book.Opened(c.o.TTL, sent, c.o.Clock())
+			ok := c.book.Open(c.o.Clock())
+			if ok {
+				close(c.opened)
+			}
+			c.mu.Unlock()
+			if ok {
+				return true
+			}
+		case err == nil:
+			c.o.Log.Warn("no session", "answer", a.Error())
+			pause = mostPause
+		}
+		if !sleep(ctx, jitter(pause)) {
+			return false
+		}
+	}
+	return false
+}
+
+// keep keeps the session until it is lost or ctx ends; then it is closed.
+func (c *Client) keep(ctx context.Context) {
+	pause, every := time.Duration(0), c.o.TTL/3
+	next := jitter(every)
+	for {
+		if !sleep(ctx, next) {
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			_, _ = c.once(over, coord.Command{Op: coord.Close, Session: c.session}) // else it ends by its time
+			cancel()
+			return
+		}
+		sent := c.o.Clock()
+		a, err := c.once(ctx, coord.Command{Op: coord.Keep, Session: c.session})
+		now := c.o.Clock()
+		c.mu.Lock()
+		if err == nil && a.Code == coord.OK {
+			c.book.Kept(sent, now)
+		}
+		open := c.book.Open(now)
+		c.mu.Unlock()
+		if err == nil && a.Code == coord.NoSession || !open {
+			c.o.Log.Warn("session lost", "answer", a.Code, "error", err)
+			return
+		}
+		if next, pause = jitter(every), 0; err != nil || a.Code != coord.OK { // sooner again, but not all at once
+			pause = min(max(2*pause, leastPause), every)
+			next = jitter(pause)
+		}
+	}
+}
+
+// jitter spreads a pause over half of it to one and a half.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// once sends a command to the leader as far as it is known, following those who name another, until one has carried it out or
+// all have been asked.
+func (c *Client) once(ctx context.Context, cmd coord.Command) (a coord.Answer, err error) {
+	text, err := json.Marshal(cmd)
+	if err != nil {
+		return a, err
+	}
+	err = c.call(ctx, http.MethodPost, "/v1/command", text, &a)
+	return a, err
+}
+
+// call asks coordinators in turn, the leader first, until one answers for all.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	c.mu.Lock()
+	next := c.leader
+	c.mu.Unlock()
+	var order []string
+	for name := range c.o.Coordinators {
+		order = append(order, name)
+	}
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	var errs []error
+	for tries := 0; tries < 2*len(c.o.Coordinators) && ctx.Err() == nil; tries++ {
+		if c.o.Coordinators[next] == "" {
+			if len(order) == 0 {
+				break
+			}
+			next = order[0]
+		}
+		order = slices.DeleteFunc(order, func(s string) bool { return s == next })
+		hint, err := c.ask(ctx, next, method, path, body, into)
+		if err == nil {
+			c.mu.Lock()
+			c.leader = next
+			c.mu.Unlock()
+			return nil
+		}
+		errs = append(errs, fmt.Errorf("%s: %w", next, err))
+		if hint == next {
+			hint = ""
+		}
+		next = hint
+	}
+	c.mu.Lock()
+	c.leader = ""
+	c.mu.Unlock()
+	return errors.Join(append(errs, ctx.Err())...)
+}
+
+// ask asks one coordinator. It returns the leader's name where that one knows another.
+func (c *Client) ask(ctx context.Context, name, method, path string, body []byte, into any) (leader string, err error) {
+	within := time.Duration(c.o.TryMS) * time.Millisecond
+	if method == http.MethodGet {
+		within += watchFor
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.o.Coordinators[name]+path, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return "", err
+	}
+	c.mu.Lock()
+	c.bytes += int64(len(body) + len(text))
+	c.mu.Unlock()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return "", json.Unmarshal(text, into)
+	case http.StatusMisdirectedRequest:
+		var x struct{ Leader, Text string }
+		_ = json.Unmarshal(text, &x) // a body that can't be read names nobody
+		return x.Leader, errors.New(x.Text)
+	}
+	return "", fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(text))
+}
+
+// Bytes is how much was sent and answered so far, bodies only.
+func (c *Client) Bytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
+// outcome is what became of a command.
+type outcome struct {
+	a     coord.Answer
+	first time.Duration // when it was sent first
+	err   error
+}
+
+// do has a numbered command carried out once, however often it must be sent, and waits for its answer until ctx ends. Where
+// the caller doesn't wait any more, the command is settled all the same, and late gets what became of it.
+func (c *Client) do(ctx context.Context, cmd coord.Command, late func(outcome)) outcome {
+	c.mu.Lock()
+	opened := c.opened
+	c.mu.Unlock()
+	select {
+	case <-opened:
+	case <-ctx.Done():
+		return outcome{err: ErrNoSession}
+	}
+	select {
+	case c.room <- struct{}{}:
+	case <-ctx.Done():
+		return outcome{err: ctx.Err()}
+	}
+	c.mu.Lock()
+	if !c.book.Open(c.o.Clock()) {
+		c.mu.Unlock()
+		<-c.room
+		return outcome{err: ErrNoSession}
+	}
+	c.seq++
+	cmd.Seq, cmd.Session = c.seq, c.session
+	c.under[cmd.Seq] = true
+	life, session := c.life, c.session
+	got := make(chan outcome)
+	gone := make(chan struct{})
+	c.wg.Add(1)
+	c.mu.Unlock()
+	go func() {
+		defer c.wg.Done()
+		o := c.settle(life, session, cmd)
+		<-c.room
+		select {
+		case got <- o:
+		case <-gone:
+			if late != nil {
+				late(o)
+			}
+		}
+	}()
+	select {
+	case o := <-got:
+		return o
+	case <-ctx.Done():
+		close(gone)
+		return outcome{err: ctx.Err()}
+	}
+}
+
+// settle repeats a command until it is answered or the session is over.
+func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
+	o := outcome{first: c.o.Clock()}
+	for pause := leastPause; ; pause = min(2*pause, mostPause) {
+		c.mu.Lock()
+		cmd.Acked = c.seq
+		for q := range c.under {
+			cmd.Acked = min(cmd.Acked, q-1)
+		}
+		c.mu.Unlock()
+		o.a, o.err = c.once(life, cmd)
+		if o.err == nil {
+			break
+		}
+		if !sleep(life, jitter(pause)) {
+			o.err = ErrNoSession
+			return o
+		}
+	}
+	c.mu.Lock()
+	if c.session == session {
+		delete(c.under, cmd.Seq)
+	}
+	c.mu.Unlock()
+	if o.a.Code != coord.OK {
+		o.err = &RefusedError{o.a}
+	}
+	return o
+}
+
+// Lease is one that was acquired.
+type Lease struct {
+	c     *Client
+	Name  string
+	Token uint64
+}
+
+// Acquire asks for a lease once. A RefusedError with the code Held tells who holds it.
+func (c *Client) Acquire(ctx context.Context, name, purpose string, ttl time.Duration) (*Lease, error) {
+	o := c.do(ctx, coord.Command{Op: coord.Acquire, Lease: name, Purpose: purpose, TTL: ttl}, func(o outcome) {
+		if o.err == nil { // nobody waits for it any more
+			c.mu.Lock()
+			life := c.life
+			c.mu.Unlock()
+			c.do(life, coord.Command{Op: coord.Release, Lease: name, Token: o.a.Token}, nil)
+		}
+	})
+	if o.err != nil {
+		return nil, o.err
+	}
+	c.mu.Lock()
+	ok := c.book.Granted(name, o.a.Token, ttl, o.first, c.o.Clock())
+	c.mu.Unlock()
+	if !ok {
+		return nil, ErrLost
+	}
+	return &Lease{c, name, o.a.Token}, nil
+}
+
+// Left is how much of the lease's time is left now: 0 where it must not be acted on. It is the check before an act; the act
+// itself must go through what checks the token, or be harmless twice.
+func (l *Lease) Left() time.Duration {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	token, left, ok := l.c.book.Held(l.Name, l.c.o.Clock())
+	if !ok || token != l.Token {
+		return 0
+	}
+	return left
+}
+
+// Context ends margin before the lease's time is out, or once it is lost.
+func (l *Lease) Context(parent context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	done := make(chan struct{})
+	go func() { // ended by the function that is returned, which waits for it
+		defer close(done)
+		for {
+			left := l.Left() - margin
+			if left <= 0 {
+				cancel(ErrLost)
+				return
+			}
+			if !sleep(ctx, min(left, lookAgain)) { // it may be lost before its time
+				return
+			}
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled); <-done }
+}
+
+// Release gives the lease back. Nothing may be acted on it from the call on.
+func (l *Lease) Release(ctx context.Context) error {
+	l.c.mu.Lock()
+	l.c.book.Drop(l.Name)
+	l.c.mu.Unlock()
+	return l.c.do(ctx, coord.Command{Op: coord.Release, Lease: l.Name, Token: l.Token}, nil).err
+}
+
+// HandOver gives the lease to the client of that name. Nothing may be acted on it from the call on; where it is refused, the
+// lease is this client's to acquire again, and Acquire gives it back at once.
+func (l *Lease) HandOver(ctx context.Context, to string) error {
+	l.c.mu.Lock()
+	l.c.book.Drop(l.Name)
+	l.c.mu.Unlock()
+	return l.c.do(ctx, coord.Command{Op: coord.HandOver, Lease: l.Name, Token: l.Token, To: to}, nil).err
+}
+
+// Write sets the lease's record, if it is still held with its token when the write is carried out: an act that the agreed
+// state itself checks.
+func (l *Lease) Write(ctx context.Context, record []byte) error {
+	return l.c.do(ctx, coord.Command{Op: coord.Write, Lease: l.Name, Token: l.Token, Record: record}, nil).err
+}
+
+// Rows are the leases that are held, of one name or all (""), not older than the call.
+func (c *Client) Rows(ctx context.Context, name string) (rows []coord.Row, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/leases?name="+url.QueryEscape(name), nil, &rows)
+	return rows, err
+}
+
+// Watch waits until a lease is held with another token (0: is free), for some seconds at most.
+func (c *Client) Watch(ctx context.Context, name string, token uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, watchFor)
+	defer cancel()
+	var a coord.Answer
+	return c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?lease=%s&token=%d", url.QueryEscape(name), token), nil, &a)
+}
+
+// Hold waits until the lease is held, runs f under it, and gives it back; f's context ends margin before the lease's time is
+// out. It returns f's error, or why there is no lease once ctx has ended.
+func (c *Client) Hold(ctx context.Context, name, purpose string, ttl, margin time.Duration, f func(context.Context, *Lease) error) error {
+	for pause := leastPause; ; {
+		l, err := c.Acquire(ctx, name, purpose, ttl)
+		if err == nil {
+			inner, end := l.Context(ctx, margin)
+			err := f(inner, l)
+			end()
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			defer cancel()
+			_ = l.Release(over) // else it ends by its time
+			return err
+		}
+		var held *RefusedError
+		switch {
+		case ctx.Err() != nil:
+			return errors.Join(err, ctx.Err())
+		case errors.As(err, &held) && held.Code == coord.Held:
+			if c.Watch(ctx, name, held.Token) == nil {
+				pause = leastPause
+				if !sleep(ctx, jitter(pause)) { // who waits for the same doesn't come all at once
+					return ctx.Err()
+				}
+				continue
+			}
+		case errors.As(err, &held) && held.Code == coord.Bad:
+			return err
+		}
+		if !sleep(ctx, jitter(pause)) {
+			return errors.Join(err, ctx.Err())
+		}
+		pause = min(2*pause, mostPause)
+	}
+}
--- /dev/null
+++ b/internal/coord/clock/clock.go
@@ -0,0 +1,18 @@
+// Package clock is the clock of leases: it neither steps with the wall clock nor stops while the machine is suspended. It
+// starts anywhere; only differences mean something.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// boot is the machine's time since its start, suspends counted (Linux CLOCK_BOOTTIME).
+func boot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("CLOCK_BOOTTIME: " + err.Error()) // in Linux since 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/internal/coord/node/api.go
@@ -0,0 +1,318 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"golang.org/x/net/netutil"
+
+	"dockhinge.example/dockhinge/internal/coord"
+)
+
+// Bounds of the clients' side.
+const (
+	MaxConnections = 16384
+	maxBody        = 64 << 10
+	maxWatch       = 30 * time.Second
+)
+
+// Member is one coordinator as the others know it.
+type Member struct {
+	Name     string `json:"name"`
+	Identity string `json:"identity"`
+	Address  string `json:"address"`
+	Voter    bool   `json:"voter"`
+	Leader   bool   `json:"leader,omitempty"`
+	SilentMS int64  `json:"silent_ms"` // told by the leader: since it last heard of it; -1 = never or not told
+}
+
+// Status is how a coordinator stands, for people and for figures.
+type Status struct {
+	Name        string   `json:"name"`
+	Identity    string   `json:"identity"`
+	State       string   `json:"state"` // Leader, Follower, Candidate; Waiting where it belongs to no group yet
+	Leader      string   `json:"leader"`
+	Term        uint64   `json:"term"`
+	Last        uint64   `json:"last"`     // entry of its log
+	Applied     uint64   `json:"applied"`  // entry that the state has
+	Lag         uint64   `json:"lag"`      // entries committed and not applied
+	Epoch       uint64   `json:"epoch"`    // of its disk
+	Sessions    int      `json:"sessions"` // open
+	Leases      int      `json:"leases"`   // held
+	Token       uint64   `json:"token"`    // the newest
+	Watchers    int      `json:"watchers"`
+	Refused     int64    `json:"refused"` // as a bound was reached
+	FsyncP50MS  float64  `json:"fsync_p50_ms"`
+	FsyncP99MS  float64  `json:"fsync_p99_ms"`
+	CommitP50MS float64  `json:"commit_p50_ms"` // of commands, from coming to answered
+	CommitP99MS float64  `json:"commit_p99_ms"`
+	Members     []Member `json:"members"`
+}
+
+// Status tells how the coordinator stands, by what is known here.
+func (n *Node) Status() Status {
+	s := Status{Name: n.o.Name, Identity: n.id, State: n.raft.State().String(), Leader: n.Leader(), Term: n.raft.CurrentTerm(),
+		Last: n.raft.LastIndex(), Epoch: n.epoch.Load(), Refused: n.refused.Load(), Members: n.members()}
+	if len(s.Members) == 0 {
+		s.State = "Waiting"
+	}
+	s.FsyncP50MS, s.FsyncP99MS = n.disk.quantiles()
+	n.figures.Lock()
+	s.CommitP50MS, s.CommitP99MS = float64(n.commits.ValueAtQuantile(50))/1000, float64(n.commits.ValueAtQuantile(99))/1000
+	n.figures.Unlock()
+	s.Lag = n.raft.CommitIndex() - min(n.raft.CommitIndex(), n.raft.AppliedIndex())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s.Applied, s.Sessions, s.Leases, s.Token, s.Watchers = n.applied, len(n.state.Sessions), len(n.state.Leases), n.state.Token, n.count
+	return s
+}
+
+func (n *Node) members() (all []Member) {
+	leads := n.raft.State() == raft.Leader
+	contact := map[raft.ServerID]time.Duration{}
+	if leads {
+		contact = n.contact()
+	}
+	for _, s := range n.voters() {
+		name, id, hostport, err := address(s.Address).apart()
+		if err != nil {
+			continue
+		}
+		m := Member{Name: name, Identity: id, Address: hostport, Voter: s.Suffrage == raft.Voter, Leader: leads && id == n.id, SilentMS: -1}
+		if at, ok := contact[s.ID]; ok {
+			m.SilentMS = at.Milliseconds()
+		}
+		if id == n.id {
+			m.SilentMS = 0
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// contact asks each other coordinator, side by side, whether it answers: 0 for those that do.
+func (n *Node) contact() map[raft.ServerID]time.Duration {
+	type one struct {
+		id raft.ServerID
+		ok bool
+	}
+	voters := n.voters()
+	c := make(chan one, len(voters))
+	for _, s := range voters {
+		go func() { // ends by helloWithin; the channel has room for all
+			conn, err := n.link.Dial(s.Address, helloWithin/4)
+			if err == nil {
+				conn.Close()
+			}
+			c <- one{s.ID, err == nil}
+		}()
+	}
+	got := map[raft.ServerID]time.Duration{}
+	for range voters {
+		if x := <-c; x.ok {
+			got[x.id] = 0
+		}
+	}
+	return got
+}
+
+// errAgain is the body with which a coordinator that doesn't lead turns a client away.
+type errAgain struct {
+	Leader string `json:"leader"`
+	Text   string `json:"text"`
+}
+
+// Handler serves clients and operators: JSON over HTTP.
+func (n *Node) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/command", func(w http.ResponseWriter, r *http.Request) {
+		var c coord.Command
+		if !take(w, r, &c) {
+			return
+		}
+		if c.Op == coord.Tick || c.Op == coord.Configure || c.Op == coord.Raise {
+			http.Error(w, fmt.Sprintf("op: %s is the coordinators' own", c.Op), http.StatusBadRequest)
+			return
+		}
+		a, err := n.Do(c)
+		n.give(w, a, err)
+	})
+	m.HandleFunc("GET /v1/leases", func(w http.ResponseWriter, r *http.Request) {
+		var rows []coord.Row
+		err := n.Read(func(s *coord.State) { rows = s.Rows(r.URL.Query().Get("name")) })
+		n.give(w, rows, err)
+	})
+	m.HandleFunc("GET /v1/watch", func(w http.ResponseWriter, r *http.Request) {
+		token, err := strconv.ParseUint(r.URL.Query().Get("token"), 10, 64)
+		if err != nil {
+			http.Error(w, "token: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		if n.raft.State() != raft.Leader {
+			n.give(w, nil, ErrNotLeader)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), maxWatch)
+		defer cancel()
+		n.give(w, coord.Answer{Code: coord.OK}, n.Watch(ctx, r.URL.Query().Get("lease"), token))
+	})
+	m.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { n.give(w, n.Status(), nil) })
+	m.HandleFunc("POST /v1/init", func(w http.ResponseWriter, r *http.Request) {
+		var all []Member
+		if take(w, r, &all) {
+			n.give(w, coord.Answer{Code: coord.OK}, n.Init(all))
+		}
+	})
+	m.HandleFunc("POST /v1/members", func(w http.ResponseWriter, r *http.Request) {
+		var one Member
+		if take(w, r, &one) {
+			n.give(w, coord.Answer{Code: coord.OK}, n.Add(one))
+		}
+	})
+	m.HandleFunc("DELETE /v1/members/{name}", func(w http.ResponseWriter, r *http.Request) {
+		n.give(w, coord.Answer{Code: coord.OK}, n.Remove(r.PathValue("name")))
+	})
+	return m
+}
+
+func take(w http.ResponseWriter, r *http.Request, to any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(to); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (n *Node) give(w http.ResponseWriter, v any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case errors.Is(err, ErrNotLeader):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		v = errAgain{n.Leader(), err.Error()}
+	case err != nil:
+		w.WriteHeader(http.StatusConflict)
+		v = errAgain{Text: err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(v) // a client that has gone needs no answer
+}
+
+// Serve answers clients until ctx ends.
+func (n *Node) Serve(ctx context.Context, ln net.Listener) error {
+	s := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10,
+		BaseContext: func(net.Listener) context.Context { return ctx }}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(netutil.LimitListener(ln, MaxConnections)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	over, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
+	defer cancel()
+	if s.Shutdown(over) != nil {
+		s.Close()
+	}
+	<-done
+	return nil
+}
+
+// MaxMembers bounds the coordinators.
+const MaxMembers = 9
+
+// Init makes the first group of coordinators whose directories are all empty.
+func (n *Node) Init(all []Member) error {
+	if len(all) == 0 || len(all) > MaxMembers {
+		return fmt.Errorf("members: %d, between 1 and %d must be named", len(all), MaxMembers)
+	}
+	if len(n.voters()) > 0 {
+		return fmt.Errorf("coordinator %s belongs to a group already", n.o.Name)
+	}
+	var c raft.Configuration
+	own := false
+	for _, m := range all {
+		own = own || m.Identity == n.id
+		c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(m.Identity), Address: raft.ServerAddress(m.Name + "/" + m.Identity + "@" + m.Address)})
+	}
+	if !own {
+		return fmt.Errorf("members: coordinator %s with identity %s is not among them", n.o.Name, n.id)
+	}
+	return n.raft.BootstrapCluster(c).Error()
+}
+
+// quorum reports whether a change leaves a majority that answers now: no change may be the one that stops all.
+func (n *Node) quorum(after []raft.Server) error {
+	up := n.contact()
+	up[raft.ServerID(n.id)] = 0
+	voters, alive := 0, 0
+	for _, s := range after {
+		if s.Suffrage == raft.Voter {
+			voters++
+			if _, ok := up[s.ID]; ok {
+				alive++
+			}
+		}
+	}
+	if alive <= voters/2 {
+		return fmt.Errorf("of the %d coordinators that there would be %d answer, which is no majority: nothing was changed", voters, alive)
+	}
+	return nil
+}
+
+// Add takes a coordinator with an empty directory into the group. It gets the log first and votes once it has it.
+func (n *Node) Add(m Member) error {
+	if n.raft.State() != raft.Leader {
+		return ErrNotLeader
+	}
+	voters := n.voters()
+	if len(voters) >= MaxMembers {
+		return fmt.Errorf("members: %d at most", MaxMembers)
+	}
+	for _, s := range voters {
+		if name, id, _, _ := address(s.Address).apart(); name == m.Name && id != m.Identity {
+			return fmt.Errorf("members: %s is one already, with another disk (%s): remove that one first", name, id)
+		}
+	}
+	s := raft.Server{ID: raft.ServerID(m.Identity), Address: raft.ServerAddress(m.Name + "/" + m.Identity + "@" + m.Address)}
+	if err := n.quorum(append(slices.Clone(voters), s)); err != nil {
+		return err
+	}
+	if err := n.raft.AddNonvoter(s.ID, s.Address, 0, applyWithin).Error(); err != nil {
+		return err
+	}
+	return n.raft.AddVoter(s.ID, s.Address, 0, applyWithin).Error()
+}
+
+// Remove takes a coordinator out of the group, dead or alive.
+func (n *Node) Remove(name string) error {
+	if n.raft.State() != raft.Leader {
+		return ErrNotLeader
+	}
+	voters := n.voters()
+	i := slices.IndexFunc(voters, func(s raft.Server) bool { got, _, _, _ := address(s.Address).apart(); return got == name })
+	if i < 0 {
+		return fmt.Errorf("members: %s is none", name)
+	}
+	if len(voters) == 1 {
+		return fmt.Errorf("members: %s is the last one", name)
+	}
+	if string(voters[i].ID) == n.id { // it could not tell of its own removal
+		if err := n.raft.LeadershipTransfer().Error(); err != nil {
+			return err
+		}
+		return ErrNotLeader
+	}
+	if err := n.quorum(slices.Delete(slices.Clone(voters), i, i+1)); err != nil {
+		return err
+	}
+	return n.raft.RemoveServer(voters[i].ID, 0, applyWithin).Error()
+}
--- /dev/null
+++ b/internal/coord/snapshot.go
@@ -0,0 +1,71 @@
+package coord
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dockhinge.example/dockhinge/internal/mutant"
+)
+
+// snapshot is what stands in a file: the state with its version and checksum.
+type snapshot struct {
+	V     int             `json:"v"`
+	Sum   uint64          `json:"sum"` // xxHash64 of State
+	State json.RawMessage `json:"state"`
+}
+
+// Marshal writes the state whole. Equal states give equal bytes.
+func (s *State) Marshal() ([]byte, error) {
+	kept := *s
+	if mutant.Is("snapshot-without-leases") {
+		kept.Leases = map[string]*Lease{}
+		kept.Sessions = map[string]*Session{}
+	}
+	if mutant.Is("token-reused") {
+		kept.Token = 0
+	}
+	body, err := json.Marshal(&kept)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	return json.Marshal(snapshot{Version, xxhash.Sum64(body), body})
+}
+
+// Unmarshal reads a state of this version or an older one, and refuses a damaged one.
+func Unmarshal(text []byte) (*State, error) {
+	var f snapshot
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if f.V < 1 || f.V > Version {
+		return nil, fmt.Errorf("snapshot: version %d, and this program knows 1 to %d", f.V, Version)
+	}
+	if sum := xxhash.Sum64(bytes.TrimSpace(f.State)); sum != f.Sum {
+		return nil, fmt.Errorf("snapshot: its checksum is %x, and %x stands in it: the file is damaged", sum, f.Sum)
+	}
+	s := New()
+	if err := json.Unmarshal(f.State, s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	s.V, s.next, s.bytes = Version, 0, 0
+	for name, l := range s.Leases {
+		s.bytes += len(l.Record)
+		if s.Sessions[l.Session] == nil {
+			return nil, fmt.Errorf("snapshot: lease %s is of session %s, which isn't there", name, l.Session)
+		}
+	}
+	for id, se := range s.Sessions {
+		if se.Leases == nil {
+			se.Leases = map[string]bool{}
+		}
+		for name := range se.Leases {
+			if l := s.Leases[name]; l == nil || l.Session != id {
+				return nil, fmt.Errorf("snapshot: session %s lists lease %s, which it doesn't hold", id, name)
+			}
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/lab/explore/explore_test.go
@@ -0,0 +1,50 @@
+package explore
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// searches are whole to their depth; DOCKHINGE_EXPLORE_DEEPER adds to it, for a look that takes longer than CI may.
+var searches = map[string]Params{
+	"two clients":            {Clients: 2, Depth: 8, Messages: 3, States: 3_000_000, Rate: 0.1},
+	"two clients, one holds": {Clients: 2, Depth: 7, Messages: 3, States: 3_000_000, Rate: 0.1, Warm: true},
+	"three, one holds":       {Clients: 3, Depth: 6, Messages: 3, States: 3_000_000, Rate: 0.1, Warm: true},
+}
+
+const walks = 2000
+
+// walk goes beyond the searches' depth.
+func walk(seed uint64) Result {
+	return Walk(Params{Clients: 3, Messages: 4, Rate: 0.1, Warm: seed%2 == 0}, seed, 300)
+}
+
+// No order of events lets two act at once, whole to a depth and at random beyond it.
+func TestNoTwoHoldersAct(t *testing.T) {
+	deeper, _ := strconv.Atoi(os.Getenv("DOCKHINGE_EXPLORE_DEEPER"))
+	for name, p := range searches {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p.Depth += deeper
+			p.States <<= 3 * deeper
+			r := Search(p)
+			t.Logf("%d states, depth %d, whole %t", r.States, r.Depth, r.Whole)
+			if r.Broken != "" {
+				t.Fatalf("%s:\n%s", r.Broken, strings.Join(r.Trace, "\n"))
+			}
+			if !r.Whole {
+				t.Errorf("ended at its bound of %d states, at depth %d of %d", p.States, r.Depth, p.Depth)
+			}
+		})
+	}
+	t.Run("walks", func(t *testing.T) {
+		t.Parallel()
+		for seed := range uint64(walks << (2 * deeper)) {
+			if r := walk(seed); r.Broken != "" {
+				t.Fatalf("seed %d: %s:\n%s", seed, r.Broken, strings.Join(r.Trace, "\n"))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/explore/mutants_test.go
@@ -0,0 +1,38 @@
+//go:build mutants
+
+package explore
+
+import (
+	"strings"
+	"testing"
+
+	"dockhinge.example/dockhinge/internal/mutant"
+)
+
+// Each planted fault is found: by the searches where it lies within their depth, else by a walk.
+func TestMutantsAreFound(t *testing.T) {
+	defer mutant.Plant("")
+	for _, name := range []string{"time-from-answer", "rate-ignored", "token-unchecked", "command-twice", "release-overtaken",
+		"token-reused", "snapshot-without-leases", "resource-unchecked"} {
+		t.Run(name, func(t *testing.T) {
+			mutant.Plant(name)
+			found := false
+			for what, p := range searches {
+				if r := Search(p); r.Broken != "" {
+					found = true
+					t.Logf("search, %s: %d states, %d events: %s:\n  %s", what, r.States, len(r.Trace), r.Broken, strings.Join(r.Trace, "\n  "))
+				}
+			}
+			for seed := range uint64(10 * walks) {
+				if r := walk(seed); r.Broken != "" {
+					found = true
+					t.Logf("walk, seed %d: %d events: %s", seed, len(r.Trace), r.Broken)
+					break
+				}
+			}
+			if !found {
+				t.Error("not found")
+			}
+		})
+	}
+}
