Play coordinators and leaseholders as processes, with faults between them

Need: a proof with real processes that two holders never act at once.

Change: dockhinge-coord (serve, init, status, members, lease, recover), dockhinge-lab agree (five coordinators, eight holders, a relay for each pair and direction, faults by a seed), a referee for leases with claims, fencing and porcupine; a loopback address for each use, as a relay took a port that a coordinator was about to bind.

--- /dev/null
+++ b/cmd/dockhinge-coord/main.go
@@ -0,0 +1,336 @@
+// Command dockhinge-coord is a coordinator, one of the few processes that agree on leases for the whole fleet, and the operators'
+// tool for them.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/config"
+	"dockhinge.example/dockhinge/internal/coord/node"
+	"dockhinge.example/dockhinge/internal/logging"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := root().ExecuteContext(ctx)
+	stop()
+	var code *exec.ExitError
+	switch {
+	case errors.As(err, &code) && code.ExitCode() > 0: // of the command under a lease
+		os.Exit(code.ExitCode())
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "dockhinge-coord:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	r := &cobra.Command{Use: "dockhinge-coord", Short: "Leases for tasks of the whole fleet", SilenceUsage: true, SilenceErrors: true,
+		Long: "A coordinator and the operators' tool for them. docs/agreement.md tells more."}
+	r.AddCommand(serve(), check(), initGroup(), status(), members(), lease(), recoverOne())
+	return r
+}
+
+func serve() *cobra.Command {
+	return &cobra.Command{Use: "serve FILE", Short: "Run a coordinator until SIGTERM", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := config.Load(args[0])
+			if err != nil {
+				return err
+			}
+			signal.Ignore(syscall.SIGXFSZ) // a full disk is an error of the write, told as such
+			debug.SetMemoryLimit(48 << 20) // its garbage is collected before it takes 64 MB
+			log := logging.New(os.Stderr, logging.Options{Level: f.LogLevel, JSON: f.LogJSON, Every: 10 * time.Second, Burst: 20})
+			slog.SetDefault(log)
+			if err := node.LockDir(f.Dir); err != nil {
+				return err
+			}
+			ln, err := net.Listen("tcp", f.API)
+			if err != nil {
+				return fmt.Errorf("api: %w", err)
+			}
+			n, err := node.Start(options(f, log))
+			if err != nil {
+				return errors.Join(err, ln.Close())
+			}
+			log.Info("serving", "name", f.Name, "identity", n.Status().Identity, "listen", f.Listen, "api", f.API)
+			err = n.Serve(cmd.Context(), ln)
+			return errors.Join(err, n.Close())
+		}}
+}
+
+func options(f config.File, log *slog.Logger) node.Options {
+	return node.Options{Name: f.Name, Dir: f.Dir, Listen: f.Listen, API: f.API, Peers: f.Peers, Rate: f.ClockRate,
+		SnapshotEvery: f.SnapshotEvery, Beat: f.BeatTime(), Log: log, Fatal: func(err error) {
+			fmt.Fprintln(os.Stderr, "dockhinge-coord: it can't go on:", err)
+			os.Exit(4)
+		}}
+}
+
+func check() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Short: "Check a coordinator's file", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := config.Load(args[0])
+			if err == nil {
+				fmt.Fprintln(cmd.OutOrStdout(), "ok")
+			}
+			return err
+		}}
+}
+
+// parseNames reads NAME=ADDR words.
+func parseNames(words []string) (map[string]string, error) {
+	all := map[string]string{}
+	for _, w := range words {
+		name, addr, ok := strings.Cut(w, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is not NAME=HOST:PORT", w)
+		}
+		if err := config.CheckName(name); err != nil {
+			return nil, err
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is no host:port", name, addr)
+		}
+		all[name] = addr
+	}
+	return all, nil
+}
+
+// tool is what the operators' sub-commands share.
+type tool struct{ coordinators []string }
+
+func (t *tool) add(cmd *cobra.Command) {
+	env := os.Getenv("DOCKHINGE_COORDINATORS")
+	var given []string
+	if env != "" {
+		given = strings.Split(env, ",")
+	}
+	cmd.Flags().StringSliceVar(&t.coordinators, "coordinators", given, "NAME=HOST:PORT of each, as clients reach them (or DOCKHINGE_COORDINATORS)")
+}
+
+func (t *tool) names() (map[string]string, error) {
+	all, err := parseNames(t.coordinators)
+	if err == nil && len(all) == 0 {
+		err = errors.New("--coordinators: none named")
+	}
+	return all, err
+}
+
+// statuses asks all coordinators side by side.
+func statuses(ctx context.Context, all map[string]string) (got map[string]node.Status, fails map[string]error) {
+	got, fails = map[string]node.Status{}, map[string]error{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for name, addr := range all {
+		wg.Go(func() {
+			var s node.Status
+			err := client.Call(ctx, http.MethodGet, addr, "/v1/status", nil, &s)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				fails[name] = err
+			} else {
+				got[name] = s
+			}
+		})
+	}
+	wg.Wait()
+	return got, fails
+}
+
+func status() *cobra.Command {
+	var t tool
+	var asJSON bool
+	cmd := &cobra.Command{Use: "status", Short: "How the coordinators stand", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := t.names()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), 3*time.Second)
+			defer cancel()
+			got, fails := statuses(ctx, all)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(got)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 4, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "name\tstate\tleader\tterm\tlast\tapplied\tlag\tsessions\tleases\trefused\tfsync p50/p99 ms\tcommit p50/p99 ms")
+			names := make([]string, 0, len(all))
+			for name := range all {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			led := false
+			for _, name := range names {
+				if err := fails[name]; err != nil {
+					fmt.Fprintf(w, "%s\tno answer: %v\n", name, err)
+					continue
+				}
+				s := got[name]
+				led = led || s.State == "Leader"
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f / %.1f\t%.1f / %.1f\n", name, s.State, s.Leader, s.Term, s.Last, s.Applied,
+					s.Lag, s.Sessions, s.Leases, s.Refused, s.FsyncP50MS, s.FsyncP99MS, s.CommitP50MS, s.CommitP99MS)
+			}
+			w.Flush()
+			if !led {
+				return errors.New("no leader: nothing new can be agreed on (what is held ends by its time; routers serve on)")
+			}
+			return nil
+		}}
+	t.add(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "all figures as JSON")
+	return cmd
+}
+
+func initGroup() *cobra.Command {
+	var t tool
+	cmd := &cobra.Command{Use: "init", Short: "Make one group of coordinators whose directories are empty", Args: cobra.NoArgs,
+		Long: "Asks each of the coordinators who it is and has them form a group. Only coordinators that belong to none are taken.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := t.names()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), 10*time.Second)
+			defer cancel()
+			return Init(ctx, all)
+		}}
+	t.add(cmd)
+	return cmd
+}
+
+// Init has coordinators form a group.
+func Init(ctx context.Context, all map[string]string) error {
+	got, fails := statuses(ctx, all)
+	var group []node.Member
+	for name := range all {
+		if err := fails[name]; err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		s := got[name]
+		if s.Name != name {
+			return fmt.Errorf("%s: the coordinator there is %s", name, s.Name)
+		}
+		if s.State != "Waiting" {
+			return fmt.Errorf("%s: belongs to a group already", name)
+		}
+		group = append(group, node.Member{Name: name, Identity: s.Identity, Address: s.Listen})
+	}
+	slices.SortFunc(group, func(a, b node.Member) int { return strings.Compare(a.Name, b.Name) })
+	// One begins; it is chosen as the leader and the others get the group from it.
+	return client.Call(ctx, http.MethodPost, all[group[0].Name], "/v1/init", group, nil)
+}
+
+func members() *cobra.Command {
+	var t tool
+	// leading asks the leader, whoever that is.
+	leading := func(ctx context.Context, f func(addr string) error) error {
+		all, err := t.names()
+		if err != nil {
+			return err
+		}
+		for range 20 {
+			got, _ := statuses(ctx, all)
+			for name, s := range got {
+				if s.State == "Leader" {
+					if err = f(all[name]); err == nil || !errors.Is(err, client.ErrNotLeader) {
+						return err
+					}
+				}
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+		return errors.Join(errors.New("no leader answers"), err)
+	}
+	cmd := &cobra.Command{Use: "members", Short: "Who the coordinators are", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return leading(cmd.Context(), func(addr string) error {
+				var s node.Status
+				if err := client.Call(cmd.Context(), http.MethodGet, addr, "/v1/status", nil, &s); err != nil {
+					return err
+				}
+				w := tabwriter.NewWriter(cmd.OutOrStdout(), 4, 4, 2, ' ', 0)
+				fmt.Fprintln(w, "name\tidentity\taddress\tvotes\tleads\tanswers")
+				for _, m := range s.Members {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%t\n", m.Name, m.Identity, m.Address, m.Voter, m.Leader, m.SilentMS >= 0)
+				}
+				return w.Flush()
+			})
+		}}
+	add := &cobra.Command{Use: "add NAME=HOST:PORT", Short: "Take in a coordinator that runs with an empty directory, by its clients' address", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			one, err := parseNames(args)
+			if err != nil {
+				return err
+			}
+			for name, addr := range one {
+				var s node.Status
+				if err := client.Call(cmd.Context(), http.MethodGet, addr, "/v1/status", nil, &s); err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+				if s.Name != name || s.State != "Waiting" {
+					return fmt.Errorf("%s: the coordinator there is %s and %s; one that belongs to no group is wanted", name, s.Name, s.State)
+				}
+				err = leading(cmd.Context(), func(leader string) error {
+					return client.Call(cmd.Context(), http.MethodPost, leader, "/v1/members", node.Member{Name: name, Identity: s.Identity, Address: s.Listen}, nil)
+				})
+			}
+			return err
+		}}
+	remove := &cobra.Command{Use: "remove NAME", Short: "Take a coordinator out, dead or alive", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return leading(cmd.Context(), func(leader string) error {
+				return client.Call(cmd.Context(), http.MethodDelete, leader, "/v1/members/"+args[0], nil, nil)
+			})
+		}}
+	for _, c := range []*cobra.Command{cmd, add, remove} {
+		t.add(c)
+	}
+	cmd.AddCommand(add, remove)
+	return cmd
+}
+
+func recoverOne() *cobra.Command {
+	var sure bool
+	cmd := &cobra.Command{Use: "recover FILE", Short: "DANGEROUS: make a coordinator's directory a group of its own, after a majority was lost for good", Args: cobra.ExactArgs(1),
+		Long: "For the day on which a majority of the coordinators is lost for good. What the lost ones had agreed on and this one had\n" +
+			"not heard of is gone. All tokens are raised. Before it: end every coordinator that is left, take the directory whose\n" +
+			"log reaches furthest ('last' in status), and wait until the longest time to live has passed, as holders that this\n" +
+			"one doesn't know of may still act.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			if !sure {
+				return errors.New("--i-have-waited: say that all others are ended and the longest time to live has passed")
+			}
+			f, err := config.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return node.Recover(options(f, slog.Default()))
+		}}
+	cmd.Flags().BoolVar(&sure, "i-have-waited", false, "all other coordinators are ended, and the longest time to live has passed since")
+	return cmd
+}
--- a/internal/coord/client/book.go
+++ b/internal/coord/client/book.go
@@ -68,8 +68,12 @@
 	return true
 }
 
-// Drop forgets a lease: the client has stopped acting on it.
-func (b *Book) Drop(name string) { delete(b.leases, name) }
+// Drop forgets a lease that is held with this token: the client has stopped acting on it.
+func (b *Book) Drop(name string, token uint64) {
+	if e := b.leases[name]; e != nil && e.token == token {
+		delete(b.leases, name)
+	}
+}
 
 // Lost forgets all: the coordinators say that the session has ended.
 func (b *Book) Lost() { *b = Book{} }
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -429,18 +429,19 @@
 // Release gives the lease back. Nothing may be acted on it from the call on.
 func (l *Lease) Release(ctx context.Context) error {
 	l.c.mu.Lock()
-	l.c.book.Drop(l.Name)
+	l.c.book.Drop(l.Name, l.Token)
 	l.c.mu.Unlock()
 	return l.c.do(ctx, coord.Command{Op: coord.Release, Lease: l.Name, Token: l.Token}, nil).err
 }
 
-// HandOver gives the lease to the client of that name. Nothing may be acted on it from the call on; where it is refused, the
-// lease is this client's to acquire again, and Acquire gives it back at once.
-func (l *Lease) HandOver(ctx context.Context, to string) error {
+// HandOver gives the lease to the client of that name, and tells that one's token. Nothing may be acted on it from the call on;
+// where it is refused, the lease is this client's to acquire again, and Acquire gives it back at once.
+func (l *Lease) HandOver(ctx context.Context, to string) (token uint64, err error) {
 	l.c.mu.Lock()
-	l.c.book.Drop(l.Name)
+	l.c.book.Drop(l.Name, l.Token)
 	l.c.mu.Unlock()
-	return l.c.do(ctx, coord.Command{Op: coord.HandOver, Lease: l.Name, Token: l.Token, To: to}, nil).err
+	o := l.c.do(ctx, coord.Command{Op: coord.HandOver, Lease: l.Name, Token: l.Token, To: to}, nil)
+	return o.a.Token, o.err
 }
 
 // Write sets the lease's record, if it is still held with its token when the write is carried out: an act that the agreed
@@ -498,3 +499,42 @@
 		pause = min(2*pause, mostPause)
 	}
 }
+
+// ErrNotLeader tells that another coordinator must be asked.
+var ErrNotLeader = errors.New("not the leader")
+
+// Call asks one coordinator at addr, for operators' tools: body and into are JSON, and nil where there is none.
+func Call(ctx context.Context, method, addr, path string, body, into any) error {
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		return ErrNotLeader
+	case resp.StatusCode != http.StatusOK:
+		var x struct{ Text string }
+		if json.Unmarshal(got, &x) == nil && x.Text != "" {
+			return errors.New(x.Text)
+		}
+		return fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(got))
+	case into == nil:
+		return nil
+	}
+	return json.Unmarshal(got, into)
+}
--- a/internal/coord/clock/clock.go
+++ b/internal/coord/clock/clock.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// boot is the machine's time since its start, suspends counted (Linux CLOCK_BOOTTIME).
-func boot() time.Duration {
+// Boot is the machine's time since its start, suspends counted (Linux CLOCK_BOOTTIME).
+func Boot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		panic("CLOCK_BOOTTIME: " + err.Error()) // in Linux since 2.6.39
--- a/internal/coord/clock/faults.go
+++ b/internal/coord/clock/faults.go
@@ -13,7 +13,7 @@
 // clock so long after the start (DOCKHINGE_WALL_STEP, as -1h@5s).
 var (
 	rate       = 1.0
-	start      = boot()
+	start      = Boot()
 	step, from time.Duration
 )
 
@@ -27,12 +27,12 @@
 }
 
 // Now is the time on the clock, at the rate that was set.
-func Now() time.Duration { return start + time.Duration(float64(boot()-start)*rate) }
+func Now() time.Duration { return start + time.Duration(float64(Boot()-start)*rate) }
 
 // Wall is the wall clock with its step.
 func Wall() time.Time {
 	t := time.Now().Round(0)
-	if boot()-start >= from {
+	if Boot()-start >= from {
 		t = t.Add(step)
 	}
 	return t
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -38,7 +38,8 @@
 type Status struct {
 	Name        string   `json:"name"`
 	Identity    string   `json:"identity"`
-	State       string   `json:"state"` // Leader, Follower, Candidate; Waiting where it belongs to no group yet
+	Listen      string   `json:"listen"` // for the other coordinators
+	State       string   `json:"state"`  // Leader, Follower, Candidate; Waiting where it belongs to no group yet
 	Leader      string   `json:"leader"`
 	Term        uint64   `json:"term"`
 	Last        uint64   `json:"last"`     // entry of its log
@@ -59,7 +60,7 @@
 
 // Status tells how the coordinator stands, by what is known here.
 func (n *Node) Status() Status {
-	s := Status{Name: n.o.Name, Identity: n.id, State: n.raft.State().String(), Leader: n.Leader(), Term: n.raft.CurrentTerm(),
+	s := Status{Name: n.o.Name, Identity: n.id, Listen: n.o.Listen, State: n.raft.State().String(), Leader: n.Leader(), Term: n.raft.CurrentTerm(),
 		Last: n.raft.LastIndex(), Epoch: n.epoch.Load(), Refused: n.refused.Load(), Members: n.members()}
 	if len(s.Members) == 0 {
 		s.State = "Waiting"
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -50,10 +50,11 @@
 	MaxWatchers = 8192                   // clients that wait for a change
 	tickEvery   = 200 * time.Millisecond // time passes in the agreed state at least this often
 	maxAdvance  = time.Second            // at most so much passes with one command: a leader that was stopped ends nobody at once
-	epochEvery  = 10 * time.Second       // how often the disk's epoch grows; what was put back is known by it
 	applyWithin = 2 * time.Second        // a command is taken over by the library
 )
 
+const defaultEpochEvery = 10 * time.Second
+
 // Node is one coordinator.
 type Node struct {
 	o     Options
--- a/internal/coord/node/store.go
+++ b/internal/coord/node/store.go
@@ -127,6 +127,7 @@
 		summed[i] = &c
 	}
 	began := time.Now()
+	slowSync()
 	err := d.BoltStore.StoreLogs(summed)
 	d.mu.Lock()
 	_ = d.syncs.RecordValue(min(time.Since(began).Microseconds(), 60_000_000)) // within the bound
--- a/lab/explore/explore.go
+++ b/lab/explore/explore.go
@@ -244,7 +244,7 @@
 				give := func(op coord.Op, to string) func(*world) string {
 					return func(w *world) string {
 						q := &w.parties[i]
-						q.book.Drop(lease)
+						q.book.Drop(lease, q.Token)
 						put(w, coord.Command{Op: op, Lease: lease, Token: q.Token, Seq: q.number(), To: to})
 						return ""
 					}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -139,7 +139,7 @@
 // build starts the stand-ins.
 func (fl *Fleet) build() (err error) {
 	f := fl.File
-	if fl.origin, err = standin.Start(standin.Host()+":0", standin.Options{ID: "s-0000ffff", Model: f.Origin, Seed: f.Seed + 1, Clock: fl.clock,
+	if fl.origin, err = standin.Start(standin.Host(standin.Servers)+":0", standin.Options{ID: "s-0000ffff", Model: f.Origin, Seed: f.Seed + 1, Clock: fl.clock,
 		Journal: fl.journal, Work: fl.work, Asked: fl.originSaid}); err != nil {
 		return err
 	}
@@ -164,7 +164,7 @@
 	fl.n++
 	fl.mu.Unlock()
 	zones := fl.File.Fleet.Zones
-	s, err := standin.Start(standin.Host()+":0", standin.Options{ID: fmt.Sprintf("s-%08x", 0x1000+n*0x9e37%0xe000), Model: k.Model, Seed: fl.File.Seed + uint64(n)*7 + 100,
+	s, err := standin.Start(standin.Host(standin.Servers)+":0", standin.Options{ID: fmt.Sprintf("s-%08x", 0x1000+n*0x9e37%0xe000), Model: k.Model, Seed: fl.File.Seed + uint64(n)*7 + 100,
 		Clock: fl.clock, Journal: fl.journal, Work: fl.work, Asked: fl.cacheSaid, Probes: fl.File.Fleet.Probes, IdleMS: connIdleMS})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/lab/fleet/holder.go
@@ -0,0 +1,291 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+// HolderConfig is a leaseholder's, a process of the rig.
+type HolderConfig struct {
+	Name         string
+	Coordinators map[string]string
+	Resource     string // address
+	Leases       []string
+	Others       []string // to whom it hands leases over
+	TTL          time.Duration
+	Seed         uint64
+	Log          string        // what it saw, a JSON line each
+	Idle         time.Duration // between two tasks at most
+	Hold         time.Duration // it acts for so long at most
+}
+
+// entry is a line of a holder's log.
+type entry struct {
+	Claim *referee.Claim `json:"c,omitempty"`
+	Call  *referee.Op    `json:"call,omitempty"` // written before it is sent, so that a killed holder's last one is known
+	ID    int            `json:"id,omitempty"`
+	Op    *referee.Op    `json:"op,omitempty"`
+}
+
+// holder is the process while it runs.
+type holder struct {
+	HolderConfig
+	c   *client.Client
+	rng *rand.Rand
+
+	mu   sync.Mutex
+	file *os.File
+	next int
+}
+
+func (h *holder) log(e entry) {
+	text, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // plain data
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, err := h.file.Write(append(text, '\n')); err != nil {
+		panic(err) // without its log nothing can be judged
+	}
+}
+
+// op books a call, makes it and books what came of it.
+func (h *holder) op(o referee.Op, f func() (code string, got uint64, holder string)) {
+	h.mu.Lock()
+	h.next++
+	id := h.next
+	h.mu.Unlock()
+	o.Client = h.Name
+	o.From = int64(clock.Boot())
+	h.log(entry{Call: &o, ID: id})
+	code, got, who := f()
+	if who != "" {
+		o.Holder = who
+	}
+	o.Code, o.Got = code, got
+	if code != "" {
+		o.To = int64(clock.Boot())
+	}
+	h.log(entry{Op: &o, ID: id})
+}
+
+// codeOf is an error's code: "" where it isn't known what became of the call.
+func codeOf(err error) (string, coord.Answer) {
+	var r *client.RefusedError
+	switch {
+	case err == nil:
+		return string(coord.OK), coord.Answer{}
+	case errors.As(err, &r):
+		return string(r.Code), r.Answer
+	}
+	return "", coord.Answer{}
+}
+
+// Holder takes leases, acts under them and gives them back, until ctx ends.
+func Holder(ctx context.Context, cfg HolderConfig) error {
+	f, err := os.OpenFile(cfg.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	h := &holder{HolderConfig: cfg, file: f, rng: rand.New(rand.NewPCG(cfg.Seed, 21)), next: int(clock.Boot()/time.Millisecond) << 12,
+		c: client.New(client.Options{Coordinators: cfg.Coordinators, Client: cfg.Name, TTL: cfg.TTL})}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { h.c.Run(ctx) })
+	for ctx.Err() == nil {
+		h.task(ctx)
+		wait(ctx, h.rng.Float64()*h.Idle.Seconds())
+	}
+	return nil
+}
+
+// task is one lease's life at this holder.
+func (h *holder) task(ctx context.Context) {
+	name := h.Leases[h.rng.IntN(len(h.Leases))]
+	if h.rng.Float64() < 0.3 {
+		h.op(referee.Op{Kind: "read", Lease: name}, func() (string, uint64, string) {
+			rows, err := h.c.Rows(ctx, name)
+			if err != nil {
+				return "", 0, ""
+			}
+			if len(rows) == 0 {
+				return "ok", 0, ""
+			}
+			return "ok", rows[0].Token, rows[0].Holder
+		})
+	}
+	var l *client.Lease
+	h.op(referee.Op{Kind: "acquire", Lease: name}, func() (string, uint64, string) {
+		got, err := h.c.Acquire(ctx, name, "the rig's", h.TTL)
+		if errors.Is(err, client.ErrLost) { // it was given, and too late
+			return "", 0, ""
+		}
+		code, a := codeOf(err)
+		if err != nil {
+			return code, a.Token, a.Holder
+		}
+		l = got
+		return code, got.Token, ""
+	})
+	if l == nil {
+		return
+	}
+	until := clock.Boot() + time.Duration(h.rng.Float64()*float64(h.Hold))
+	for ctx.Err() == nil && clock.Boot() < until {
+		from := clock.Boot()
+		left := l.Left()
+		if left <= 0 {
+			break
+		}
+		h.log(entry{Claim: &referee.Claim{Holder: h.Name, Lease: name, Token: l.Token, From: int64(from), To: int64(clock.Boot())}})
+		if h.rng.Float64() < 0.2 {
+			h.act(ctx, l)
+		}
+		wait(ctx, 0.004)
+	}
+	if h.rng.Float64() < 0.3 {
+		h.write(ctx, l)
+	}
+	switch u := h.rng.Float64(); {
+	case u < 0.2 && len(h.Others) > 0:
+		to := h.Others[h.rng.IntN(len(h.Others))]
+		h.op(referee.Op{Kind: "handover", Lease: name, Token: l.Token, Holder: to}, func() (string, uint64, string) {
+			token, err := l.HandOver(ctx, to)
+			code, _ := codeOf(err)
+			return code, token, ""
+		})
+	case u < 0.8:
+		h.op(referee.Op{Kind: "release", Lease: name, Token: l.Token}, func() (string, uint64, string) {
+			code, _ := codeOf(l.Release(ctx))
+			return code, 0, ""
+		})
+	default: // it goes on holding and doesn't act, as one that hangs
+		return
+	}
+	if h.rng.Float64() < 0.3 { // one that was stopped before its act, and goes on
+		h.write(ctx, l)
+		h.act(ctx, l)
+	}
+}
+
+// write is an act that the agreed state checks.
+func (h *holder) write(ctx context.Context, l *client.Lease) {
+	h.op(referee.Op{Kind: "write", Lease: l.Name, Token: l.Token}, func() (string, uint64, string) {
+		code, _ := codeOf(l.Write(ctx, []byte(h.Name)))
+		return code, 0, ""
+	})
+}
+
+// act is one that the stand-in resource checks; its answer is of no account here.
+func (h *holder) act(ctx context.Context, l *client.Lease) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/act?holder=%s&lease=%s&token=%d", h.Resource, h.Name, l.Name, l.Token), nil)
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body) // the status says it
+		resp.Body.Close()
+	}
+}
+
+// Resource is a stand-in for what leased tasks act on: it takes an act unless it has seen a higher token for the lease, and logs
+// all with the machine's clock, until ctx ends.
+func Resource(ctx context.Context, addr, log string) error {
+	f, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	top := map[string]uint64{}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		token, err := strconv.ParseUint(q.Get("token"), 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		a := referee.Act{Holder: q.Get("holder"), Lease: q.Get("lease"), Token: token, At: int64(clock.Boot())}
+		a.Refused = token < top[a.Lease]
+		top[a.Lease] = max(top[a.Lease], token)
+		text, _ := json.Marshal(a) // plain data
+		if _, err := f.Write(append(text, '\n')); err != nil {
+			panic(err) // without its log nothing can be judged
+		}
+		if a.Refused {
+			http.Error(w, "an older token", http.StatusConflict)
+		}
+	})}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// readHolder reads a holder's log, also one whose last line was cut off by a kill.
+func readHolder(path string) (claims []referee.Claim, ops []referee.Op, err error) {
+	open := map[int]referee.Op{}
+	err = lines(path, func(text []byte) {
+		var e entry
+		if json.Unmarshal(text, &e) != nil {
+			return // the last one, cut off
+		}
+		switch {
+		case e.Claim != nil:
+			claims = append(claims, *e.Claim)
+		case e.Call != nil:
+			open[e.ID] = *e.Call
+		case e.Op != nil:
+			ops = append(ops, *e.Op)
+			delete(open, e.ID)
+		}
+	})
+	for _, o := range open {
+		ops = append(ops, o)
+	}
+	return claims, ops, err
+}
+
+func lines(path string, f func([]byte)) error {
+	file, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	s := bufio.NewScanner(file)
+	for s.Scan() {
+		f(s.Bytes())
+	}
+	return s.Err()
+}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -48,7 +48,7 @@
 // another laboratory nor another part of this one takes it before it is bound.
 func FreeAddr() (string, error) {
 	for range 100 {
-		ln, err := net.Listen("tcp", standin.Host()+":0")
+		ln, err := net.Listen("tcp", standin.Host(standin.Processes)+":0")
 		if err != nil {
 			return "", fmt.Errorf("no address: %w", err)
 		}
--- /dev/null
+++ b/lab/fleet/procs.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// proc is one process of a rig that may die and start again under the same name.
+type proc struct {
+	name    string
+	command []string
+	env     []string
+	dir     string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // closed at the process's end
+	err  error         // of that end
+	runs int
+}
+
+// start runs the process; it must not run already.
+func (p *proc) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd, err := Spawn(p.command, p.env, filepath.Join(p.dir, p.name+".log"))
+	if err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	p.runs++
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() { // ended by the end of the process, which kill and end wait for
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *proc) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(sig) // it may have ended
+	}
+}
+
+// running reports whether the process is there, and else how it ended.
+func (p *proc) running() (bool, error) {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return false, nil
+	}
+	select {
+	case <-done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return false, p.err
+	default:
+		return true, nil
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *proc) kill() {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done != nil {
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+}
+
+// end asks the process to end, and kills it if it doesn't in time. It reports how it ended.
+func (p *proc) end(within time.Duration) error {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return nil
+	}
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	t := time.NewTimer(within)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+		p.kill()
+		return fmt.Errorf("%s did not end within %v", p.name, within)
+	}
+	_, err := p.running()
+	return err
+}
+
+func (p *proc) logTail(lines int) string {
+	text, _ := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+	return string(tail(text, lines))
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -119,7 +119,7 @@
 		Discovery: model.DirectoryParams{LateMS: [2]float64{500, 1500}, CallsPerS: 40, TimeoutMS: 2000}}
 }
 
-//go:embed files/*.toml
+//go:embed files/*.toml files/agreement/*.toml
 var shipped embed.FS
 
 // Shipped lists the scenarios that come with the laboratory.
