--- a/cmd/dockhinge-coord/main.go
+++ b/cmd/dockhinge-coord/main.go
@@ -22,7 +22,9 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
 
+	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/internal/coord/config"
 	"dockhinge.example/dockhinge/internal/coord/node"
@@ -50,6 +52,9 @@
 	return r
 }
 
+// mostData bounds a coordinator's memory in bytes; it uses a small part of it.
+const mostData = 1 << 30
+
 func serve() *cobra.Command {
 	return &cobra.Command{Use: "serve FILE", Short: "Run a coordinator until SIGTERM", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -59,6 +64,10 @@
 			}
 			signal.Ignore(syscall.SIGXFSZ) // a full disk is an error of the write, told as such
 			debug.SetMemoryLimit(48 << 20) // its garbage is collected before it takes 64 MB
+			// A spoilt page that leads back to itself has the log's library allocate without end: better this process than the machine.
+			if err := unix.Setrlimit(unix.RLIMIT_DATA, &unix.Rlimit{Cur: mostData, Max: mostData}); err != nil {
+				return fmt.Errorf("bounding the memory: %w", err)
+			}
 			log := logging.New(os.Stderr, logging.Options{Level: f.LogLevel, JSON: f.LogJSON, Every: 10 * time.Second, Burst: 20})
 			slog.SetDefault(log)
 			if err := node.LockDir(f.Dir); err != nil {
@@ -269,14 +278,14 @@
 	cmd := &cobra.Command{Use: "members", Short: "Who the coordinators are", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return leading(cmd.Context(), func(addr string) error {
-				var s node.Status
-				if err := client.Call(cmd.Context(), http.MethodGet, addr, "/v1/status", nil, &s); err != nil {
+				var all []node.Member
+				if err := client.Call(cmd.Context(), http.MethodGet, addr, "/v1/members", nil, &all); err != nil {
 					return err
 				}
 				w := tabwriter.NewWriter(cmd.OutOrStdout(), 4, 4, 2, ' ', 0)
 				fmt.Fprintln(w, "name\tidentity\taddress\tvotes\tleads\tanswers")
-				for _, m := range s.Members {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%t\n", m.Name, m.Identity, m.Address, m.Voter, m.Leader, m.SilentMS >= 0)
+				for _, m := range all {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%t\n", m.Name, m.Identity, m.Address, m.Voter, m.Leader, m.Answers)
 				}
 				return w.Flush()
 			})
@@ -296,7 +305,7 @@
 					return fmt.Errorf("%s: the coordinator there is %s and %s; one that belongs to no group is wanted", name, s.Name, s.State)
 				}
 				err = leading(cmd.Context(), func(leader string) error {
-					return client.Call(cmd.Context(), http.MethodPost, leader, "/v1/members", node.Member{Name: name, Identity: s.Identity, Address: s.Listen}, nil)
+					return client.Call(cmd.Context(), http.MethodPost, leader, "/v1/members", node.Member{Name: name, Identity: s.Identity, Address: s.Listen, Newest: s.Understands}, nil)
 				})
 			}
 			return err
@@ -307,10 +316,46 @@
 				return client.Call(cmd.Context(), http.MethodDelete, leader, "/v1/members/"+args[0], nil, nil)
 			})
 		}}
-	for _, c := range []*cobra.Command{cmd, add, remove} {
+	upgrade := &cobra.Command{Use: "upgrade", Short: "Let the coordinators use what all of them understand, once each runs the new program", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := t.names()
+			if err != nil {
+				return err
+			}
+			got, fails := statuses(cmd.Context(), all)
+			to := 0
+			for name, s := range got {
+				if to == 0 || s.Understands < to {
+					to = s.Understands
+				}
+				for _, m := range s.Members {
+					if all[m.Name] == "" {
+						return fmt.Errorf("--coordinators: %s is a member too (says %s)", m.Name, name)
+					}
+				}
+			}
+			for name, err := range fails {
+				return fmt.Errorf("%s: %w (each must answer: one that runs an older program could not go on)", name, err)
+			}
+			if err := leading(cmd.Context(), func(leader string) error {
+				var a coord.Answer
+				if err := client.Call(cmd.Context(), http.MethodPost, leader, "/v1/upgrade", coord.Command{Version: to}, &a); err != nil {
+					return err
+				}
+				if a.Code != coord.OK {
+					return errors.New(a.Text)
+				}
+				return nil
+			}); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "version %d is in force\n", to)
+			return nil
+		}}
+	for _, c := range []*cobra.Command{cmd, add, remove, upgrade} {
 		t.add(c)
 	}
-	cmd.AddCommand(add, remove)
+	cmd.AddCommand(add, remove, upgrade)
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/dockhinge-lab/agreecost.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// agreeCost measures coordinators without faults, and how long it takes until the fleet goes on after one.
+func agreeCost() *cobra.Command {
+	var clients []int
+	var leases, coordinators, kills, deaths int
+	cmd := &cobra.Command{Use: "agree-cost", Short: "What coordinators cost, and how long a fail-over takes", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			dir, err := faultsBuild(cmd.Context())
+			if err != nil {
+				return err
+			}
+			options := func() (fleet.AgreeOptions, error) {
+				into, err := fleet.LogDir(os.TempDir(), "agree-cost")
+				return fleet.AgreeOptions{Coord: []string{dir + "/dockhinge-coord"}, Lab: []string{dir + "/dockhinge-lab"}, Dir: into}, err
+			}
+			if len(clients) > 0 {
+				fmt.Println("| clients | leases | all held after s | commands a s | p50 ms | p99 ms | fsync p50, p99 ms | leader: cores, MB (idle) | (busy) | other: cores, MB (idle) | (busy) | keep-alive bytes a s and client |")
+				fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+			}
+			for _, n := range clients {
+				o, err := options()
+				if err != nil {
+					return err
+				}
+				m, err := fleet.MeasureAgreement(cmd.Context(), coordinators, n, leases, o)
+				os.RemoveAll(o.Dir)
+				if err != nil {
+					return err
+				}
+				fmt.Printf("| %d | %d (%d failed) | %.1f | %.0f | %.1f | %.1f | %.1f, %.1f | %.2f, %.0f | %.2f, %.0f | %.2f, %.0f | %.2f, %.0f | %.0f |\n", m.Clients, m.Leases, m.Failed, m.Opened.Seconds(), m.PerS,
+					ms(m.P50), ms(m.P99), m.Busy.FsyncP50, m.Busy.FsyncP99, m.Idle.LeaderCPU, m.Idle.LeaderMB, m.Busy.LeaderCPU, m.Busy.LeaderMB,
+					m.Idle.OtherCPU, m.Idle.OtherMB, m.Busy.OtherCPU, m.Busy.OtherMB, m.IdleBytes)
+			}
+			if kills > 0 {
+				o, err := options()
+				if err != nil {
+					return err
+				}
+				took, err := fleet.FailOver(cmd.Context(), coordinators, kills, o)
+				os.RemoveAll(o.Dir)
+				tell("leader killed until a lease is acquired again", took)
+				if err != nil {
+					return err
+				}
+			}
+			if deaths > 0 {
+				o, err := options()
+				if err != nil {
+					return err
+				}
+				const ttl = 2 * time.Second
+				took, err := fleet.DeadHolders(cmd.Context(), coordinators, deaths, ttl, o)
+				os.RemoveAll(o.Dir)
+				tell(fmt.Sprintf("holder cut off until its lease (%v) is held by another", ttl), took)
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	cmd.Flags().IntSliceVar(&clients, "clients", []int{30, 300, 3000}, "numbers of clients")
+	cmd.Flags().IntVar(&leases, "leases", 1000, "leases that they hold")
+	cmd.Flags().IntVar(&coordinators, "coordinators", 5, "coordinators")
+	cmd.Flags().IntVar(&kills, "kills", 0, "kill the leader so many times")
+	cmd.Flags().IntVar(&deaths, "deaths", 0, "cut off so many holders")
+	return cmd
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func tell(what string, took []time.Duration) {
+	if len(took) == 0 {
+		return
+	}
+	slices.Sort(took)
+	fmt.Printf("%s: %d times, p50 %.0f ms, p90 %.0f, p99 %.0f, most %.0f\n", what, len(took), ms(took[len(took)/2]), ms(took[len(took)*9/10]),
+		ms(took[len(took)*99/100]), ms(took[len(took)-1]))
+}
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -281,11 +281,13 @@
 type outcome struct {
 	a     coord.Answer
 	first time.Duration // when it was sent first
+	in    string        // the session in which it was sent
 	err   error
 }
 
 // do has a numbered command carried out once, however often it must be sent, and waits for its answer until ctx ends. Where
 // the caller doesn't wait any more, the command is settled all the same, and late gets what became of it.
+// A command with a session is carried out in that one or not at all (ErrLost).
 func (c *Client) do(ctx context.Context, cmd coord.Command, late func(outcome)) outcome {
 	c.mu.Lock()
 	opened := c.opened
@@ -306,6 +308,11 @@
 		<-c.room
 		return outcome{err: ErrNoSession}
 	}
+	if cmd.Session != "" && cmd.Session != c.session {
+		c.mu.Unlock()
+		<-c.room
+		return outcome{err: ErrLost}
+	}
 	c.seq++
 	cmd.Seq, cmd.Session = c.seq, c.session
 	c.under[cmd.Seq] = true
@@ -337,7 +344,7 @@
 
 // settle repeats a command until it is answered or the session is over.
 func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
-	o := outcome{first: c.o.Clock()}
+	o := outcome{first: c.o.Clock(), in: session}
 	for pause := leastPause; ; pause = min(2*pause, mostPause) {
 		c.mu.Lock()
 		cmd.Acked = c.seq
@@ -367,9 +374,10 @@
 
 // Lease is one that was acquired.
 type Lease struct {
-	c     *Client
-	Name  string
-	Token uint64
+	c       *Client
+	session string // in which it was acquired: in another one it isn't held
+	Name    string
+	Token   uint64
 }
 
 // Acquire asks for a lease once. A RefusedError with the code Held tells who holds it.
@@ -379,19 +387,19 @@
 			c.mu.Lock()
 			life := c.life
 			c.mu.Unlock()
-			c.do(life, coord.Command{Op: coord.Release, Lease: name, Token: o.a.Token}, nil)
+			c.do(life, coord.Command{Op: coord.Release, Session: o.in, Lease: name, Token: o.a.Token}, nil)
 		}
 	})
 	if o.err != nil {
 		return nil, o.err
 	}
 	c.mu.Lock()
-	ok := c.book.Granted(name, o.a.Token, ttl, o.first, c.o.Clock())
+	ok := c.session == o.in && c.book.Granted(name, o.a.Token, ttl, o.first, c.o.Clock())
 	c.mu.Unlock()
 	if !ok {
 		return nil, ErrLost
 	}
-	return &Lease{c, name, o.a.Token}, nil
+	return &Lease{c, o.in, name, o.a.Token}, nil
 }
 
 // Left is how much of the lease's time is left now: 0 where it must not be acted on. It is the check before an act; the act
@@ -431,7 +439,7 @@
 	l.c.mu.Lock()
 	l.c.book.Drop(l.Name, l.Token)
 	l.c.mu.Unlock()
-	return l.c.do(ctx, coord.Command{Op: coord.Release, Lease: l.Name, Token: l.Token}, nil).err
+	return l.c.do(ctx, coord.Command{Op: coord.Release, Session: l.session, Lease: l.Name, Token: l.Token}, nil).err
 }
 
 // HandOver gives the lease to the client of that name, and tells that one's token. Nothing may be acted on it from the call on;
@@ -440,14 +448,14 @@
 	l.c.mu.Lock()
 	l.c.book.Drop(l.Name, l.Token)
 	l.c.mu.Unlock()
-	o := l.c.do(ctx, coord.Command{Op: coord.HandOver, Lease: l.Name, Token: l.Token, To: to}, nil)
+	o := l.c.do(ctx, coord.Command{Op: coord.HandOver, Session: l.session, Lease: l.Name, Token: l.Token, To: to}, nil)
 	return o.a.Token, o.err
 }
 
 // Write sets the lease's record, if it is still held with its token when the write is carried out: an act that the agreed
 // state itself checks.
 func (l *Lease) Write(ctx context.Context, record []byte) error {
-	return l.c.do(ctx, coord.Command{Op: coord.Write, Lease: l.Name, Token: l.Token, Record: record}, nil).err
+	return l.c.do(ctx, coord.Command{Op: coord.Write, Session: l.session, Lease: l.Name, Token: l.Token, Record: record}, nil).err
 }
 
 // Rows are the leases that are held, of one name or all (""), not older than the call.
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -14,9 +14,6 @@
 	"dockhinge.example/dockhinge/internal/mutant"
 )
 
-// Version is the newest command and state that this program understands.
-const Version = 1
-
 // The bounds of all tables.
 const (
 	MaxSessions   = 4096
@@ -39,6 +36,7 @@
 const (
 	Tick      Op = "tick"      // time has passed
 	Configure Op = "configure" // Rate is the bound on the rate of all clocks
+	Upgrade   Op = "upgrade"   // commands of Version are understood by all from here on
 	Raise     Op = "raise"     // all tokens from here on lie above Token: after a majority was lost for good
 	Open      Op = "open"      // a session: Session, Client, TTL
 	Keep      Op = "keep"      // the session and all its leases
@@ -65,6 +63,7 @@
 	TTL     time.Duration `json:"ttl,omitempty"`
 	Token   uint64        `json:"token,omitempty"`
 	Rate    float64       `json:"rate,omitempty"`
+	Version int           `json:"version,omitempty"`
 	Record  []byte        `json:"record,omitempty"`
 }
 
@@ -120,7 +119,7 @@
 
 // State is all that is agreed on.
 type State struct {
-	V        int                 `json:"v"`
+	V        int                 `json:"v"`     // of the commands that all coordinators understand: the oldest program's until Upgrade
 	Rate     float64             `json:"rate"`  // bound on the rate of all clocks, of holders and coordinators
 	Clock    time.Duration       `json:"clock"` // what leaders have measured, added up; never more than has really passed (by Rate)
 	Applied  uint64              `json:"applied"`
@@ -135,7 +134,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{V: Version, Rate: DefaultRate, Sessions: map[string]*Session{}, Leases: map[string]*Lease{}, next: math.MaxInt64}
+	return &State{V: 1, Rate: DefaultRate, Sessions: map[string]*Session{}, Leases: map[string]*Lease{}, next: math.MaxInt64}
 }
 
 // Wait is how long coordinators wait, on their clock, before they take back what was given for ttl: on the holder's clock,
@@ -153,8 +152,8 @@
 // Apply carries out a command of the log, which stands there under the term, and answers it.
 func (s *State) Apply(c Command, term uint64) Answer {
 	s.changed = s.changed[:0]
-	if c.V > Version {
-		return Answer{Code: Newer, Text: fmt.Sprintf("command of version %d, and this program knows %d", c.V, Version)}
+	if c.V > Version || c.Op == Upgrade && c.Version > Version {
+		return Answer{Code: Newer, Text: fmt.Sprintf("command of version %d, and this program knows %d", max(c.V, c.Version), Version)}
 	}
 	s.Applied++
 	// A leader that was replaced after it had measured must not count a time that another has counted.
@@ -190,6 +189,12 @@
 		}
 		s.Rate, s.next = c.Rate, 0
 		return Answer{Code: OK}
+	case Upgrade:
+		if c.Version < s.V || c.Version > Version {
+			return bad("version: %d is not from %d, which is in force, to %d", c.Version, s.V, Version)
+		}
+		s.V = c.Version
+		return Answer{Code: OK}
 	case Raise:
 		s.Token = max(s.Token, c.Token)
 		return Answer{Code: OK, Token: s.Token}
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -31,7 +31,8 @@
 	Address  string `json:"address"`
 	Voter    bool   `json:"voter"`
 	Leader   bool   `json:"leader,omitempty"`
-	SilentMS int64  `json:"silent_ms"` // told by the leader: since it last heard of it; -1 = never or not told
+	Newest   int    `json:"newest,omitempty"` // told by who wants to be added: the newest command that its program understands
+	Answers  bool   `json:"answers"`          // asked for the list alone: it answers the one that was asked
 }
 
 // Status is how a coordinator stands, for people and for figures.
@@ -42,13 +43,15 @@
 	State       string   `json:"state"`  // Leader, Follower, Candidate; Waiting where it belongs to no group yet
 	Leader      string   `json:"leader"`
 	Term        uint64   `json:"term"`
-	Last        uint64   `json:"last"`     // entry of its log
-	Applied     uint64   `json:"applied"`  // entry that the state has
-	Lag         uint64   `json:"lag"`      // entries committed and not applied
-	Epoch       uint64   `json:"epoch"`    // of its disk
-	Sessions    int      `json:"sessions"` // open
-	Leases      int      `json:"leases"`   // held
-	Token       uint64   `json:"token"`    // the newest
+	Last        uint64   `json:"last"`        // entry of its log
+	Applied     uint64   `json:"applied"`     // entry that the state has
+	Lag         uint64   `json:"lag"`         // entries committed and not applied
+	Version     int      `json:"version"`     // of the commands in force
+	Understands int      `json:"understands"` // the newest that this program knows
+	Epoch       uint64   `json:"epoch"`       // of its disk
+	Sessions    int      `json:"sessions"`    // open
+	Leases      int      `json:"leases"`      // held
+	Token       uint64   `json:"token"`       // the newest
 	Watchers    int      `json:"watchers"`
 	Refused     int64    `json:"refused"` // as a bound was reached
 	FsyncP50MS  float64  `json:"fsync_p50_ms"`
@@ -61,7 +64,7 @@
 // Status tells how the coordinator stands, by what is known here.
 func (n *Node) Status() Status {
 	s := Status{Name: n.o.Name, Identity: n.id, Listen: n.o.Listen, State: n.raft.State().String(), Leader: n.Leader(), Term: n.raft.CurrentTerm(),
-		Last: n.raft.LastIndex(), Epoch: n.epoch.Load(), Refused: n.refused.Load(), Members: n.members()}
+		Last: n.raft.LastIndex(), Epoch: n.epoch.Load(), Understands: coord.Version, Refused: n.refused.Load(), Members: n.members(false)}
 	if len(s.Members) == 0 {
 		s.State = "Waiting"
 	}
@@ -72,35 +75,31 @@
 	s.Lag = n.raft.CommitIndex() - min(n.raft.CommitIndex(), n.raft.AppliedIndex())
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	s.Version = n.state.V
 	s.Applied, s.Sessions, s.Leases, s.Token, s.Watchers = n.applied, len(n.state.Sessions), len(n.state.Leases), n.state.Token, n.count
 	return s
 }
 
-func (n *Node) members() (all []Member) {
+// members lists the group. With ask it asks each whether it answers, which takes a while where one doesn't.
+func (n *Node) members(ask bool) (all []Member) {
 	leads := n.raft.State() == raft.Leader
-	contact := map[raft.ServerID]time.Duration{}
-	if leads {
-		contact = n.contact()
+	up := map[raft.ServerID]bool{}
+	if ask {
+		up = n.contact()
 	}
 	for _, s := range n.voters() {
 		name, id, hostport, err := address(s.Address).apart()
 		if err != nil {
 			continue
 		}
-		m := Member{Name: name, Identity: id, Address: hostport, Voter: s.Suffrage == raft.Voter, Leader: leads && id == n.id, SilentMS: -1}
-		if at, ok := contact[s.ID]; ok {
-			m.SilentMS = at.Milliseconds()
-		}
-		if id == n.id {
-			m.SilentMS = 0
-		}
+		m := Member{Name: name, Identity: id, Address: hostport, Voter: s.Suffrage == raft.Voter, Leader: leads && id == n.id, Answers: up[s.ID] || id == n.id}
 		all = append(all, m)
 	}
 	return all
 }
 
-// contact asks each other coordinator, side by side, whether it answers: 0 for those that do.
-func (n *Node) contact() map[raft.ServerID]time.Duration {
+// contact asks each other coordinator, side by side, whether it answers.
+func (n *Node) contact() map[raft.ServerID]bool {
 	type one struct {
 		id raft.ServerID
 		ok bool
@@ -116,11 +115,10 @@
 			c <- one{s.ID, err == nil}
 		}()
 	}
-	got := map[raft.ServerID]time.Duration{}
+	got := map[raft.ServerID]bool{}
 	for range voters {
-		if x := <-c; x.ok {
-			got[x.id] = 0
-		}
+		x := <-c
+		got[x.id] = x.ok
 	}
 	return got
 }
@@ -139,7 +137,7 @@
 		if !take(w, r, &c) {
 			return
 		}
-		if c.Op == coord.Tick || c.Op == coord.Configure || c.Op == coord.Raise {
+		if c.Op == coord.Tick || c.Op == coord.Configure || c.Op == coord.Raise || c.Op == coord.Upgrade {
 			http.Error(w, fmt.Sprintf("op: %s is the coordinators' own", c.Op), http.StatusBadRequest)
 			return
 		}
@@ -172,12 +170,20 @@
 			n.give(w, coord.Answer{Code: coord.OK}, n.Init(all))
 		}
 	})
+	m.HandleFunc("GET /v1/members", func(w http.ResponseWriter, _ *http.Request) { n.give(w, n.members(true), nil) })
 	m.HandleFunc("POST /v1/members", func(w http.ResponseWriter, r *http.Request) {
 		var one Member
 		if take(w, r, &one) {
 			n.give(w, coord.Answer{Code: coord.OK}, n.Add(one))
 		}
 	})
+	m.HandleFunc("POST /v1/upgrade", func(w http.ResponseWriter, r *http.Request) {
+		var c coord.Command
+		if take(w, r, &c) {
+			a, err := n.Do(coord.Command{Op: coord.Upgrade, Version: c.Version})
+			n.give(w, a, err)
+		}
+	})
 	m.HandleFunc("DELETE /v1/members/{name}", func(w http.ResponseWriter, r *http.Request) {
 		n.give(w, coord.Answer{Code: coord.OK}, n.Remove(r.PathValue("name")))
 	})
@@ -253,12 +259,12 @@
 // quorum reports whether a change leaves a majority that answers now: no change may be the one that stops all.
 func (n *Node) quorum(after []raft.Server) error {
 	up := n.contact()
-	up[raft.ServerID(n.id)] = 0
+	up[raft.ServerID(n.id)] = true
 	voters, alive := 0, 0
 	for _, s := range after {
 		if s.Suffrage == raft.Voter {
 			voters++
-			if _, ok := up[s.ID]; ok {
+			if up[s.ID] {
 				alive++
 			}
 		}
@@ -274,6 +280,12 @@
 	if n.raft.State() != raft.Leader {
 		return ErrNotLeader
 	}
+	n.mu.Lock()
+	version := n.state.V
+	n.mu.Unlock()
+	if m.Newest < version {
+		return fmt.Errorf("members: %s runs a program that knows commands up to version %d, and %d is in force", m.Name, m.Newest, version)
+	}
 	voters := n.voters()
 	if len(voters) >= MaxMembers {
 		return fmt.Errorf("members: %d at most", MaxMembers)
--- a/internal/coord/node/link.go
+++ b/internal/coord/node/link.go
@@ -49,9 +49,17 @@
 	return name, id, hostport, nil
 }
 
-// hello is a side's first line: its own identity, the identity it wants (empty in an answer) and its disk's epoch; or why not.
+// greeting is a side's first line: its own identity, the identity it wants (empty in an answer), and its run.
+type greeting struct {
+	id, to string
+	run    run
+}
+
+// run is one start of a coordinator: a number drawn for it, the epoch of its disk when it started, and that of now.
+type run struct{ nonce, start, epoch uint64 }
+
 func (k *link) hello(to string) string {
-	return fmt.Sprintf("dockhinge-coord 1 %s %s %d\n", k.n.id, orDash(to), k.n.epoch.Load())
+	return fmt.Sprintf("dockhinge-coord 1 %s %s %d %d %d\n", k.n.id, orDash(to), k.n.nonce, k.n.began, k.n.epoch.Load())
 }
 
 func orDash(s string) string {
@@ -62,12 +70,12 @@
 }
 
 // readHello reads the other side's line. It takes no byte behind the line.
-func readHello(c net.Conn) (id, to string, epoch uint64, err error) {
+func readHello(c net.Conn) (g greeting, err error) {
 	var line []byte
 	one := make([]byte, 1)
 	for len(line) < helloBytes {
 		if _, err := c.Read(one); err != nil {
-			return "", "", 0, err
+			return g, err
 		}
 		if one[0] == '\n' {
 			break
@@ -75,12 +83,12 @@
 		line = append(line, one[0])
 	}
 	if text, ok := strings.CutPrefix(string(line), "refused: "); ok {
-		return "", "", 0, &refusedError{text}
+		return g, &refusedError{text}
 	}
-	if _, err := fmt.Sscanf(string(line), "dockhinge-coord 1 %s %s %d", &id, &to, &epoch); err != nil {
-		return "", "", 0, fmt.Errorf("no coordinator's first line: %q", line)
+	if _, err := fmt.Sscanf(string(line), "dockhinge-coord 1 %s %s %d %d %d", &g.id, &g.to, &g.run.nonce, &g.run.start, &g.run.epoch); err != nil {
+		return g, fmt.Errorf("no coordinator's first line: %q", line)
 	}
-	return id, to, epoch, nil
+	return g, nil
 }
 
 // refusedError is why the other side doesn't talk to us.
@@ -104,29 +112,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := k.greet(c, id); err != nil {
+	if err := k.greet(c, id, timeout); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("coordinator %s: %w", name, err)
 	}
 	return c, nil
 }
 
-func (k *link) greet(c net.Conn, id string) error {
-	_ = c.SetDeadline(time.Now().Add(helloWithin))
+func (k *link) greet(c net.Conn, id string, timeout time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(min(helloWithin, timeout)))
 	if _, err := c.Write([]byte(k.hello(id))); err != nil {
 		return err
 	}
-	there, _, epoch, err := readHello(c)
+	there, err := readHello(c)
 	if err != nil {
 		if r, ok := err.(*refusedError); ok && strings.HasPrefix(r.text, oldDisk) {
 			k.n.o.Fatal(fmt.Errorf("%s: this directory was put back from an old copy, and has forgotten votes; it must come back empty, as a new member", r.text))
 		}
 		return err
 	}
-	if there != id {
-		return fmt.Errorf("it is %s now, and %s is meant: its disk is another", there, id)
+	if there.id != id {
+		return fmt.Errorf("it is %s now, and %s is meant: its disk is another", there.id, id)
 	}
-	if why := k.n.seen(there, epoch); why != "" {
+	if why := k.n.seen(there.id, there.run); why != "" {
 		return fmt.Errorf("%s", why)
 	}
 	return c.SetDeadline(time.Time{})
@@ -171,15 +179,15 @@
 
 func (c *incoming) welcome() error {
 	_ = c.SetDeadline(time.Now().Add(helloWithin))
-	from, to, epoch, err := readHello(c.Conn)
+	g, err := readHello(c.Conn)
 	if err != nil {
 		return err
 	}
 	why := ""
-	if to != c.k.n.id {
-		why = fmt.Sprintf("%s is meant, and this is %s", to, c.k.n.id)
+	if g.to != c.k.n.id {
+		why = fmt.Sprintf("%s is meant, and this is %s", g.to, c.k.n.id)
 	} else {
-		why = c.k.n.seen(from, epoch)
+		why = c.k.n.seen(g.id, g.run)
 	}
 	if why != "" {
 		_, _ = c.Conn.Write([]byte("refused: " + strings.ReplaceAll(why, "\n", " ") + "\n")) // it is closed all the same
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	mrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -59,7 +61,10 @@
 type Node struct {
 	o     Options
 	id    string // of the directory
+	nonce uint64 // of this run
+	began uint64 // the disk's epoch when it started
 	epoch atomic.Uint64
+	meet  sync.Mutex // guards what the disk knows of the others' runs
 	disk  *disk
 	raft  *raft.Raft
 	trans *raft.NetworkTransport
@@ -98,7 +103,12 @@
 		o.Fatal = func(err error) { panic(err) }
 	}
 	n = &Node{o: o, state: coord.New(), waiting: map[string]chan struct{}{}, commits: hdrhistogram.New(1, 60_000_000, 2)}
-	if n.disk, err = openDisk(o.Dir, o.Fatal); err != nil {
+	log := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{o.Log}, DisableTime: true})
+	snaps, floor, err := snapshots(o.Dir, log)
+	if err != nil {
+		return nil, err
+	}
+	if n.disk, err = openDisk(o.Dir, floor, o.Fatal); err != nil {
 		return nil, err
 	}
 	defer func() {
@@ -114,13 +124,8 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n.link = &link{Listener: ln, n: n, conns: map[net.Conn]bool{}}
-	log := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{o.Log}, DisableTime: true})
 	n.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: n.link, MaxPool: 3, Timeout: 2 * time.Second,
 		Logger: log, MsgpackUseNewTimeFormat: true})
-	snaps, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, 2, log)
-	if err != nil {
-		return nil, errors.Join(err, ln.Close())
-	}
 	c := raft.DefaultConfig()
 	c.LocalID, c.Logger = raft.ServerID(n.id), log
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = o.Beat, o.Beat, o.Beat
@@ -137,6 +142,18 @@
 	return n, nil
 }
 
+// snapshots opens the directory's snapshots and tells the last entry that the newest of them holds.
+func snapshots(dir string, log hclog.Logger) (store *raft.FileSnapshotStore, last uint64, err error) {
+	if store, err = raft.NewFileSnapshotStoreWithLogger(dir, 2, log); err != nil {
+		return nil, 0, err
+	}
+	all, err := store.List()
+	if err == nil && len(all) > 0 {
+		last = all[0].Index
+	}
+	return store, last, err
+}
+
 // logWriter passes what the library writes on to the log, a line an event.
 type logWriter struct{ log *slog.Logger }
 
@@ -149,7 +166,7 @@
 
 // identify reads the directory's identity and epoch, or gives it one where it is empty.
 func (n *Node) identify() error {
-	id, err := n.disk.Get([]byte("identity"))
+	id, err := n.disk.Get([]byte(identityKey))
 	if err != nil && err.Error() != "not found" {
 		return err
 	}
@@ -159,32 +176,44 @@
 			return err
 		}
 		id = []byte(hex.EncodeToString(raw))
-		if err := n.disk.Set([]byte("identity"), id); err != nil {
+		if err := n.disk.Set([]byte(identityKey), id); err != nil {
 			return err
 		}
 	}
 	n.id = string(id)
-	epoch, err := n.disk.GetUint64([]byte("epoch"))
+	epoch, err := n.disk.GetUint64([]byte(epochKey))
 	if err != nil {
 		return err
 	}
+	n.began, n.nonce = epoch+1, mrand.Uint64()
 	n.epoch.Store(epoch + 1)
-	return n.disk.SetUint64([]byte("epoch"), epoch+1)
+	return n.disk.SetUint64([]byte(epochKey), epoch+1)
 }
 
-// seen books the epoch of another coordinator's disk, and tells why it must not be talked to, or "".
-func (n *Node) seen(id string, epoch uint64) string {
-	k := []byte("seen/" + id)
-	known, err := n.disk.GetUint64(k)
+// seen books the run of another coordinator, and tells why it must not be talked to, or "". A disk that is as it was left gives
+// each start an epoch above all that it had told; one that was put back from a copy gives one that is not above. A first line that
+// comes late, from the same run or one that has ended, says nothing of the disk.
+func (n *Node) seen(id string, r run) string {
+	n.meet.Lock()
+	defer n.meet.Unlock()
+	k := []byte(seenKey + id)
+	var known run
+	v, err := n.disk.Get(k)
 	switch {
-	case err != nil:
+	case err != nil && err.Error() != "not found":
+		return err.Error()
+	case err == nil && len(v) == 16:
+		known.nonce, known.epoch = binary.LittleEndian.Uint64(v), binary.LittleEndian.Uint64(v[8:])
+	}
+	if r.nonce != known.nonce && r.start <= known.epoch {
+		return fmt.Sprintf("%s (it started at epoch %d, and %d was seen)", oldDisk, r.start, known.epoch)
+	}
+	if r.nonce == known.nonce && r.epoch <= known.epoch {
+		return ""
+	}
+	v = binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.nonce), r.epoch)
+	if err := n.disk.Set(k, v); err != nil {
 		return err.Error()
-	case epoch < known:
-		return fmt.Sprintf("%s (epoch %d, and %d was seen)", oldDisk, epoch, known)
-	case epoch > known:
-		if err := n.disk.SetUint64(k, epoch); err != nil {
-			return err.Error()
-		}
 	}
 	return ""
 }
@@ -200,7 +229,7 @@
 		case <-t.C:
 		}
 		next := n.epoch.Load() + 1
-		if n.disk.SetUint64([]byte("epoch"), next) != nil {
+		if n.disk.SetUint64([]byte(epochKey), next) != nil {
 			return // fatal has been called
 		}
 		n.epoch.Store(next)
@@ -271,7 +300,9 @@
 	}
 	defer n.under.Add(-1)
 	began := time.Now()
-	c.V = coord.Version
+	n.mu.Lock()
+	c.V = n.state.V
+	n.mu.Unlock()
 	f, err := n.propose(c)
 	if err != nil {
 		return coord.Answer{}, err
@@ -449,7 +480,11 @@
 // any that the lost ones may have given. What they had agreed on and this one hadn't heard of is gone.
 func Recover(o Options) error {
 	n := &Node{o: o, state: coord.New(), waiting: map[string]chan struct{}{}}
-	disk, err := openDisk(o.Dir, o.Fatal)
+	snaps, floor, err := snapshots(o.Dir, hclog.NewNullLogger())
+	if err != nil {
+		return err
+	}
+	disk, err := openDisk(o.Dir, floor, o.Fatal)
 	if err != nil {
 		return err
 	}
@@ -457,10 +492,6 @@
 	if err := n.identify(); err != nil {
 		return errors.Join(err, disk.Close())
 	}
-	snaps, err := raft.NewFileSnapshotStore(o.Dir, 2, io.Discard)
-	if err != nil {
-		return errors.Join(err, disk.Close())
-	}
 	addr, trans := raft.NewInmemTransport(raft.ServerAddress(o.address(n.id)))
 	c := raft.DefaultConfig()
 	c.LocalID, c.Logger = raft.ServerID(n.id), hclog.NewNullLogger()
--- a/internal/coord/node/store.go
+++ b/internal/coord/node/store.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +37,8 @@
 // errDamaged tells that what stands on the disk isn't what was written.
 var errDamaged = errors.New("the log is damaged; this coordinator must come back with an empty directory, as a new member")
 
-func openDisk(dir string, fatal func(error)) (d *disk, err error) {
+// openDisk opens the log in dir and reads it through. Up to the entry floor, which a snapshot holds, entries may be missing.
+func openDisk(dir string, floor uint64, fatal func(error)) (d *disk, err error) {
 	path := filepath.Join(dir, "log.db")
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a file that was cut off under its map
 	defer func() {
@@ -41,8 +46,15 @@
 			d, err = nil, fmt.Errorf("%s: %w (%v)", path, errDamaged, p)
 		}
 	}()
+	if _, err := os.Stat(path); err == nil {
+		if err := inspect(path); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	_, missing := os.Stat(path)
-	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: 5 * time.Second}, MsgpackUseNewTimeFormat: true})
+	// The list of free pages is worked out anew at each start: a spoilt one would have pages in use written over.
+	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: 5 * time.Second,
+		NoFreelistSync: true}, MsgpackUseNewTimeFormat: true})
 	if err != nil {
 		if missing == nil && !errors.Is(err, bbolt.ErrTimeout) {
 			return nil, fmt.Errorf("%s: %w (%v)", path, errDamaged, err)
@@ -50,14 +62,102 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	d = &disk{BoltStore: store, fatal: fatal, syncs: hdrhistogram.New(1, 60_000_000, 2)}
-	if err := d.check(); err != nil {
+	if err := d.check(floor); err != nil {
 		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), store.Close())
 	}
 	return d, nil
 }
 
-// check reads all that is there.
-func (d *disk) check() error {
+// metaPages are the two pages at a bbolt file's beginning of which the newer valid one holds: its layout, from bbolt's
+// documentation of the file: 16 bytes of page header, then magic, version, page size and flags (4 bytes each), root (16), freelist,
+// pages and transaction (8 each), and an FNV-1a checksum of all that.
+const (
+	pageHeader = 16
+	metaBytes  = 56
+	metaMagic  = 0xED0CDAED
+)
+
+// inspect finds damage that the file's own library would pass over: a meta page that is spoilt has it go back silently to the one
+// before, which forgets the last transaction and with it, perhaps, a vote; and a key that is spoilt looks like one never written.
+func inspect(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	head := make([]byte, pageHeader+metaBytes+8)
+	if _, err := f.ReadAt(head, 0); err != nil {
+		return fmt.Errorf("%w: %v", errDamaged, err)
+	}
+	pageSize := int64(binary.LittleEndian.Uint32(head[pageHeader+8:]))
+	if pageSize < 512 || pageSize > 1<<20 {
+		return fmt.Errorf("%w: its first page is spoilt", errDamaged)
+	}
+	for _, at := range []int64{0, pageSize} {
+		if _, err := f.ReadAt(head, at); err != nil {
+			return fmt.Errorf("%w: %v", errDamaged, err)
+		}
+		sum := fnv.New64a()
+		_, _ = sum.Write(head[pageHeader : pageHeader+metaBytes])
+		if binary.LittleEndian.Uint32(head[pageHeader:]) != metaMagic || binary.LittleEndian.Uint64(head[pageHeader+metaBytes:]) != sum.Sum64() {
+			return fmt.Errorf("%w: a meta page is spoilt, and the one before it is older", errDamaged)
+		}
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: 5 * time.Second})
+	if err != nil {
+		return fmt.Errorf("%w: %v", errDamaged, err)
+	}
+	defer db.Close()
+	return db.View(func(tx *bbolt.Tx) error {
+		// Each byte of each key and value is touched here, in their order: where a page points outside the file, the fault comes
+		// now, when it can be told as what it is. Not by tx.Check, which reads on a goroutine of its own.
+		return tx.ForEach(func(name []byte, b *bbolt.Bucket) error {
+			var before []byte
+			if err := b.ForEach(func(k, v []byte) error {
+				if before != nil && bytes.Compare(before, k) >= 0 {
+					return fmt.Errorf("%w: keys out of order", errDamaged)
+				}
+				before = k
+				xxhash.Sum64(v)
+				return nil
+			}); err != nil {
+				return err
+			}
+			switch string(name) {
+			case "logs":
+				return b.ForEach(func(k, _ []byte) error {
+					if len(k) != 8 {
+						return fmt.Errorf("%w: an entry's key of %d bytes", errDamaged, len(k))
+					}
+					return nil
+				})
+			case "conf":
+			default:
+				return fmt.Errorf("%w: bucket %q", errDamaged, name)
+			}
+			return b.ForEach(func(k, _ []byte) error {
+				switch {
+				case strings.HasPrefix(string(k), seenKey):
+					return nil
+				case slices.Contains([]string{"CurrentTerm", "LastVoteTerm", "LastVoteCand", identityKey, epochKey}, string(k)): // raft's and ours
+					return nil
+				}
+				return fmt.Errorf("%w: key %q", errDamaged, k)
+			})
+		})
+	})
+}
+
+// The keys of what this package keeps beside the library's.
+const (
+	identityKey = "identity"
+	epochKey    = "epoch"
+	seenKey     = "seen/"
+)
+
+// check reads all that is there. A snapshot that came from the leader leaves a hole between what the log had before and what
+// came after it.
+func (d *disk) check(floor uint64) error {
 	first, err := d.FirstIndex()
 	if err != nil {
 		return err
@@ -68,13 +168,13 @@
 	}
 	var l raft.Log
 	for i := first; i <= last && last > 0; i++ {
-		if err := d.GetLog(i, &l); err != nil {
+		if err := d.GetLog(i, &l); err != nil && !(errors.Is(err, raft.ErrLogNotFound) && i <= floor) {
 			return fmt.Errorf("entry %d: %w: %v", i, errDamaged, err)
 		}
 	}
-	for _, k := range []string{"CurrentTerm", "LastVoteTerm", "LastVoteCand"} { // raft's own names
-		if _, err := d.Get([]byte(k)); err != nil && err.Error() != "not found" {
-			return err
+	for k, always := range map[string]bool{"CurrentTerm": true, identityKey: true, epochKey: true, "LastVoteTerm": false, "LastVoteCand": false} {
+		if _, err := d.Get([]byte(k)); err != nil && (err.Error() != "not found" || always && last > 0) {
+			return fmt.Errorf("%s: %w: %v", k, errDamaged, err)
 		}
 	}
 	return nil
@@ -102,6 +202,7 @@
 		}
 	}
 	d.mu.Unlock()
+	*l = raft.Log{} // a field whose name is spoilt must not keep what another entry had
 	if err := d.BoltStore.GetLog(i, l); err != nil {
 		return err
 	}
--- a/internal/coord/snapshot.go
+++ b/internal/coord/snapshot.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	return json.Marshal(snapshot{Version, xxhash.Sum64(body), body})
+	return json.Marshal(snapshot{s.V, xxhash.Sum64(body), body})
 }
 
 // Unmarshal reads a state of this version or an older one, and refuses a damaged one.
@@ -50,7 +50,7 @@
 	if err := json.Unmarshal(f.State, s); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	s.V, s.next, s.bytes = Version, 0, 0
+	s.next, s.bytes = 0, 0
 	for name, l := range s.Leases {
 		s.bytes += len(l.Record)
 		if s.Sessions[l.Session] == nil {
--- /dev/null
+++ b/internal/coord/version.go
@@ -0,0 +1,7 @@
+//go:build !nextversion
+
+package coord
+
+// Version is the newest command and state that this program understands. Commands are of the version that all coordinators
+// understand, State.V, until an operator raises it (members upgrade).
+const Version = 1
--- /dev/null
+++ b/internal/coord/version_next.go
@@ -0,0 +1,6 @@
+//go:build nextversion
+
+package coord
+
+// Version is one more than the program's, so that tests can play the rolling upgrade to the next one.
+const Version = 2
--- a/lab/fleet/agree.go
+++ b/lab/fleet/agree.go
@@ -399,6 +399,7 @@
 	case "disk-full":
 		a.down(ctx, c.proc, t.ForS, func() { limitFile(c.proc, 4096) }, func() {
 			limitFile(c.proc, unix.RLIM_INFINITY)
+			wait(context.WithoutCancel(ctx), 0.3)
 			if up, _ := c.running(); !up { // it said that it can't go on
 				a.up(c.proc)
 			}
@@ -462,7 +463,7 @@
 		if err := client.Call(ctx, http.MethodDelete, l.api, "/v1/members/"+c.name, nil, nil); err != nil && !strings.Contains(err.Error(), "is none") {
 			return err
 		}
-		return client.Call(ctx, http.MethodPost, l.api, "/v1/members", node.Member{Name: c.name, Identity: s.Identity, Address: c.listen}, nil)
+		return client.Call(ctx, http.MethodPost, l.api, "/v1/members", node.Member{Name: c.name, Identity: s.Identity, Address: c.listen, Newest: s.Understands}, nil)
 	})
 	if err != nil {
 		a.fail("%s could not be replaced: %v", c.name, err)
--- /dev/null
+++ b/lab/fleet/agree_test.go
@@ -0,0 +1,400 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// built are the programs of the agreement with faults, once for all tests; TestMain removes them.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "dockhinge-agree-test-")
+	if err != nil {
+		return "", err
+	}
+	builtIn = dir
+	for into, tags := range map[string]string{"": "faults", "next/": "faults,nextversion"} {
+		if out, err := exec.Command("go", "build", "-tags", tags, "-o", dir+"/"+into, "../../cmd/dockhinge-coord", "../../cmd/dockhinge-lab").CombinedOutput(); err != nil {
+			return "", fmt.Errorf("%w\n%s", err, out)
+		}
+	}
+	return dir, nil
+})
+
+var builtIn string
+
+func agreeOptions(t *testing.T, env ...string) AgreeOptions {
+	t.Helper()
+	dir, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return AgreeOptions{Coord: []string{dir + "/dockhinge-coord"}, Lab: []string{dir + "/dockhinge-lab"}, Dir: t.TempDir(), Env: env, Patience: time.Minute}
+}
+
+// Three seeds of all faults with real processes: two holders never act at once, and what nobody holds can be had again.
+func TestNoTwoHoldersByProcesses(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f, err := scenario.LoadAgreement()
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Seed, f.DurationS, f.HealS = seed, 10, 60 // a slow machine is no verdict
+			res, err := Agree(t.Context(), f, agreeOptions(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(res.Failures) > 0 {
+				t.Errorf("%s", strings.Join(res.Failures, "\n"))
+			}
+			t.Logf("%d faults, %d grants, %d claims, %d acts", res.Faults, res.Grants, res.Claims, res.Acts)
+		})
+	}
+}
+
+// Holders that are stopped between their check and their act: the resource refuses what comes after another's.
+func TestStoppedHoldersAreRefused(t *testing.T) {
+	t.Parallel()
+	f, err := scenario.LoadAgreement()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Faults = []scenario.Kinds{{What: "stop-holder", Weight: 1, ForS: [2]float64{3, 5}}, {What: "late-acts", Weight: 2, ForS: [2]float64{3, 5}}}
+	f.DurationS, f.TTLS, f.EveryS, f.HealS, f.Seed = 10, 1, 0.2, 60, 5
+	res, err := Agree(t.Context(), f, agreeOptions(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Failures) > 0 || res.Refused == 0 {
+		t.Errorf("%d acts, %d refused: %s", res.Acts, res.Refused, strings.Join(res.Failures, "\n"))
+	}
+}
+
+// quiet is a group of coordinators without faults, and a live client of it.
+func quiet(t *testing.T, coordinators int, o AgreeOptions) (*agreement, *client.Client) {
+	t.Helper()
+	a, err := calm(t.Context(), coordinators, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.close)
+	return a, live(t, a, "test")
+}
+
+func live(t *testing.T, a *agreement, name string) *client.Client {
+	t.Helper()
+	c := client.New(client.Options{Coordinators: a.addresses(), Client: name, TTL: 20 * time.Second, TryMS: 500})
+	ctx, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() { end(); wg.Wait() })
+	return c
+}
+
+// settled waits until one leads and all others follow it with all that it has.
+func settled(t *testing.T, a *agreement) *coordinator {
+	t.Helper()
+	var l *coordinator
+	if err := until(t.Context(), time.Minute, func() (err error) {
+		if l, err = a.leader(t.Context()); err != nil {
+			return err
+		}
+		top, err := l.status(t.Context())
+		if err != nil {
+			return err
+		}
+		for _, c := range a.coords {
+			if s, err := c.status(t.Context()); err != nil || s.Applied+20 < top.Applied || s.Leader != l.name {
+				return errors.Join(fmt.Errorf("%s is behind", c.name), err)
+			}
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// A leader that is stopped, replaced and resumed neither answers for the state that it had nor takes a lease away.
+func TestStoppedLeader(t *testing.T) {
+	t.Parallel()
+	a, c := quiet(t, 3, agreeOptions(t))
+	old := settled(t, a)
+	first, err := c.Acquire(t.Context(), "x", "", 20*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.signal(syscall.SIGSTOP)
+	if err := until(t.Context(), time.Minute, func() error {
+		l, err := a.leader(t.Context())
+		if err == nil && l == old {
+			return errors.New("still the old one")
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	other := live(t, a, "other")
+	second, err := other.Acquire(t.Context(), "x", "", 20*time.Second)
+	if err != nil || second.Token <= first.Token {
+		t.Fatalf("%+v, %v", second, err)
+	}
+	old.signal(syscall.SIGCONT)
+	alone := client.New(client.Options{Coordinators: map[string]string{old.name: old.api}, Client: "reader", TTL: 20 * time.Second})
+	for range 20 { // through the old one alone: the truth or nothing
+		if rows, err := alone.Rows(t.Context(), "x"); err == nil && (len(rows) != 1 || rows[0].Token != second.Token) {
+			t.Fatalf("the old leader tells %+v", rows)
+		}
+	}
+	if second.Left() <= 0 {
+		t.Error("the lease was lost")
+	}
+}
+
+// A wiped disk doesn't come back as the old voter, and neither does yesterday's; each is told what to do.
+func TestDisksThatForget(t *testing.T) {
+	t.Parallel()
+	a, c := quiet(t, 3, agreeOptions(t, "DOCKHINGE_EPOCH_EVERY=100ms"))
+	lead := settled(t, a)
+	var victim *coordinator
+	for _, x := range a.coords {
+		if x != lead {
+			victim = x
+		}
+	}
+	before, err := victim.status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := filepath.Join(t.TempDir(), "copy")
+	victim.kill()
+	if err := os.CopyFS(copied, os.DirFS(victim.data)); err != nil {
+		t.Fatal(err)
+	}
+	a.up(victim.proc)
+	settled(t, a)
+	for range 10 { // what yesterday's disk doesn't know
+		l, err := c.Acquire(t.Context(), "x", "", 20*time.Second)
+		if err == nil {
+			err = l.Release(t.Context())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := until(t.Context(), time.Minute, func() error { // told to the others
+		if s, err := victim.status(t.Context()); err != nil || s.Epoch < before.Epoch+6 {
+			return errors.Join(errors.New("its epoch has not grown yet"), err)
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	victim.kill()
+	if err := errors.Join(os.RemoveAll(victim.data), os.CopyFS(victim.data, os.DirFS(copied))); err != nil {
+		t.Fatal(err)
+	}
+	a.up(victim.proc)
+	if err := until(t.Context(), time.Minute, func() error {
+		if up, _ := victim.running(); up {
+			return errors.New("it runs on with yesterday's disk")
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if said := victim.logTail(3); !strings.Contains(said, "put back from an old copy") {
+		t.Errorf("it said:\n%s", said)
+	}
+	if err := os.RemoveAll(victim.data); err != nil {
+		t.Fatal(err)
+	}
+	a.up(victim.proc)
+	if err := until(t.Context(), time.Minute, func() error {
+		s, err := victim.status(t.Context())
+		if err == nil && (s.State != "Waiting" || s.Identity == before.Identity) {
+			return fmt.Errorf("wiped, it is %s as %s", s.State, s.Identity)
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	tool(t, a, "members", "remove", victim.name)
+	tool(t, a, "members", "add", victim.name+"="+victim.api)
+	settled(t, a)
+}
+
+// tool runs the operators' tool, which must not fail, and returns what it printed.
+func tool(t *testing.T, a *agreement, args ...string) string {
+	t.Helper()
+	out, err := toolCommand(a, args...).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+func toolCommand(a *agreement, args ...string) *exec.Cmd {
+	var all []string
+	for name, addr := range a.addresses() {
+		all = append(all, name+"="+addr)
+	}
+	cmd := exec.Command(a.o.Coord[0], args...)
+	cmd.Env = append(os.Environ(), "DOCKHINGE_COORDINATORS="+strings.Join(all, ","))
+	return cmd
+}
+
+// A rolling upgrade of the coordinators to the next version, one after the other, loses no lease; a program that is too old is
+// refused by words once the new version is in force.
+func TestRollingUpgrade(t *testing.T) {
+	t.Parallel()
+	o := agreeOptions(t)
+	a, c := quiet(t, 3, o)
+	settled(t, a)
+	l, err := c.Acquire(t.Context(), "kept", "", 20*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir, _ := built() // agreeOptions has seen to it
+	for i, x := range a.coords {
+		if i == 1 { // one is old still
+			if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, "version 1") {
+				t.Errorf("%s", out)
+			}
+		}
+		if err := x.end(20 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		x.command[0] = dir + "/next/dockhinge-coord"
+		a.up(x.proc)
+		settled(t, a)
+	}
+	if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, "version 2") {
+		t.Errorf("%s", out)
+	}
+	rows, err := c.Rows(t.Context(), "kept")
+	if err != nil || len(rows) != 1 || rows[0].Token != l.Token || l.Left() <= 0 {
+		t.Errorf("%+v, %v: token %d was held, %v left", rows, err, l.Token, l.Left())
+	}
+	back := a.coords[0]
+	if err := back.end(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	back.command[0] = dir + "/dockhinge-coord"
+	a.up(back.proc)
+	if err := until(t.Context(), time.Minute, func() error {
+		if up, _ := back.running(); up {
+			return errors.New("the old program runs on")
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if said := back.logTail(3); !strings.Contains(said, "too old") {
+		t.Errorf("it said:\n%s", said)
+	}
+}
+
+// A command under a lease is ended before the lease's time is out, also when it won't, once no coordinator answers any more.
+func TestCommandEndsWithItsLease(t *testing.T) {
+	t.Parallel()
+	a, _ := quiet(t, 3, agreeOptions(t))
+	settled(t, a)
+	marks := filepath.Join(t.TempDir(), "marks")
+	cmd := toolCommand(a, "lease", "take", "job", "--kind", "harmless", "--ttl", "4s", "--margin", "2s", "--", "sh", "-c",
+		"trap '' TERM; echo $DOCKHINGE_TOKEN $$ > "+marks+"; while :; do sleep 0.05; done")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	var token, pid int
+	if err := until(t.Context(), time.Minute, func() error {
+		text, err := os.ReadFile(marks)
+		if err == nil {
+			_, err = fmt.Sscan(string(text), &token, &pid)
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range a.coords {
+		x.signal(syscall.SIGSTOP)
+	}
+	if err := until(t.Context(), time.Minute, func() error {
+		if syscall.Kill(pid, 0) == nil {
+			return errors.New("the command runs on")
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range a.coords { // nobody can have had the lease meanwhile: none of them ran
+		x.signal(syscall.SIGCONT)
+	}
+	if err := <-done; err == nil {
+		t.Error("the tool didn't say that the command was ended")
+	}
+	out, err := toolCommand(a, "lease", "take", "job", "--", "true").CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "none of checked, harmless") {
+		t.Errorf("a command of no kind was run: %s", out)
+	}
+	if out := tool(t, a, "lease", "take", "job", "--kind", "checked", "--", "sh", "-c", "echo token $DOCKHINGE_TOKEN"); !strings.Contains(out, "token ") {
+		t.Errorf("%s", out)
+	}
+}
+
+// A client whose requests arrive and whose answers don't stops believing in its lease in time, though the coordinators keep it.
+func TestAnswersLost(t *testing.T) {
+	t.Parallel()
+	a, c := quiet(t, 3, agreeOptions(t))
+	settled(t, a)
+	addrs := map[string]string{}
+	var relays []*standin.Relay
+	for _, x := range a.coords {
+		r, err := standin.NewRelay(func() string { return x.api })
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		relays, addrs[x.name] = append(relays, r), r.Addr()
+	}
+	deaf := client.New(client.Options{Coordinators: addrs, Client: "deaf", TTL: 3 * time.Second})
+	ctx, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { deaf.Run(ctx) })
+	t.Cleanup(func() { end(); wg.Wait() })
+	l, err := deaf.Acquire(t.Context(), "x", "", 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range relays {
+		r.Set(standin.Net{DropBack: true})
+	}
+	// The referee's own client takes it, and at that moment the deaf one must know that it has lost it.
+	if err := c.Hold(t.Context(), "x", "", 10*time.Second, time.Second, func(context.Context, *client.Lease) error {
+		if left := l.Left(); left > 0 {
+			return fmt.Errorf("two hold it: the deaf one has %v left", left)
+		}
+		return nil
+	}); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/lab/fleet/agreecost.go
@@ -0,0 +1,297 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// AgreeCost is what coordinators cost with so many clients.
+type AgreeCost struct {
+	Clients, Leases int
+	Opened          time.Duration // until all had a session
+	Idle            AgreeUse      // while all only keep their sessions
+	Busy            AgreeUse      // while a share of them acquires and releases in a closed loop
+	PerS            float64       // commands carried out, busy
+	P50, P99        time.Duration // of those
+	IdleBytes       float64       // a second and client, bodies of keep-alives and answers
+	Failed          int
+}
+
+// AgreeUse is what the leader and the busiest other use.
+type AgreeUse struct {
+	LeaderCPU, OtherCPU float64 // of a core
+	LeaderMB, OtherMB   float64
+	FsyncP50, FsyncP99  float64 // ms, the leader's
+}
+
+// calm starts coordinators without faults.
+func calm(ctx context.Context, coordinators int, o AgreeOptions) (*agreement, error) {
+	f, err := scenario.LoadAgreement()
+	if err != nil {
+		return nil, err
+	}
+	f.Coordinators, f.Holders, f.Seed, f.ClockRate, f.SnapshotEach = coordinators, 1, 3, coord.DefaultRate, 8192 // no slow disk, no stepping clock that matters
+	a := &agreement{f: f, o: o, rng: rand.New(rand.NewPCG(1, 41)), raft: map[[2]int]*standin.Relay{}, api: map[[2]int]*standin.Relay{},
+		nets: map[*standin.Relay]*nets{}, busy: map[*proc]int{}}
+	if err := a.build(); err != nil {
+		a.close()
+		return nil, err
+	}
+	for _, c := range a.coords {
+		c.env = o.Env
+	}
+	a.holders = nil
+	if err := a.begin(ctx); err != nil {
+		a.close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// use measures the coordinators over a time.
+func (a *agreement) use(ctx context.Context, over time.Duration) (u AgreeUse, err error) {
+	l, err := a.leader(ctx)
+	if err != nil {
+		return u, err
+	}
+	before := map[string]Use{}
+	for _, c := range a.coords {
+		if before[c.name], err = ProcessUse(c.cmd.Process.Pid); err != nil {
+			return u, err
+		}
+	}
+	wait(ctx, over.Seconds())
+	for _, c := range a.coords {
+		now, err := ProcessUse(c.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		cpu := (now.CPUMS - before[c.name].CPUMS) / over.Seconds() / 1000
+		if c == l {
+			u.LeaderCPU, u.LeaderMB = cpu, now.RSSMB
+		} else {
+			u.OtherCPU, u.OtherMB = max(u.OtherCPU, cpu), max(u.OtherMB, now.RSSMB)
+		}
+	}
+	s, err := l.status(ctx)
+	u.FsyncP50, u.FsyncP99 = s.FsyncP50MS, s.FsyncP99MS
+	return u, err
+}
+
+func (a *agreement) addresses() map[string]string {
+	all := map[string]string{}
+	for _, c := range a.coords {
+		all[c.name] = c.api
+	}
+	return all
+}
+
+// MeasureAgreement plays so many clients that hold so many leases in all before coordinators without faults.
+func MeasureAgreement(ctx context.Context, coordinators, clients, leases int, o AgreeOptions) (m AgreeCost, err error) {
+	m.Clients, m.Leases = clients, leases
+	a, err := calm(ctx, coordinators, o)
+	if err != nil {
+		return m, err
+	}
+	defer a.close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	run, end := context.WithCancel(ctx)
+	defer end()
+	all := make([]*client.Client, clients)
+	for i := range all {
+		all[i] = client.New(client.Options{Coordinators: a.addresses(), Client: fmt.Sprintf("r%d", i), TTL: 10 * time.Second})
+		wg.Go(func() { all[i].Run(run) })
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var held sync.WaitGroup
+	for i := range clients { // each takes its share of the leases
+		held.Go(func() {
+			for n := i; n < max(leases, clients); n += clients {
+				if n >= leases { // one that holds none waits for its session all the same
+					_, _ = all[i].Acquire(ctx, "nobody's", "", time.Minute) // refused: longer than the session
+					break
+				}
+				if _, err := all[i].Acquire(ctx, fmt.Sprintf("lease-%d", n), "", 10*time.Second); err != nil {
+					mu.Lock()
+					m.Failed++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	held.Wait()
+	m.Opened = time.Since(began)
+	sum := func() (n int64) {
+		for _, c := range all {
+			n += c.Bytes()
+		}
+		return n
+	}
+	bytes := sum()
+	const over = 8 * time.Second
+	if m.Idle, err = a.use(ctx, over); err != nil {
+		return m, err
+	}
+	m.IdleBytes = float64(sum()-bytes) / over.Seconds() / float64(clients)
+	var took []time.Duration
+	busy, stop := context.WithCancel(ctx)
+	defer stop()
+	for i := range min(clients, 64) {
+		held.Go(func() {
+			name := fmt.Sprintf("busy-%d", i)
+			for busy.Err() == nil {
+				at := time.Now()
+				l, err := all[i].Acquire(busy, name, "", 10*time.Second)
+				if err != nil {
+					continue
+				}
+				mid := time.Now()
+				if l.Release(busy) != nil {
+					continue
+				}
+				mu.Lock()
+				took = append(took, mid.Sub(at), time.Since(mid))
+				mu.Unlock()
+			}
+		})
+	}
+	if m.Busy, err = a.use(ctx, over); err != nil {
+		return m, err
+	}
+	stop()
+	held.Wait()
+	slices.Sort(took)
+	if len(took) > 0 {
+		m.PerS, m.P50, m.P99 = float64(len(took))/over.Seconds(), took[len(took)/2], took[len(took)*99/100]
+	}
+	return m, nil
+}
+
+// FailOver kills the leader again and again, and tells how long it took each time until a client acquired a lease again.
+func FailOver(ctx context.Context, coordinators, kills int, o AgreeOptions) (took []time.Duration, err error) {
+	a, err := calm(ctx, coordinators, o)
+	if err != nil {
+		return nil, err
+	}
+	defer a.close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	run, end := context.WithCancel(ctx)
+	defer end()
+	c := client.New(client.Options{Coordinators: a.addresses(), Client: "f", TTL: 20 * time.Second})
+	wg.Go(func() { c.Run(run) })
+	for n := range kills {
+		if err := until(ctx, 20*time.Second, func() error { // all are there and have what the leader has
+			l, err := a.leader(ctx)
+			if err != nil {
+				return err
+			}
+			top, err := l.status(ctx)
+			if err != nil {
+				return err
+			}
+			for _, x := range a.coords {
+				if s, err := x.status(ctx); err != nil || s.Last+5 < top.Last || s.Leader != l.name {
+					return errors.Join(errors.New("not all are there"), err)
+				}
+			}
+			return nil
+		}); err != nil {
+			return took, err
+		}
+		l, err := a.leader(ctx)
+		if err != nil {
+			return took, err
+		}
+		at := time.Now()
+		l.kill()
+		lease, err := c.Acquire(ctx, fmt.Sprintf("k%d", n), "", 10*time.Second)
+		if err != nil {
+			return took, err
+		}
+		took = append(took, time.Since(at))
+		if err := lease.Release(ctx); err != nil {
+			return took, err
+		}
+		a.up(l.proc)
+	}
+	return took, nil
+}
+
+// DeadHolders has holders cut off from all again and again, and tells how long after its last keep-alive could have been carried
+// out another one held the lease.
+func DeadHolders(ctx context.Context, coordinators, times int, ttl time.Duration, o AgreeOptions) (took []time.Duration, err error) {
+	a, err := calm(ctx, coordinators, o)
+	if err != nil {
+		return nil, err
+	}
+	defer a.close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	run, end := context.WithCancel(ctx)
+	defer end()
+	next := client.New(client.Options{Coordinators: a.addresses(), Client: "next", TTL: ttl})
+	wg.Go(func() { next.Run(run) })
+	var mu sync.Mutex
+	var fails []error
+	var each sync.WaitGroup
+	room := make(chan struct{}, 10)
+	for n := range times {
+		room <- struct{}{}
+		each.Go(func() {
+			defer func() { <-room }()
+			name := fmt.Sprintf("d%d", n)
+			var relays []*standin.Relay
+			addrs := map[string]string{}
+			defer func() {
+				for _, r := range relays {
+					r.Close()
+				}
+			}()
+			for _, x := range a.coords {
+				r, err := standin.NewRelay(func() string { return x.api })
+				if err != nil {
+					return
+				}
+				relays, addrs[x.name] = append(relays, r), r.Addr()
+			}
+			c := client.New(client.Options{Coordinators: addrs, Client: name, TTL: ttl})
+			var own sync.WaitGroup
+			defer own.Wait()
+			alive, die := context.WithCancel(ctx)
+			defer die()
+			own.Go(func() { c.Run(alive) })
+			_, err := c.Acquire(ctx, name, "", ttl)
+			if err == nil {
+				wait(ctx, rand.Float64()*ttl.Seconds())
+				for _, r := range relays {
+					r.Set(standin.Net{Cut: true})
+				}
+				at := time.Now()
+				err = next.Hold(ctx, name, "", ttl, ttl/4, func(context.Context, *client.Lease) error {
+					mu.Lock()
+					took = append(took, time.Since(at))
+					mu.Unlock()
+					return nil
+				})
+			}
+			mu.Lock()
+			fails = append(fails, err)
+			mu.Unlock()
+		})
+	}
+	each.Wait()
+	return took, errors.Join(fails...)
+}
--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -28,7 +28,9 @@
 		}
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	os.RemoveAll(builtIn) // "" where nothing was built
+	os.Exit(code)
 }
 
 type fake struct {
--- a/lab/fleet/holder.go
+++ b/lab/fleet/holder.go
@@ -94,6 +94,8 @@
 		return string(coord.OK), coord.Answer{}
 	case errors.As(err, &r):
 		return string(r.Code), r.Answer
+	case errors.Is(err, client.ErrLost): // nothing was sent
+		return "lost", coord.Answer{}
 	}
 	return "", coord.Answer{}
 }
--- a/lab/fleet/procs.go
+++ b/lab/fleet/procs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -101,6 +102,12 @@
 		return fmt.Errorf("%s did not end within %v", p.name, within)
 	}
 	_, err := p.running()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		if s, ok := exit.Sys().(syscall.WaitStatus); ok && s.Signaled() && s.Signal() == syscall.SIGTERM {
+			return nil // it had just been started, and didn't listen yet
+		}
+	}
 	return err
 }
 
--- a/lab/referee/leases.go
+++ b/lab/referee/leases.go
@@ -249,7 +249,7 @@
 				if ok && (in.Kind == "release" || out.Got > mine.top) {
 					next = append(next, after)
 				}
-			case "no-client", "old", "full", "bad":
+			case "no-client", "old", "full", "bad", "lost":
 				next = append(next, s)
 			default: // not held: it may have ended
 				if ok {
