Have one router probe a cache server for all, by a lease, where talk is allowed

Change: internal/probing (a board of reports with their age, sixteen shares held by lease, reports in the lease's record), [agreement] in the operator file, off by default; the router's Probe looks at the board first and asks the server itself where a report is stale or missing. Only good answers are told. The laboratory starts coordinators with a fleet (fleet.coordinators) and kills them all (coordinators-die); scenario probes. docs/agreement.md and docs/agreement-design.md.

--- a/cmd/dockhinge-lab/main.go
+++ b/cmd/dockhinge-lab/main.go
@@ -61,7 +61,7 @@
 		return strings.Fields(given), nil
 	}
 	if _, err := os.Stat("go.mod"); err == nil { // always, as a build that is up to date costs nothing
-		build := exec.CommandContext(ctx, "go", "build", "-o", "bin/", "./cmd/dockhinge")
+		build := exec.CommandContext(ctx, "go", "build", "-o", "bin/", "./cmd/dockhinge", "./cmd/dockhinge-coord")
 		build.Stdout, build.Stderr = os.Stderr, os.Stderr
 		if err := build.Run(); err != nil {
 			return nil, fmt.Errorf("building the router: %w", err)
@@ -77,6 +77,15 @@
 	return []string{path, "serve"}, nil
 }
 
+// coordCommand is what starts one coordinator, where it was built.
+func coordCommand() []string {
+	path, err := filepath.Abs("bin/dockhinge-coord")
+	if err != nil {
+		return nil
+	}
+	return []string{path}
+}
+
 // play plays a scenario with one router command.
 func play(ctx context.Context, f scenario.File, c common, command []string, progress func(load.Now, *fleet.Fleet)) (fleet.Result, error) {
 	dir := c.logs
@@ -94,7 +103,7 @@
 		}
 		fmt.Println("logs in", dir)
 	}
-	return fleet.Run(ctx, f, fleet.Options{Command: command, Dir: dir, Progress: progress,
+	return fleet.Run(ctx, f, fleet.Options{Command: command, Coord: coordCommand(), Dir: dir, Progress: progress,
 		Say: func(form string, v ...any) { fmt.Printf(form+"\n", v...) }})
 }
 
--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -21,6 +21,7 @@
 	"dockhinge.example/dockhinge/internal/logging"
 	"dockhinge.example/dockhinge/internal/metrics"
 	"dockhinge.example/dockhinge/internal/operator"
+	"dockhinge.example/dockhinge/internal/probing"
 	"dockhinge.example/dockhinge/internal/router"
 	"dockhinge.example/dockhinge/internal/trace"
 )
@@ -149,9 +150,16 @@
 // load reads the configuration at path, with what an operator file adds.
 func load(path string, extra operator.File) (*router.Config, error) {
 	cfg, err := router.LoadConfig(path, os.Getenv)
-	if err != nil || !extra.Admission.Enabled {
+	if err != nil {
 		return cfg, err
 	}
+	if a := extra.Agreement; len(a.Coordinators) > 0 {
+		cfg.Agreement = &router.Agreement{Coordinators: probing.Coordinators(a.Coordinators), TTL: operator.Time(a.TTL), Probes: a.Probes,
+			ProbeEvery: operator.Time(a.ProbeEvery), ProbeStale: operator.Time(a.ProbeStale)}
+	}
+	if !extra.Admission.Enabled {
+		return cfg, nil
+	}
 	rules, who, err := extra.Admission.Config()
 	cfg.Admission = &router.Admission{Rules: rules, Who: who}
 	return cfg, err
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -464,6 +464,12 @@
 	return rows, err
 }
 
+// Under are the leases whose names begin so, not older than the call.
+func (c *Client) Under(ctx context.Context, prefix string) (rows []coord.Row, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/leases?prefix="+url.QueryEscape(prefix), nil, &rows)
+	return rows, err
+}
+
 // Watch waits until a lease is held with another token (0: is free), for some seconds at most.
 func (c *Client) Watch(ctx context.Context, name string, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, watchFor)
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -114,7 +114,8 @@
 	TTL     time.Duration `json:"ttl"`
 	Purpose string        `json:"purpose,omitempty"`
 	Record  []byte        `json:"record,omitempty"`
-	Asked   uint64        `json:"asked"` // the number of the holder's newest Acquire
+	Written time.Duration `json:"written,omitempty"` // by the state's clock, when Record was
+	Asked   uint64        `json:"asked"`             // the number of the holder's newest Acquire
 }
 
 // State is all that is agreed on.
@@ -349,7 +350,7 @@
 			return Answer{Code: Full, Text: fmt.Sprintf("records: %d bytes at most", MaxRecords)}
 		}
 		s.bytes += len(c.Record) - len(l.Record)
-		l.Record = slices.Clone(c.Record)
+		l.Record, l.Written = slices.Clone(c.Record), s.Clock
 		s.changed = append(s.changed, c.Lease)
 	case HandOver:
 		to := "" // the newest session of that name
@@ -437,14 +438,15 @@
 	Left    time.Duration `json:"left"` // until it ends unless it is kept, on the coordinators' clock
 	Purpose string        `json:"purpose,omitempty"`
 	Record  []byte        `json:"record,omitempty"`
+	Age     time.Duration `json:"age,omitempty"` // of Record, on the coordinators' clock, which may lag behind by what passes between two commands
 }
 
-// Rows are all leases by name; those of one name where it isn't empty.
-func (s *State) Rows(only string) []Row {
+// Rows are the leases that match, by name.
+func (s *State) Rows(match func(name string) bool) []Row {
 	rows := []Row{}
 	for name, l := range s.Leases {
-		if only == "" || name == only {
-			rows = append(rows, Row{name, s.holder(l), l.Token, l.TTL, s.Sessions[l.Session].Kept + s.Wait(l.TTL) - s.Clock, l.Purpose, l.Record})
+		if match(name) {
+			rows = append(rows, Row{name, s.holder(l), l.Token, l.TTL, s.Sessions[l.Session].Kept + s.Wait(l.TTL) - s.Clock, l.Purpose, l.Record, s.Clock - l.Written})
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Lease, b.Lease) })
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -146,7 +147,10 @@
 	})
 	m.HandleFunc("GET /v1/leases", func(w http.ResponseWriter, r *http.Request) {
 		var rows []coord.Row
-		err := n.Read(func(s *coord.State) { rows = s.Rows(r.URL.Query().Get("name")) })
+		name, prefix := r.URL.Query().Get("name"), r.URL.Query().Get("prefix")
+		err := n.Read(func(s *coord.State) {
+			rows = s.Rows(func(l string) bool { return (name == "" || l == name) && strings.HasPrefix(l, prefix) })
+		})
 		n.give(w, rows, err)
 	})
 	m.HandleFunc("GET /v1/watch", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -18,6 +19,9 @@
 // Version is the version of the file's form that this program reads.
 const Version = 1
 
+// maxCoordinators is how many there may be.
+const maxCoordinators = 9
+
 // maxFile bounds an operator file in bytes.
 const maxFile = 1 << 20
 
@@ -26,6 +30,22 @@
 	Version   int       `toml:"version"`
 	Log       Log       `toml:"log"`
 	Admission Admission `toml:"admission"`
+	Agreement Agreement `toml:"agreement"`
+}
+
+// Agreement makes the router a client of the coordinators (docs/agreement.md), for installations that allow talk between processes.
+type Agreement struct {
+	Coordinators []string `toml:"coordinators"` // NAME=HOST:PORT of each; none: it is off
+	TTL          string   `toml:"ttl"`          // of the session, a duration, 3s to 1m
+	Probes       bool     `toml:"probes"`       // one router probes a cache server for all
+	ProbeEvery   string   `toml:"probe_every"`  // a duration, 200ms to 10s
+	ProbeStale   string   `toml:"probe_stale"`  // a report counts until it is so old, 500ms to 30s, more than probe_every
+}
+
+// Time reads a duration of the file, which has been checked.
+func Time(text string) time.Duration {
+	d, _ := time.ParseDuration(text)
+	return d
 }
 
 // Log says how the router logs.
@@ -104,7 +124,8 @@
 func Default() File {
 	return File{Version: Version, Log: Log{Level: "info", Format: "text", RepeatEvery: "10s", RepeatBurst: 20},
 		Admission: Admission{OthersWeight: 1, Flows: 1024, Buckets: 64, TurnMS: 10000, Queue: 512, Promises: 4096, MaxWaitMS: 200,
-			MaxAfterMS: 1500, Start: 64, Least: 4, Most: 4096, RetryShare: 0.2, RetryBurst: 20}}
+			MaxAfterMS: 1500, Start: 64, Least: 4, Most: 4096, RetryShare: 0.2, RetryBurst: 20},
+		Agreement: Agreement{TTL: "10s", ProbeEvery: "700ms", ProbeStale: "2500ms"}}
 }
 
 // Load reads the operator file at path. The error joins a diag.Problem for each mistake.
@@ -144,8 +165,29 @@
 	}
 	oneOf("log.level", f.Log.Level, "debug", "info", "warn", "error")
 	oneOf("log.format", f.Log.Format, "text", "json")
-	if d, err := time.ParseDuration(f.Log.RepeatEvery); err != nil || d < time.Second || d > time.Hour {
-		bad("log.repeat_every", "%q is no duration from 1s to 1h", f.Log.RepeatEvery)
+	between := func(setting, v string, least, most time.Duration) {
+		if d, err := time.ParseDuration(v); err != nil || d < least || d > most {
+			bad(setting, "%q is no duration from %v to %v", v, least, most)
+		}
+	}
+	between("log.repeat_every", f.Log.RepeatEvery, time.Second, time.Hour)
+	between("agreement.ttl", f.Agreement.TTL, 3*time.Second, time.Minute)
+	between("agreement.probe_every", f.Agreement.ProbeEvery, 200*time.Millisecond, 10*time.Second)
+	between("agreement.probe_stale", f.Agreement.ProbeStale, 500*time.Millisecond, 30*time.Second)
+	if Time(f.Agreement.ProbeStale) <= Time(f.Agreement.ProbeEvery) {
+		bad("agreement.probe_stale", "%q is not more than probe_every, %q: no report would ever count", f.Agreement.ProbeStale, f.Agreement.ProbeEvery)
+	}
+	if len(f.Agreement.Coordinators) > maxCoordinators {
+		bad("agreement.coordinators", "%d, %d at most", len(f.Agreement.Coordinators), maxCoordinators)
+	}
+	for _, w := range f.Agreement.Coordinators {
+		name, addr, ok := strings.Cut(w, "=")
+		if _, _, err := net.SplitHostPort(addr); !ok || name == "" || err != nil {
+			bad("agreement.coordinators", "%q is not NAME=HOST:PORT", w)
+		}
+	}
+	if f.Agreement.Probes && len(f.Agreement.Coordinators) == 0 {
+		bad("agreement.probes", "true, and agreement.coordinators names none")
 	}
 	if f.Log.RepeatBurst < 1 || f.Log.RepeatBurst > 1000 {
 		bad("log.repeat_burst", "%d is not from 1 to 1000", f.Log.RepeatBurst)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -80,7 +80,7 @@
 			name := prefix + v.Type().Field(i).Tag.Get("toml")
 			if f := v.Field(i); f.Kind() == reflect.Struct {
 				keys(name+".", f)
-			} else if f.Kind() == reflect.Slice {
+			} else if f.Kind() == reflect.Slice && f.Type().Elem().Kind() == reflect.Struct {
 				if !strings.Contains(section, "`[["+strings.TrimSuffix(name, ".")+"]]`") {
 					t.Errorf("[[%s]]: not on the page", name)
 				}
--- /dev/null
+++ b/internal/probing/board_test.go
@@ -0,0 +1,77 @@
+package probing
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/coord"
+)
+
+// A report counts until it is stale by the oldest that it may be, an older one never takes the place of a newer one, and the board
+// is bounded.
+func TestBoard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard(1000)
+		now := 0.0
+		born := map[uint32]float64{} // the newest report's birth
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += float64(rapid.IntRange(0, 400).Draw(t, "passes"))
+			server := rapid.Uint32Range(0, 3).Draw(t, "server")
+			if rapid.Bool().Draw(t, "tell") {
+				age := float64(rapid.IntRange(0, 1500).Draw(t, "age"))
+				b.Tell(now, age, Report{Server: server, Load: decide.Load{QPS: now - age}})
+				if old, ok := born[server]; age <= 1000 && (!ok || now-age > old) {
+					born[server] = now - age
+				}
+			}
+			at, known := born[server]
+			load, ok := b.Look(now, server)
+			if want := known && now-at <= 1000; ok != want || ok && load.QPS != at {
+				t.Fatalf("at %v: %v %v, want %v from %v", now, load.QPS, ok, want, at)
+			}
+		}
+	})
+	b := NewBoard(1000)
+	for i := range uint32(2 * maxServers) {
+		b.Tell(0, 0, Report{Server: i})
+	}
+	if len(b.known) != maxServers {
+		t.Errorf("%d known", len(b.known))
+	}
+	if b.Tell(5000, 0, Report{Server: 9 * maxServers}); len(b.known) != 1 {
+		t.Errorf("%d known after all were stale", len(b.known))
+	}
+}
+
+// What doesn't fit into a record is left out whole, and what is read is what was written.
+func TestRecord(t *testing.T) {
+	var all []Report
+	for i := range uint32(500) {
+		all = append(all, Report{Server: i, AgeMS: 1.5, Load: decide.Load{QPS: float64(i), EPS: -1, Util: 0.25, Inflight: 3, Latency: 7}})
+	}
+	all[1].Load.Util = math.NaN() // left out alone
+	text := Encode(all, coord.MaxRecord)
+	got, err := Decode(text)
+	if err != nil || len(text) > coord.MaxRecord || len(got) < 30 || got[0] != all[0] || got[1] != all[2] {
+		t.Errorf("%d bytes, %d reports, %v", len(text), len(got), err)
+	}
+	if got, err := Decode(Encode(nil, 10)); err != nil || len(got) != 0 {
+		t.Errorf("%v, %v", got, err)
+	}
+}
+
+// The servers are dealt about evenly.
+func TestShares(t *testing.T) {
+	var n [Shares]int
+	for i := range uint32(16000) {
+		n[Share(i*40503)]++
+	}
+	for share, k := range n {
+		if k < 500 || k > 2000 {
+			t.Errorf("share %d has %d of 16,000", share, k)
+		}
+	}
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -34,6 +34,9 @@
 	// Admission is what an operator file says of fair admission; nil = it is off.
 	Admission *Admission `json:"-"`
 
+	// Agreement is what an operator file says of the coordinators; nil = there are none.
+	Agreement *Agreement `json:"-"`
+
 	// Trace takes single events; nil = none are kept.
 	Trace *trace.Trace `json:"-"`
 
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -12,6 +12,7 @@
 
 	"dockhinge.example/dockhinge/decide"
 	"dockhinge.example/dockhinge/internal/metrics"
+	"dockhinge.example/dockhinge/internal/probing"
 	"dockhinge.example/dockhinge/internal/trace"
 )
 
@@ -54,7 +55,8 @@
 	memory     int64       // bytes that the router may take
 	ready      atomic.Bool // a list is held
 	trace      *trace.Trace
-	admission  *admission // nil = every request goes to the Balancer
+	board      *probing.Board // what other routers' probes told; nil = each probes by itself
+	admission  *admission     // nil = every request goes to the Balancer
 }
 
 // request is a request from its arrival until it is answered and its attempts are back.
@@ -603,6 +605,13 @@
 		l.later = append(l.later, func() { l.b.Probed(l.now(), server, decide.ConnectError, decide.NoLoad) })
 		return
 	}
+	if l.board != nil {
+		if load, ok := l.board.Look(l.now(), server); ok { // another router has asked it
+			l.trace.Event(l.now(), "probe-told", "s=%08x qps=%.1f util=%.3f", server, load.QPS, load.Util)
+			l.later = append(l.later, func() { l.b.Probed(l.now(), server, decide.OK, load) })
+			return
+		}
+	}
 	l.work.Go(func() {
 		ctx, stop := context.WithTimeout(l.ctx, probeTimeout*time.Millisecond)
 		defer stop()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"dockhinge.example/dockhinge/internal/admin"
 	"dockhinge.example/dockhinge/internal/handover"
 	"dockhinge.example/dockhinge/internal/metrics"
+	"dockhinge.example/dockhinge/internal/probing"
 )
 
 // comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
@@ -47,6 +48,9 @@
 	if r.l, err = newLoop(cfg, r.up, m); err != nil {
 		return nil, err
 	}
+	if cfg.Agreement != nil && cfg.Agreement.Probes {
+		r.l.board = probing.NewBoard(float64(cfg.Agreement.ProbeStale.Milliseconds()))
+	}
 	r.s = newClients(r.l, ln, sockets*11/20)
 	return r, nil
 }
@@ -72,6 +76,9 @@
 	if r.link != nil {
 		wg.Go(func() { r.Joined(work, r.link) })
 	}
+	if cfg.Agreement != nil {
+		wg.Go(func() { r.agree(ctx, cfg.Agreement) })
+	}
 	wg.Go(func() { l.discover(work, cfg, held, updates, r.tellList) })
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	slog.Info("listening", "name", cfg.Name, "address", s.ln.Addr().String())
--- a/lab/fleet/agree.go
+++ b/lab/fleet/agree.go
@@ -259,8 +259,10 @@
 
 // begin starts all and has the coordinators form a group.
 func (a *agreement) begin(ctx context.Context) error {
-	if err := a.res.start(); err != nil {
-		return err
+	if a.res != nil {
+		if err := a.res.start(); err != nil {
+			return err
+		}
 	}
 	var group []node.Member
 	for _, c := range a.coords {
--- a/lab/fleet/agree_test.go
+++ b/lab/fleet/agree_test.go
@@ -398,3 +398,27 @@
 		t.Error(err)
 	}
 }
+
+// Routers that probe for one another, whose coordinators are all killed and come back: no rule is broken, and all goes on.
+func TestRoutersWithoutCoordinators(t *testing.T) {
+	t.Parallel()
+	command := realRouter(t)
+	f, err := scenario.Load("probes")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Fleet.Routers, f.DurationS, f.Load.Rate, f.Load.LateShare = 6, 9, 120, 1
+	f.Faults[0].AtS, f.Faults[0].ForS = 4, 3
+	f.Expect = scenario.Expect{Served: 100}
+	o := agreeOptions(t)
+	res, err := Run(t.Context(), f, Options{Command: command, Coord: o.Coord, Dir: o.Dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Failures) > 0 {
+		t.Errorf("%s", strings.Join(res.Failures, "\n"))
+	}
+	if res.Probes == 0 {
+		t.Error("nobody probed")
+	}
+}
--- a/lab/fleet/agreecost.go
+++ b/lab/fleet/agreecost.go
@@ -50,7 +50,7 @@
 	for _, c := range a.coords {
 		c.env = o.Env
 	}
-	a.holders = nil
+	a.holders, a.res = nil, nil
 	if err := a.begin(ctx); err != nil {
 		a.close()
 		return nil, err
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -87,6 +87,19 @@
 		for _, r := range fl.allRouters() {
 			r.signal(r.newest(), syscall.SIGHUP)
 		}
+	case "coordinators-die":
+		fl.mark("all coordinators are killed")
+		for _, c := range fl.coords.coords {
+			c.kill()
+		}
+		if over(); ctx.Err() == nil {
+			fl.mark("the coordinators start again")
+			for _, c := range fl.coords.coords {
+				if err := c.start(); err != nil {
+					fl.trouble(err)
+				}
+			}
+		}
 	case "rude":
 		fl.rudeClients(ctx, f.ForS)
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -30,6 +30,7 @@
 // Options say how to play.
 type Options struct {
 	Command  []string // of one router; GW_CONFIG tells it the rest
+	Coord    []string // of one coordinator, where the scenario has them
 	Dir      string   // for logs and configurations; it must be there
 	Ready    time.Duration
 	Progress func(load.Now, *Fleet)
@@ -69,6 +70,7 @@
 	Marks      []Mark                 `json:"marks"`
 	Samples    []Sample               `json:"samples"`
 	Servers    []ServerResult         `json:"servers"`
+	Probes     int64                  `json:"probes"` // answered by cache servers
 	Calls      int                    `json:"discovery_calls"`
 	LateMS     float64                `json:"machine_late_ms"` // the longest time by which the machine was late
 	Rude       [2]int                 `json:"rude"`            // misbehaving clients: told or closed on in time, of all
@@ -92,6 +94,7 @@
 	rng       *rand.Rand // of the faults
 
 	mu      sync.Mutex // guards what follows
+	coords  *agreement // nil = none
 	members []*member
 	missed  *simplelru.LRU[string, []*standin.Server] // by request: where a read was missing
 	routers []*router
@@ -130,6 +133,9 @@
 	if err := fl.build(); err != nil {
 		return res, err
 	}
+	if err := fl.startCoordinators(ctx); err != nil {
+		return res, err
+	}
 	if err := fl.startRouters(ctx); err != nil {
 		return res, err
 	}
@@ -253,8 +259,33 @@
 	return errors.Join(fails...)
 }
 
+func (fl *Fleet) operatorFile() string { return filepath.Join(fl.o.Dir, "operator.toml") }
+
+// startCoordinators starts those that the scenario has, and writes the operator file that makes routers their clients.
+func (fl *Fleet) startCoordinators(ctx context.Context) (err error) {
+	n := fl.File.Fleet.Coordinators
+	if n == 0 {
+		return nil
+	}
+	if len(fl.o.Coord) == 0 {
+		return errors.New("fleet.coordinators: no command of a coordinator is given")
+	}
+	if fl.coords, err = calm(ctx, n, AgreeOptions{Coord: fl.o.Coord, Dir: fl.o.Dir}); err != nil {
+		return err
+	}
+	var words []string
+	for name, addr := range fl.coords.addresses() {
+		words = append(words, fmt.Sprintf("%q", name+"="+addr))
+	}
+	text := fmt.Sprintf("version = 1\n[agreement]\ncoordinators = [%s]\nttl = \"5s\"\nprobes = true\n", strings.Join(words, ", "))
+	return os.WriteFile(fl.operatorFile(), []byte(text), 0o600)
+}
+
 // command is that of one router, with the operator file that the scenario names.
 func (fl *Fleet) command() []string {
+	if fl.coords != nil {
+		return append(slices.Clip(fl.o.Command), "--operator", fl.operatorFile())
+	}
 	if fl.File.Fleet.Operator == "" {
 		return fl.o.Command
 	}
@@ -539,6 +570,9 @@
 	for _, r := range fl.allRouters() {
 		wg.Go(func() { r.stop(5 * time.Second) })
 	}
+	if fl.coords != nil {
+		wg.Go(fl.coords.close)
+	}
 	wg.Wait()
 	fl.mu.Lock()
 	relays := fl.relays
@@ -595,6 +629,7 @@
 	res.Service, res.Tail, res.Attempts = ratio(gained, worth), ratio(tailGained, tailWorth), ratio(float64(attempts), float64(asked))
 	for _, m := range fl.members {
 		res.Servers = append(res.Servers, ServerResult{m.entry.ID, m.entry.Zone, m.entry.Kind, m.Stats()})
+		res.Probes += m.Stats().Probes
 	}
 	res.Servers = append(res.Servers, ServerResult{fl.origin.ID(), "", "origin", fl.origin.Stats()})
 	fail := func(form string, v ...any) { res.Failures = append(res.Failures, fmt.Sprintf(form, v...)) }
--- a/lab/report/table.go
+++ b/lab/report/table.go
@@ -60,6 +60,7 @@
 		}
 		t.Flush()
 	}
+	fmt.Fprintf(w, "\n%d probes at cache servers\n", r.Probes)
 	fmt.Fprintf(w, "\nservice %.3f (worth answered within its aim over worth asked for), in the last fifth %.3f; %.2f attempts a request; %d tries; %d calls to discovery\n",
 		r.Service, r.Tail, r.Attempts, r.Load.Tries, r.Calls)
 	if r.LateMS > 100 {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -41,22 +41,23 @@
 
 // Fleet describes the routers and where all stand.
 type Fleet struct {
-	Routers     int      `toml:"routers"`
-	Zones       []string `toml:"zones"`
-	Relays      bool     `toml:"relays"`        // a relay between each router and each server, where faults of the network need one
-	ZoneDelayMS float64  `toml:"zone_delay_ms"` // one way, between zones; needs relays
-	MemoryMB    int      `toml:"memory_mb"`     // of a router
-	Sockets     int      `toml:"sockets"`       // of a router
-	MaxAttempts int      `toml:"max_attempts"`
-	Probes      bool     `toml:"probes"`
-	RetryAfter  bool     `toml:"retry_after"`
-	Cancel      bool     `toml:"cancel"`
-	AskList     bool     `toml:"ask_list"`      // discovery is asked; else it is an agent that answers at once
-	DrainGrace  float64  `toml:"drain_grace_s"` // the rule on drains
-	NoticeMS    float64  `toml:"notice_ms"`     // the front notices a router's death this much later
-	Cells       int      `toml:"cells"`         // servers are dealt into so many cells
-	Operator    string   `toml:"operator"`      // an operator file, for each router
-	Warm        bool     `toml:"warm"`          // servers begin with the most popular keys in memory
+	Routers      int      `toml:"routers"`
+	Zones        []string `toml:"zones"`
+	Relays       bool     `toml:"relays"`        // a relay between each router and each server, where faults of the network need one
+	ZoneDelayMS  float64  `toml:"zone_delay_ms"` // one way, between zones; needs relays
+	MemoryMB     int      `toml:"memory_mb"`     // of a router
+	Sockets      int      `toml:"sockets"`       // of a router
+	MaxAttempts  int      `toml:"max_attempts"`
+	Probes       bool     `toml:"probes"`
+	RetryAfter   bool     `toml:"retry_after"`
+	Cancel       bool     `toml:"cancel"`
+	AskList      bool     `toml:"ask_list"`      // discovery is asked; else it is an agent that answers at once
+	DrainGrace   float64  `toml:"drain_grace_s"` // the rule on drains
+	NoticeMS     float64  `toml:"notice_ms"`     // the front notices a router's death this much later
+	Cells        int      `toml:"cells"`         // servers are dealt into so many cells
+	Operator     string   `toml:"operator"`      // an operator file, for each router
+	Coordinators int      `toml:"coordinators"`  // 0 to 9; the routers are their clients, and one probes a server for all
+	Warm         bool     `toml:"warm"`          // servers begin with the most popular keys in memory
 }
 
 // Kind is a kind of cache server.
@@ -99,6 +100,7 @@
 	"deploy": {"part", "batch"}, "roll": {"batch"}, "discovery-down": nil, "rewind": {"versions"}, "origin-busy": nil,
 	"partition-there": {"part", "relays"}, "partition-back": {"part", "relays"}, "partition": {"part", "relays"},
 	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil,
+	"coordinators-die": {"coordinators"},
 }
 
 // What lists the faults that a scenario may name.
@@ -220,6 +222,10 @@
 		return bad("duration_s", f.DurationS)
 	case f.Fleet.Routers < 1 || f.Fleet.Routers > 64:
 		return bad("fleet.routers", f.Fleet.Routers)
+	case f.Fleet.Coordinators < 0 || f.Fleet.Coordinators > 9:
+		return bad("fleet.coordinators", f.Fleet.Coordinators)
+	case f.Fleet.Coordinators > 0 && f.Fleet.Operator != "":
+		return errors.New("fleet.coordinators: the routers' operator file is the laboratory's then, and fleet.operator must not name another")
 	case len(f.Fleet.Zones) == 0:
 		return errors.New("fleet.zones: none")
 	case f.Fleet.ZoneDelayMS > 0 && !f.Fleet.Relays:
@@ -264,10 +270,10 @@
 		}
 		for _, n := range needs {
 			lacks := map[string]bool{"part": t.Share <= 0 && t.Count <= 0 && len(t.Servers) == 0, "spoil": !slices.Contains(standin.Spoils, t.Spoil) || t.Answers <= 0,
-				"bytes_s": t.BytesS <= 0, "batch": t.Batch < 1, "relays": !f.Fleet.Relays, "versions": t.Versions < 1, "delay_ms": t.DelayMS <= 0}[n]
+				"bytes_s": t.BytesS <= 0, "batch": t.Batch < 1, "relays": !f.Fleet.Relays, "coordinators": f.Fleet.Coordinators == 0, "versions": t.Versions < 1, "delay_ms": t.DelayMS <= 0}[n]
 			if lacks {
 				return fmt.Errorf("%swhat: %s needs %s", at, t.What, map[string]string{"part": "share, count or servers",
-					"spoil": "spoil (" + strings.Join(standin.Spoils, ", ") + ") and answers", "relays": "fleet.relays = true"}[n]+
+					"spoil": "spoil (" + strings.Join(standin.Spoils, ", ") + ") and answers", "relays": "fleet.relays = true", "coordinators": "fleet."}[n]+
 					map[bool]string{true: n}[n != "part" && n != "spoil" && n != "relays"])
 			}
 		}
