--- a/cmd/dockhinge-lab/agreecost.go
+++ b/cmd/dockhinge-lab/agreecost.go
@@ -70,7 +70,7 @@
 			}
 			return nil
 		}}
-	cmd.Flags().IntSliceVar(&clients, "clients", []int{30, 300, 3000}, "numbers of clients")
+	cmd.Flags().IntSliceVar(&clients, "clients", nil, "measure the cost with these numbers of clients, as 30,300,3000")
 	cmd.Flags().IntVar(&leases, "leases", 1000, "leases that they hold")
 	cmd.Flags().IntVar(&coordinators, "coordinators", 5, "coordinators")
 	cmd.Flags().IntVar(&kills, "kills", 0, "kill the leader so many times")
--- a/internal/coord/node/store.go
+++ b/internal/coord/node/store.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"dockhinge.example/dockhinge/internal/mutant"
 )
@@ -56,7 +57,7 @@
 	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: 5 * time.Second,
 		NoFreelistSync: true}, MsgpackUseNewTimeFormat: true})
 	if err != nil {
-		if missing == nil && !errors.Is(err, bbolt.ErrTimeout) {
+		if missing == nil && !errors.Is(err, bolterrors.ErrTimeout) {
 			return nil, fmt.Errorf("%s: %w (%v)", path, errDamaged, err)
 		}
 		return nil, fmt.Errorf("%s: %w", path, err)
