--- a/internal/coord/node/faults.go
+++ b/internal/coord/node/faults.go
@@ -4,11 +4,12 @@
 
 import (
 	"os"
+	"syscall"
 	"time"
 )
 
-// A build with the tag faults lets the laboratory make each sync take longer (DOCKHINGE_SLOW_SYNC, as 50ms) and the disk's epoch
-// grow more often (DOCKHINGE_EPOCH_EVERY).
+// A build with the tag faults lets the laboratory make each sync take longer (DOCKHINGE_SLOW_SYNC, as 50ms), the disk's epoch
+// grow more often (DOCKHINGE_EPOCH_EVERY), and the process die at a step (DOCKHINGE_KILL_AT).
 var (
 	syncTakes  = duration("DOCKHINGE_SLOW_SYNC", 0)
 	epochEvery = duration("DOCKHINGE_EPOCH_EVERY", defaultEpochEvery)
@@ -21,4 +22,12 @@
 	return otherwise
 }
 
+// step kills the process, as SIGKILL from outside does, where this is the step to die at.
+func step(name string) {
+	if os.Getenv("DOCKHINGE_KILL_AT") == name {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		select {} // until it has come
+	}
+}
+
 func slowSync() { time.Sleep(syncTakes) }
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -436,15 +436,18 @@
 
 // Snapshot takes the state as it is.
 func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
+	step("snapshot-begun")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	text, err := m.state.Marshal()
+	step("snapshot-taken")
 	return snapshot(text), err
 }
 
 // Restore replaces the state by a snapshot.
 func (m *machine) Restore(r io.ReadCloser) error {
 	defer r.Close()
+	step("restore-begun")
 	text, err := io.ReadAll(r)
 	if err != nil {
 		return err
@@ -467,10 +470,17 @@
 
 // Persist writes the snapshot; the library syncs it and gives it its name.
 func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if _, err := sink.Write(s); err != nil {
+	if _, err := sink.Write(s[:len(s)/2]); err != nil {
 		return errors.Join(err, sink.Cancel())
 	}
-	return sink.Close()
+	step("snapshot-half-written")
+	if _, err := sink.Write(s[len(s)/2:]); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	step("snapshot-written")
+	err := sink.Close()
+	step("snapshot-named") // and the log not cut yet
+	return err
 }
 
 // Release lets the state go.
--- a/lab/fleet/agree_test.go
+++ b/lab/fleet/agree_test.go
@@ -422,3 +422,73 @@
 		t.Error("nobody probed")
 	}
 }
+
+// Two coordinators of five that die at a step of a snapshot: nothing that was agreed on is lost, and they come back with their disks.
+func TestKilledAtEachStepOfASnapshot(t *testing.T) {
+	for _, step := range []string{"snapshot-begun", "snapshot-taken", "snapshot-half-written", "snapshot-written", "snapshot-named", "restore-begun"} {
+		t.Run(step, func(t *testing.T) {
+			t.Parallel()
+			a, err := calmWith(t.Context(), 5, 16, agreeOptions(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(a.close)
+			c := live(t, a, "test")
+			settled(t, a)
+			kept, err := c.Acquire(t.Context(), "kept", "", 20*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			work := func() {
+				for range 30 { // more than a snapshot's entries
+					l, err := c.Acquire(t.Context(), "x", "", 20*time.Second)
+					if err == nil {
+						err = l.Release(t.Context())
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			work()
+			var dying []*coordinator
+			for _, x := range a.coords[:2] {
+				if err := until(t.Context(), time.Minute, func() error { // a restore needs one to begin from
+					if made, err := filepath.Glob(filepath.Join(x.data, "snapshots", "*", "state.bin")); len(made) == 0 {
+						return errors.Join(errors.New("no snapshot yet"), err)
+					}
+					return nil
+				}); err != nil {
+					t.Fatal(err)
+				}
+				x.kill()
+				x.env = []string{"DOCKHINGE_KILL_AT=" + step}
+				dying = append(dying, x)
+				a.up(x.proc)
+			}
+			for _, x := range dying {
+				if err := until(t.Context(), time.Minute, func() error {
+					if up, _ := x.running(); up {
+						l, err := c.Acquire(t.Context(), "x", "", 20*time.Second)
+						if err == nil {
+							err = l.Release(t.Context())
+						}
+						return errors.Join(errors.New("it lives"), err)
+					}
+					return nil
+				}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, x := range dying {
+				x.env = nil
+				a.up(x.proc)
+			}
+			settled(t, a)
+			rows, err := c.Rows(t.Context(), "kept")
+			if err != nil || len(rows) != 1 || rows[0].Token != kept.Token || kept.Left() <= 0 {
+				t.Errorf("%+v, %v: token %d was held, %v left", rows, err, kept.Token, kept.Left())
+			}
+		})
+	}
+}
--- a/lab/fleet/agreecost.go
+++ b/lab/fleet/agreecost.go
@@ -36,11 +36,16 @@
 
 // calm starts coordinators without faults.
 func calm(ctx context.Context, coordinators int, o AgreeOptions) (*agreement, error) {
+	return calmWith(ctx, coordinators, 8192, o)
+}
+
+// calmWith starts coordinators that make a snapshot so often.
+func calmWith(ctx context.Context, coordinators, snapshotEach int, o AgreeOptions) (*agreement, error) {
 	f, err := scenario.LoadAgreement("leases")
 	if err != nil {
 		return nil, err
 	}
-	f.Coordinators, f.Holders, f.Seed, f.ClockRate, f.SnapshotEach = coordinators, 1, 3, coord.DefaultRate, 8192 // no slow disk, no stepping clock that matters
+	f.Coordinators, f.Holders, f.Seed, f.ClockRate, f.SnapshotEach = coordinators, 1, 3, coord.DefaultRate, snapshotEach // no slow disk, no stepping clock that matters
 	a := &agreement{f: f, o: o, rng: rand.New(rand.NewPCG(1, 41)), raft: map[[2]int]*standin.Relay{}, api: map[[2]int]*standin.Relay{},
 		nets: map[*standin.Relay]*nets{}, busy: map[*proc]int{}}
 	if err := a.build(); err != nil {
