--- a/internal/coord/config/config.go
+++ b/internal/coord/config/config.go
@@ -53,7 +53,7 @@
 	if len(text) > maxFile {
 		return File{}, diag.Problem{File: path, Reason: fmt.Sprintf("%d bytes, %d at most", len(text), maxFile)}
 	}
-	f := File{ClockRate: coord.DefaultRate, SnapshotEvery: 8192, Beat: "400ms", LogLevel: "info"}
+	f := File{ClockRate: coord.DefaultRate, SnapshotEvery: 8192, Beat: "250ms", LogLevel: "info"}
 	if err := diag.DecodeTOML(path, text, &f); err != nil {
 		return File{}, err
 	}
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -94,7 +94,7 @@
 // Start opens the directory and takes part. Close ends it.
 func Start(o Options) (n *Node, err error) {
 	if o.Beat == 0 {
-		o.Beat = 400 * time.Millisecond
+		o.Beat = 250 * time.Millisecond
 	}
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = 8192
--- a/lab/fleet/agree.go
+++ b/lab/fleet/agree.go
@@ -31,6 +31,7 @@
 	Dir      string   // for logs and directories; it must be there
 	Env      []string // for all processes
 	Patience time.Duration
+	Beat     string // of the coordinators; "" = their default
 	Say      func(form string, v ...any)
 }
 
@@ -169,8 +170,12 @@
 	}
 	for _, c := range a.coords {
 		var text strings.Builder
-		fmt.Fprintf(&text, "version = 1\nname = %q\ndir = %q\nlisten = %q\napi = %q\nclock_rate = %v\nsnapshot_every = %d\nlog_level = \"debug\"\n[peers]\n",
+		fmt.Fprintf(&text, "version = 1\nname = %q\ndir = %q\nlisten = %q\napi = %q\nclock_rate = %v\nsnapshot_every = %d\nlog_level = \"debug\"\n",
 			c.name, c.data, c.listen, c.api, a.f.ClockRate, a.f.SnapshotEach)
+		if a.o.Beat != "" {
+			fmt.Fprintf(&text, "beat = %q\n", a.o.Beat)
+		}
+		text.WriteString("[peers]\n")
 		for _, d := range a.coords {
 			if c == d {
 				continue
