--- a/cmd/dockhinge-coord/main.go
+++ b/cmd/dockhinge-coord/main.go
@@ -70,7 +70,7 @@
 			}
 			log := logging.New(os.Stderr, logging.Options{Level: f.LogLevel, JSON: f.LogJSON, Every: 10 * time.Second, Burst: 20})
 			slog.SetDefault(log)
-			if err := node.LockDir(f.Dir); err != nil {
+			if err := node.MakeDir(f.Dir); err != nil {
 				return err
 			}
 			ln, err := net.Listen("tcp", f.API)
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -132,7 +132,7 @@
 			c.o.Log.Warn("no session", "answer", a.Error())
 			pause = mostPause
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !clock.Sleep(ctx, jitter(pause)) {
 			return false
 		}
 	}
@@ -144,7 +144,7 @@
 	pause, every := time.Duration(0), c.o.TTL/3
 	next := jitter(every)
 	for {
-		if !sleep(ctx, next) {
+		if !clock.Sleep(ctx, next) {
 			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
 			_, _ = c.once(over, coord.Command{Op: coord.Close, Session: c.session}) // else it ends by its time
 			cancel()
@@ -175,17 +175,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // once sends a command to the leader as far as it is known, following those who name another, until one has carried it out or
 // all have been asked.
 func (c *Client) once(ctx context.Context, cmd coord.Command) (a coord.Answer, err error) {
@@ -356,7 +345,7 @@
 		if o.err == nil {
 			break
 		}
-		if !sleep(life, jitter(pause)) {
+		if !clock.Sleep(life, jitter(pause)) {
 			o.err = ErrNoSession
 			return o
 		}
@@ -426,7 +415,7 @@
 				cancel(ErrLost)
 				return
 			}
-			if !sleep(ctx, min(left, lookAgain)) { // it may be lost before its time
+			if !clock.Sleep(ctx, min(left, lookAgain)) { // it may be lost before its time
 				return
 			}
 		}
@@ -499,7 +488,7 @@
 		case errors.As(err, &held) && held.Code == coord.Held:
 			if c.Watch(ctx, name, held.Token) == nil {
 				pause = leastPause
-				if !sleep(ctx, jitter(pause)) { // who waits for the same doesn't come all at once
+				if !clock.Sleep(ctx, jitter(pause)) { // who waits for the same doesn't come all at once
 					return ctx.Err()
 				}
 				continue
@@ -507,7 +496,7 @@
 		case errors.As(err, &held) && held.Code == coord.Bad:
 			return err
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !clock.Sleep(ctx, jitter(pause)) {
 			return errors.Join(err, ctx.Err())
 		}
 		pause = min(2*pause, mostPause)
--- a/internal/coord/clock/clock.go
+++ b/internal/coord/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,3 +17,16 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits, and reports whether ctx has not ended. It may sleep longer where the machine is suspended: what may be done after it
+// is for Now to tell.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -522,8 +522,8 @@
 	return snapshot(text), err
 }
 
-// LockDir makes a coordinator's directory.
-func LockDir(dir string) error {
+// MakeDir makes a coordinator's directory.
+func MakeDir(dir string) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return fmt.Errorf("dir: %w", err)
 	}
--- a/internal/probing/run.go
+++ b/internal/probing/run.go
@@ -12,6 +12,7 @@
 	"dockhinge.example/dockhinge/decide"
 	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/clock"
 )
 
 // Options are those of a router's part in it.
@@ -38,7 +39,7 @@
 	var mu sync.Mutex
 	mine := map[int]bool{}
 	for first := true; ctx.Err() == nil; first = false {
-		if !first && !sleep(ctx, o.Every/2+rand.N(o.Every)) { // spread, also when all come back at once
+		if !first && !clock.Sleep(ctx, o.Every/2+rand.N(o.Every)) { // spread, also when all come back at once
 			return
 		}
 		asked := o.Now()
@@ -95,17 +96,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // hold probes a share's servers and tells of them for as long as its lease is held.
 func hold(ctx context.Context, o Options, share int, l *client.Lease) {
 	under, end := l.Context(ctx, o.TTL/10)
@@ -122,7 +112,7 @@
 		if err := l.Write(under, Encode(reports, coord.MaxRecord)); err != nil && under.Err() == nil {
 			slog.Debug("what was probed could not be told", "lease", l.Name, "error", err)
 		}
-		if !sleep(under, o.Every) {
+		if !clock.Sleep(under, o.Every) {
 			break
 		}
 	}
