Decide in the agreed state who may be taken out: budgets, permits, drains, a halt

Need: nothing keeps two people, two tools, or a release and a crash from taking out too many at once. internal/rollout is a pure machine in the coordinators' agreed state: budgets by kind, name and zone that count whatever is out (by plan, down, unknown, cold), permits that wait in a fair order and are taken back until the step begins, drains that are done once each router has said so, a halt, and permits whose holder died, which stay used until the thing runs anew. Commands of version 2, refused until 'members upgrade'. A watch by version for tools, one for the set of drained servers for routers.

--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -22,6 +22,7 @@
 
 	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 // Options are those of a client.
@@ -459,6 +460,34 @@
 	return rows, err
 }
 
+// Roll has a command about who may be out carried out. An error is a RefusedError where the coordinators refused it.
+func (c *Client) Roll(ctx context.Context, cmd rollout.Command) (coord.Answer, error) {
+	o := c.do(ctx, coord.Command{Op: coord.Roll, Roll: &cmd}, nil)
+	return o.a, o.err
+}
+
+// Rollout tells who is out, once it is newer than the version after or some seconds have passed; at once for 0.
+func (c *Client) Rollout(ctx context.Context, after uint64) (r rollout.Report, err error) {
+	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/rollout?after=%d", after), nil, &r)
+	return r, err
+}
+
+// Drains tells which servers are drained, once that is newer than the version after or some seconds have passed; at once for 0.
+func (c *Client) Drains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
+	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/drains?after=%d", after), nil, &d)
+	return d, err
+}
+
+// Session is the id of the session that is there; "" where none is.
+func (c *Client) Session() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.book.Open(c.o.Clock()) {
+		return ""
+	}
+	return c.session
+}
+
 // Watch waits until a lease is held with another token (0: is free), for some seconds at most.
 func (c *Client) Watch(ctx context.Context, name string, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, watchFor)
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dockhinge.example/dockhinge/internal/mutant"
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 // The bounds of all tables.
@@ -45,6 +46,7 @@
 	Release   Op = "release"   // Lease, held with Token
 	HandOver  Op = "handover"  // Lease, held with Token, to the client To
 	Write     Op = "write"     // Record of Lease, held with Token: an act that the agreed state itself checks
+	Roll      Op = "roll"      // a command of internal/rollout, from version 2 on
 )
 
 // Command is one entry of the agreed log. Durations are in nanoseconds.
@@ -65,6 +67,8 @@
 	Rate    float64       `json:"rate,omitempty"`
 	Version int           `json:"version,omitempty"`
 	Record  []byte        `json:"record,omitempty"`
+
+	Roll *rollout.Command `json:"roll,omitempty"`
 }
 
 // Code says how a command ended.
@@ -90,6 +94,10 @@
 	Token  uint64        `json:"token,omitempty"`
 	Holder string        `json:"holder,omitempty"` // the client's name
 	Wait   time.Duration `json:"wait,omitempty"`   // Held: until it is free at the latest, unless it is kept
+
+	// Of a permit (Roll); Text tells why it waits.
+	Stage   rollout.Stage `json:"stage,omitempty"`
+	Drained bool          `json:"drained,omitempty"`
 }
 
 // Error is the answer as an error; nil where it is OK.
@@ -127,6 +135,7 @@
 	Token    uint64              `json:"token"` // the newest given
 	Sessions map[string]*Session `json:"sessions"`
 	Leases   map[string]*Lease   `json:"leases"`
+	Rollout  *rollout.State      `json:"rollout,omitempty"` // nil until the first command of it
 
 	bytes   int           // of all records
 	next    time.Duration // no session or lease ends before this
@@ -162,6 +171,9 @@
 		s.Clock += c.Advance
 	}
 	s.expire()
+	if s.Rollout != nil {
+		s.Rollout.Advance(s.Clock, s.newToken)
+	}
 	a := s.apply(c)
 	slices.Sort(s.changed)
 	s.changed = slices.Compact(s.changed)
@@ -232,7 +244,9 @@
 		}
 	}
 	var a Answer
-	if text := named("lease", c.Lease); text != "" {
+	if c.Op == Roll {
+		a = s.roll(c, se)
+	} else if text := named("lease", c.Lease); text != "" {
 		a = bad("%s", text)
 	} else {
 		switch c.Op {
@@ -259,6 +273,34 @@
 	return a
 }
 
+// roll carries out a command about who may be out.
+func (s *State) roll(c Command, se *Session) Answer {
+	if s.V < 2 { // a coordinator that knows nothing of it would come to another state
+		return bad("version: %d is in force, and this wants 2: once all coordinators run this program, 'members upgrade'", s.V)
+	}
+	if c.Roll == nil {
+		return bad("roll: empty")
+	}
+	if s.Rollout == nil {
+		s.Rollout = rollout.New()
+	}
+	a := s.Rollout.Apply(*c.Roll, rollout.From{Clock: s.Clock, Session: c.Session, Client: se.Client, Opened: se.Opened, Token: s.newToken})
+	return Answer{Code: Code(a.Code), Text: a.Text, Token: a.Token, Stage: a.Stage, Drained: a.Drained}
+}
+
+// RolloutVersions are those of who is out, and of the set of drained servers; 0 until the first command about it.
+func (s *State) RolloutVersions() (version, drains uint64) {
+	if s.Rollout == nil {
+		return 0, 0
+	}
+	return s.Rollout.Version, s.Rollout.Drains
+}
+
+func (s *State) newToken() uint64 {
+	s.Token++
+	return s.Token
+}
+
 func (s *State) holder(l *Lease) string {
 	if se := s.Sessions[l.Session]; se != nil {
 		return se.Client
@@ -383,7 +425,11 @@
 	for _, name := range slices.Sorted(maps.Keys(s.Sessions[id].Leases)) {
 		s.free(name)
 	}
+	client := s.Sessions[id].Client
 	delete(s.Sessions, id)
+	if s.Rollout != nil {
+		s.Rollout.Ended(id, client, s.Clock, s.newToken)
+	}
 }
 
 // expire takes back what nobody kept. Each look at all is paid for by at least a third of a time to live without one, as who
@@ -426,6 +472,9 @@
 		one.Record = slices.Clone(l.Record)
 		c.Leases[name] = &one
 	}
+	if s.Rollout != nil {
+		c.Rollout = s.Rollout.Clone()
+	}
 	return &c
 }
 
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -185,7 +185,7 @@
 			t.Errorf("cut at %d: read", i)
 		}
 	}
-	if _, err := Unmarshal(bytes.Replace(text, []byte(`{"v":1`), []byte(`{"v":2`), 1)); err == nil || !strings.Contains(err.Error(), "version 2") {
+	if _, err := Unmarshal(bytes.Replace(text, []byte(`{"v":1`), fmt.Appendf(nil, `{"v":%d`, Version+1), 1)); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("version %d", Version+1)) {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 // Bounds of the clients' side.
@@ -142,6 +144,13 @@
 			http.Error(w, fmt.Sprintf("op: %s is the coordinators' own", c.Op), http.StatusBadRequest)
 			return
 		}
+		n.mu.Lock()
+		version := n.state.V
+		n.mu.Unlock()
+		if c.Op == coord.Roll && version < 2 { // not into the log: an older coordinator would answer it in other words
+			n.give(w, coord.Answer{Code: coord.Bad, Text: fmt.Sprintf("version: %d is in force, and this wants 2: once all coordinators run this program, 'members upgrade'", version)}, nil)
+			return
+		}
 		a, err := n.Do(c)
 		n.give(w, a, err)
 	})
@@ -167,6 +176,46 @@
 		defer cancel()
 		n.give(w, coord.Answer{Code: coord.OK}, n.Watch(ctx, r.URL.Query().Get("lease"), token))
 	})
+	watch := func(w http.ResponseWriter, r *http.Request, drains bool) bool {
+		after, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("after"), "0"), 10, 64)
+		if err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return false
+		}
+		if after > 0 && n.raft.State() == raft.Leader {
+			ctx, cancel := context.WithTimeout(r.Context(), maxWatch/6)
+			defer cancel()
+			if err := n.WatchRollout(ctx, drains, after); err != nil {
+				n.give(w, nil, err)
+				return false
+			}
+		}
+		return true
+	}
+	m.HandleFunc("GET /v1/rollout", func(w http.ResponseWriter, r *http.Request) {
+		if !watch(w, r, false) {
+			return
+		}
+		var report rollout.Report
+		err := n.Read(func(s *coord.State) {
+			if s.Rollout != nil {
+				report = s.Rollout.Report(s.Clock)
+			}
+		})
+		n.give(w, report, err)
+	})
+	m.HandleFunc("GET /v1/drains", func(w http.ResponseWriter, r *http.Request) {
+		if !watch(w, r, true) {
+			return
+		}
+		var d rollout.Drains
+		err := n.Read(func(s *coord.State) {
+			if s.Rollout != nil {
+				d = rollout.Drains{Version: s.Rollout.Drains, Servers: s.Rollout.Drained()}
+			}
+		})
+		n.give(w, d, err)
+	})
 	m.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { n.give(w, n.Status(), nil) })
 	m.HandleFunc("POST /v1/init", func(w http.ResponseWriter, r *http.Request) {
 		var all []Member
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -370,8 +370,35 @@
 // Watch waits until a lease is held with another token than this one (0: is free), has another record, or ctx ends. It tells
 // nothing but that it may be worth asking.
 func (n *Node) Watch(ctx context.Context, lease string, token uint64) error {
+	return n.watch(ctx, lease, func(s *coord.State) bool {
+		l := s.Leases[lease]
+		return (l == nil) != (token == 0) || l != nil && l.Token != token
+	})
+}
+
+// What may be watched beside leases, whose names have no such byte.
+const (
+	rolloutKey = "\x00rollout"
+	drainsKey  = "\x00drains"
+)
+
+// WatchRollout waits until who is out has a newer version than this one, or ctx ends; with drains alone, until the set of
+// drained servers has.
+func (n *Node) WatchRollout(ctx context.Context, drains bool, after uint64) error {
+	key := rolloutKey
+	if drains {
+		key = drainsKey
+	}
+	return n.watch(ctx, key, func(s *coord.State) bool {
+		version, drain := s.RolloutVersions()
+		return drains && drain > after || !drains && version > after
+	})
+}
+
+// watch waits until what stands under the key may have changed, ctx ends, or news has it that there is no need to.
+func (n *Node) watch(ctx context.Context, lease string, news func(*coord.State) bool) error {
 	n.mu.Lock()
-	if l := n.state.Leases[lease]; (l == nil) != (token == 0) || l != nil && l.Token != token {
+	if news(n.state) {
 		n.mu.Unlock()
 		return nil
 	}
@@ -420,12 +447,20 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	version, drains := m.state.RolloutVersions()
 	a := m.state.Apply(c, l.Term)
 	if a.Code == coord.Newer { // going on would leave this state behind the others'
 		m.o.Fatal(fmt.Errorf("%s: this program is too old for what the others agree on", a.Text))
 	}
 	m.applied = l.Index
-	for _, name := range m.state.Changed() {
+	changed := m.state.Changed()
+	if v, d := m.state.RolloutVersions(); v != version {
+		changed = append(changed, rolloutKey)
+		if d != drains {
+			changed = append(changed, drainsKey)
+		}
+	}
+	for _, name := range changed {
 		if w := m.waiting[name]; w != nil {
 			close(w)
 			delete(m.waiting, name)
--- a/internal/coord/snapshot.go
+++ b/internal/coord/snapshot.go
@@ -51,6 +51,9 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	s.next, s.bytes = 0, 0
+	if s.Rollout != nil {
+		s.Rollout.Restored()
+	}
 	for name, l := range s.Leases {
 		s.bytes += len(l.Record)
 		if s.Sessions[l.Session] == nil {
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,433 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// world is a fleet that talks to a State, and keeps its own book of what must hold.
+type world struct {
+	s       *State
+	clock   time.Duration
+	token   uint64
+	opened  uint64
+	routers map[string]From // their sessions
+	acked   map[string]uint64
+	holders map[string]From
+	given   map[string]uint64 // the highest token that a thing was begun with
+	said    map[uint64]bool   // permits that were said to be drained
+}
+
+func newWorld(budgets ...Budget) *world {
+	w := &world{s: New(), routers: map[string]From{}, acked: map[string]uint64{}, holders: map[string]From{}, given: map[string]uint64{}, said: map[uint64]bool{}}
+	w.must(Command{Op: Set, Budgets: budgets, Grace: 5 * time.Second}, "operator")
+	return w
+}
+
+func (w *world) next() uint64 { w.token++; return w.token }
+
+func (w *world) from(client string) From {
+	f, ok := w.holders[client]
+	if !ok {
+		w.opened++
+		f = From{Session: fmt.Sprint(client, "#", w.opened), Client: client, Opened: w.opened, Token: w.next}
+		w.holders[client] = f
+	}
+	f.Clock = w.clock
+	return f
+}
+
+func (w *world) do(c Command, client string) Answer { return w.s.Apply(c, w.from(client)) }
+
+func (w *world) must(c Command, client string) Answer {
+	a := w.do(c, client)
+	if a.Code != OK {
+		panic(fmt.Sprintf("%+v: %+v", c, a))
+	}
+	return a
+}
+
+func (w *world) pass(d time.Duration) {
+	w.clock += d
+	w.s.Advance(w.clock, w.next)
+}
+
+func (w *world) end(client string) {
+	if f, ok := w.holders[client]; ok {
+		delete(w.holders, client)
+		delete(w.acked, client)
+		w.s.Ended(f.Session, client, w.clock, w.next)
+	}
+}
+
+// router has a router tell of itself and of servers as "s1:up" and "s2:bad/run".
+func (w *world) router(name, zone string, sights ...string) {
+	v := &View{Zone: zone, Ready: true}
+	for _, x := range sights {
+		server, is, _ := strings.Cut(x, ":")
+		is, run, _ := strings.Cut(is, "/")
+		v.Servers = append(v.Servers, Seen{Name: server, Zone: "z" + server[len(server)-1:], Run: run, Is: Sight(is)})
+	}
+	w.must(Command{Op: See, View: v}, RouterClient+name)
+}
+
+func (w *world) permit(k Kind, name string) *Permit {
+	for _, p := range w.s.Permits {
+		if p.Kind == k && p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// isOut is what counts as out, found out the slow way.
+func (w *world) isOut(k Kind, name string, t *Thing) bool {
+	for _, p := range w.s.Permits {
+		if p.Kind == k && p.Name == name && p.Stage == Begun {
+			return true
+		}
+	}
+	if k == Router {
+		if f, ok := w.holders[RouterClient+name]; !ok || f.Session != t.Session || !t.Ready {
+			return true
+		}
+	} else {
+		up := 0
+		for _, is := range t.Saw {
+			if is == Up {
+				up++
+			}
+		}
+		if len(t.Saw) == 0 || len(t.Saw)-up > up {
+			return true
+		}
+	}
+	warm := time.Duration(0)
+	for _, b := range w.s.Budgets {
+		if b.covers(k, name) {
+			warm = max(warm, b.Warm)
+		}
+	}
+	return w.clock < t.Since+warm
+}
+
+// Whatever happens, in whatever order: a step begins only within every budget, one thing has one step, tokens of a thing grow,
+// drained is said only after all routers that could send have said so, and a state read back from its text goes on alike.
+func TestBudgetsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(
+			Budget{Name: "servers", Kind: Server, Most: rapid.IntRange(1, 3).Draw(t, "servers"), Warm: time.Duration(rapid.IntRange(0, 20).Draw(t, "warm")) * time.Second},
+			Budget{Name: "zones", Kind: Server, Per: "zone", Most: 1},
+			Budget{Name: "routers", Kind: Router, Share: 0.34, Warm: 3 * time.Second})
+		routers, servers := []string{"r1", "r2", "r3", "r4", "r5", "r6"}, []string{"sa1", "sa2", "sb1", "sb2", "sc1", "sc2", "sd1"}
+		sights := []Sight{Up, Up, Up, Bad, Leaving, Gone}
+		for _, r := range routers {
+			for _, s := range servers {
+				w.router(r, "z"+r[1:], s+":up/1")
+			}
+		}
+		w.pass(time.Minute)
+		for i := range rapid.IntRange(10, 120).Draw(t, "events") {
+			k, name := Server, rapid.SampledFrom(servers).Draw(t, "server")
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				k, name = Router, rapid.SampledFrom(routers).Draw(t, "router")
+			}
+			who := rapid.SampledFrom([]string{"ann", "bob", "cid"}).Draw(t, "who")
+			r := rapid.SampledFrom(routers).Draw(t, "of")
+			p := w.permit(k, name)
+			switch rapid.IntRange(0, 13).Draw(t, "what") {
+			case 0, 1, 2:
+				w.do(Command{Op: Ask, Kind: k, Name: name, Priority: rapid.SampledFrom([]int{Release, Normal, Emergency}).Draw(t, "priority"),
+					Within: time.Duration(rapid.IntRange(0, 30).Draw(t, "within")) * time.Second}, who)
+			case 3, 4, 5, 6:
+				if p == nil {
+					continue
+				}
+				// Before it, what would be out with it, and whether it was out without it.
+				thing := w.s.things(k)[name]
+				was := w.isOut(k, name, thing)
+				began := p.Stage == Begun
+				a := w.do(Command{Op: Begin, Kind: k, Name: name, Token: p.Token}, p.Client)
+				if a.Code != OK || began {
+					continue
+				}
+				if p.Token <= w.given[key(k, name)] {
+					t.Fatalf("event %d: token %d after %d", i, p.Token, w.given[key(k, name)])
+				}
+				w.given[key(k, name)] = p.Token
+				if was {
+					continue
+				}
+				for _, b := range w.s.Budgets {
+					out, n := 0, 0
+					for other, x := range w.s.things(k) {
+						if b.covers(k, other) && (b.Per == "" || x.Zone == thing.Zone) {
+							n++
+							if w.isOut(k, other, x) {
+								out++
+							}
+						}
+					}
+					if b.covers(k, name) && out > b.allowed(n) {
+						t.Fatalf("event %d: budget %s: %d out of %d allowed, after %s/%s began", i, b.Name, out, b.allowed(n), k, name)
+					}
+				}
+			case 7:
+				if p != nil {
+					w.do(Command{Op: Back, Kind: k, Name: name, Token: p.Token}, p.Client)
+				}
+			case 8:
+				w.do(Command{Op: rapid.SampledFrom([]Op{Clear, Cancel, Forget}).Draw(t, "op"), Kind: k, Name: name}, who)
+			case 9:
+				w.end(rapid.SampledFrom([]string{who, RouterClient + r}).Draw(t, "ends"))
+			case 10:
+				w.router(r, "z"+r[1:], fmt.Sprintf("%s:%s/%d", rapid.SampledFrom(servers).Draw(t, "seen"), rapid.SampledFrom(sights).Draw(t, "sight"), rapid.IntRange(1, 3).Draw(t, "run")))
+			case 11:
+				if _, ok := w.holders[RouterClient+r]; ok && w.s.Routers[r] != nil {
+					v := uint64(rapid.IntRange(0, int(w.s.Drains)).Draw(t, "acked"))
+					if w.do(Command{Op: Ack, Drains: v}, RouterClient+r).Code == OK {
+						w.acked[RouterClient+r] = max(w.acked[RouterClient+r], v)
+					}
+				}
+			case 12:
+				w.pass(time.Duration(rapid.IntRange(0, 12000).Draw(t, "ms")) * time.Millisecond)
+			case 13:
+				w.do(Command{Op: rapid.SampledFrom([]Op{Halt, Resume}).Draw(t, "op"), Why: "a test"}, who)
+			}
+			w.check(t)
+		}
+		w.all(t, servers, routers)
+	})
+}
+
+// check is what holds at any time.
+func (w *world) check(t *rapid.T) {
+	begun := map[string]bool{}
+	for _, p := range w.s.Permits {
+		id := key(p.Kind, p.Name)
+		if p.Stage == Begun && begun[id] {
+			t.Fatalf("two steps of %s at once", id)
+		}
+		begun[id] = begun[id] || p.Stage == Begun
+		if p.Drained && !w.said[p.ID] { // one that comes later knows it before its first request
+			w.said[p.ID] = true
+			for name, r := range w.s.Routers {
+				if f, there := w.holders[RouterClient+name]; there && r.Session == f.Session && w.acked[RouterClient+name] < p.Drain {
+					t.Fatalf("%s is said to be drained, and %s has acknowledged %d, not %d", id, name, w.acked[RouterClient+name], p.Drain)
+				}
+			}
+		}
+	}
+	text, err := json.Marshal(w.s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := New()
+	if err := json.Unmarshal(text, back); err != nil {
+		t.Fatal(err)
+	}
+	back.Restored()
+	back.Advance(w.clock, func() uint64 { t.Fatal("read back, it gives a permit"); return 0 })
+	if again, err := json.Marshal(back); err != nil || !bytes.Equal(text, again) {
+		t.Fatalf("read back:\n%s\n%s", text, again)
+	}
+}
+
+// all has the fleet be well again: then each that waits gets its permit in the end.
+func (w *world) all(t *rapid.T, servers, routers []string) {
+	w.must(Command{Op: Resume}, "operator")
+	for _, p := range slices.Clone(w.s.Permits) {
+		if p.Stage == Begun {
+			w.must(Command{Op: Clear, Kind: p.Kind, Name: p.Name}, "operator")
+		}
+	}
+	for _, r := range routers {
+		for _, s := range servers {
+			w.router(r, "z"+r[1:], s+":up/9")
+		}
+	}
+	for range 3 * MaxPermits {
+		w.pass(time.Minute)
+		i := slices.IndexFunc(w.s.Permits, func(p *Permit) bool { return p.Stage == Granted })
+		if i < 0 {
+			break
+		}
+		p := w.s.Permits[i]
+		w.must(Command{Op: Begin, Kind: p.Kind, Name: p.Name, Token: p.Token}, p.Client)
+		w.must(Command{Op: Back, Kind: p.Kind, Name: p.Name, Token: p.Token}, p.Client)
+	}
+	if len(w.s.Permits) > 0 {
+		t.Fatalf("all is well, and %s/%s waits still: %s", w.s.Permits[0].Kind, w.s.Permits[0].Name, w.s.Permits[0].Waits)
+	}
+}
+
+// fleet is a world of three routers and servers sa1, sa2, sb1, sb2 that is warm.
+func fleet(budgets ...Budget) *world {
+	w := newWorld(budgets...)
+	for _, r := range []string{"r1", "r2", "r3"} {
+		w.router(r, "z1", "sa1:up/1", "sa2:up/1", "sb1:up/1", "sb2:up/1")
+	}
+	w.pass(time.Hour)
+	return w
+}
+
+func two(t *testing.T, a Answer, stage Stage, words string) {
+	t.Helper()
+	if a.Code != OK || a.Stage != stage || !strings.Contains(a.Text, words) || (words == "") != (a.Text == "") {
+		t.Errorf("%+v, want %s and %q", a, stage, words)
+	}
+}
+
+// Each reason to wait is told in words, and ends when its cause does.
+func TestWhyItWaits(t *testing.T) {
+	servers := Budget{Name: "s", Kind: Server, Most: 1, Warm: 30 * time.Second}
+	w := fleet(servers)
+	ask := func(name, who string, priority int) Answer {
+		return w.do(Command{Op: Ask, Kind: Server, Name: name, Priority: priority}, who)
+	}
+	two(t, ask("sa1", "ann", Normal), Granted, "")
+	two(t, ask("sa2", "bob", Normal), Waiting, "1 of at most 1 out: sa1 (permit before this one)")
+	two(t, ask("sa1", "cid", Emergency), Granted, "") // takes back what hasn't begun
+	if a := w.do(Command{Op: Begin, Kind: Server, Name: "sa1", Token: 1}, "ann"); a.Code != NotHeld {
+		t.Errorf("begun with a permit that was taken back: %+v", a)
+	}
+	p := w.permit(Server, "sa1")
+	for _, q := range w.s.Permits {
+		if q.Client == "cid" {
+			p = q
+		}
+	}
+	two(t, w.must(Command{Op: Begin, Kind: Server, Name: "sa1", Token: p.Token}, "cid"), Begun, "r1, r2, r3")
+	two(t, w.must(Command{Op: Ask, Kind: Server, Name: "sa2", Priority: Normal}, "bob"), Waiting, "1 of at most 1 out: sa1 (by plan)")
+	w.must(Command{Op: Back, Kind: Server, Name: "sa1", Token: p.Token}, "cid")
+	two(t, ask("sa2", "bob", Normal), Waiting, "sa1 (cold, 30s more)")
+	w.pass(30 * time.Second) // ann waits still for sa1, and came first
+	w.must(Command{Op: Cancel, Kind: Server, Name: "sa1"}, "ann")
+	two(t, ask("sa2", "bob", Normal), Granted, "")
+	w.must(Command{Op: Halt, Why: "I don't like it"}, "ann")
+	two(t, ask("sa2", "bob", Normal), Waiting, "halted by ann: I don't like it")
+	w.must(Command{Op: Resume}, "ann")
+	two(t, ask("sa2", "bob", Normal), Granted, "")
+	w.router("r1", "z1", "sb1:bad/1")
+	two(t, ask("sa2", "bob", Normal), Granted, "") // one router is no evidence
+	w.router("r2", "z1", "sb1:bad/1")
+	two(t, ask("sa2", "bob", Normal), Waiting, "sb1 (down)")
+	two(t, ask("sb1", "eve", Normal), Granted, "") // it is out already
+	if a := ask("nobody", "eve", Normal); a.Code != Refused || !strings.Contains(a.Text, "it has sa1, sa2, sb1, sb2") {
+		t.Errorf("%+v", a)
+	}
+	two(t, w.do(Command{Op: Ask, Kind: Router, Name: "r1"}, "eve"), Waiting, "no budget covers router/r1")
+	w.must(Command{Op: Set, Budgets: []Budget{servers, {Name: "r", Kind: Router, Share: 0.2}}, Grace: time.Second}, "ann")
+	two(t, w.do(Command{Op: Ask, Kind: Router, Name: "r1"}, "eve"), Waiting, "a share of 0.2 of 3 is none")
+}
+
+// The last of a kind, and the last of a zone that has several, stay whatever the budgets say.
+func TestLastStays(t *testing.T) {
+	w := fleet(Budget{Name: "s", Kind: Server, Most: 100})
+	for _, name := range []string{"sa1", "sb1", "sa2", "sb2"} {
+		a := w.do(Command{Op: Ask, Kind: Server, Name: name}, "ann")
+		switch name {
+		case "sa1", "sa2": // the zones are z1 and z2
+			two(t, a, Granted, "")
+			w.must(Command{Op: Begin, Kind: Server, Name: name, Token: a.Token}, "ann")
+		case "sb1":
+			two(t, a, Waiting, "the last server of zone z1")
+		case "sb2":
+			two(t, a, Waiting, "the last server")
+		}
+	}
+}
+
+// A permit whose holder has died stays used until the thing runs anew, or an operator clears it.
+func TestOrphans(t *testing.T) {
+	w := fleet(Budget{Name: "s", Kind: Server, Most: 1}, Budget{Name: "r", Kind: Router, Most: 1})
+	for _, x := range []struct {
+		k    Kind
+		name string
+		back func()
+	}{
+		{Server, "sa1", func() { w.router("r1", "z1", "sa1:up/2") }},
+		{Router, "r2", func() {
+			w.end(RouterClient + "r2")
+			w.pass(time.Hour)
+			w.router("r2", "z1")
+		}},
+		{Server, "sb1", func() { w.must(Command{Op: Clear, Kind: Server, Name: "sb1"}, "operator") }},
+	} {
+		a := w.must(Command{Op: Ask, Kind: x.k, Name: x.name}, "ann")
+		w.must(Command{Op: Begin, Kind: x.k, Name: x.name, Token: a.Token}, "ann")
+		w.end("ann")
+		w.pass(time.Hour)
+		if p := w.permit(x.k, x.name); p == nil || !strings.Contains(p.Waits, "its holder ann is gone") || x.k == Server && !slices.Equal(w.s.Drained(), []string{x.name}) {
+			t.Errorf("%s: %+v, drained %v", x.name, p, w.s.Drained())
+		}
+		if x.back(); w.permit(x.k, x.name) != nil || len(w.s.Drained()) > 0 {
+			t.Errorf("%s: %+v after it was back", x.name, w.permit(x.k, x.name))
+		}
+		w.pass(time.Hour)
+	}
+}
+
+// A server is drained when all routers have said so that could send to it, a cut-off one by discovery's list and time.
+func TestDrained(t *testing.T) {
+	w := fleet(Budget{Name: "s", Kind: Server, Most: 1})
+	a := w.must(Command{Op: Ask, Kind: Server, Name: "sa1"}, "ann")
+	w.must(Command{Op: Begin, Kind: Server, Name: "sa1", Token: a.Token}, "ann")
+	state := func() Answer { return w.do(Command{Op: Ask, Kind: Server, Name: "sa1"}, "ann") }
+	two(t, state(), Begun, "drained once r1, r2, r3 don't send")
+	w.must(Command{Op: Ack, Drains: w.s.Drains}, RouterClient+"r1")
+	w.must(Command{Op: Ack, Drains: w.s.Drains + 5}, RouterClient+"r2")
+	w.end(RouterClient + "r3")
+	two(t, state(), Begun, "r3 (no session, and discovery's list doesn't say that the server leaves)")
+	w.router("r1", "z1", "sa1:leaving/1")
+	w.pass(4 * time.Second)
+	two(t, state(), Begun, "r3 (no session)")
+	w.pass(time.Second) // the grace
+	if a := state(); !a.Drained || a.Text != "" {
+		t.Errorf("%+v", a)
+	}
+	w.must(Command{Op: Back, Kind: Server, Name: "sa1", Token: a.Token}, "ann")
+	if len(w.s.Drained()) > 0 {
+		t.Error(w.s.Drained())
+	}
+	if a := w.do(Command{Op: Back, Kind: Server, Name: "sa1", Token: a.Token}, "ann"); a.Code != NotHeld {
+		t.Errorf("given back twice: %+v", a)
+	}
+}
+
+// Every table has its bound, and says so.
+func TestBounds(t *testing.T) {
+	w := fleet(Budget{Name: "s", Kind: Server, Most: 1})
+	full := func(what string, a Answer) {
+		t.Helper()
+		if a.Code != Full || !strings.Contains(a.Text, "at most") {
+			t.Errorf("%s: %+v", what, a)
+		}
+	}
+	for i := range MaxRouters - 3 {
+		w.router(fmt.Sprint("x", i), "z")
+	}
+	full("routers", w.do(Command{Op: See, View: &View{}}, RouterClient+"y"))
+	for i := range MaxServers - 4 {
+		w.router("r1", "z", fmt.Sprintf("s%d:up", i))
+	}
+	full("servers", w.do(Command{Op: See, View: &View{Servers: []Seen{{Name: "y", Is: Up}}}}, RouterClient+"r1"))
+	for i := range MaxPermits {
+		w.must(Command{Op: Ask, Kind: Server, Name: "sa1"}, fmt.Sprint("c", i))
+	}
+	full("permits", w.do(Command{Op: Ask, Kind: Server, Name: "sa1"}, "late"))
+	full("budgets", w.do(Command{Op: Set, Budgets: make([]Budget, MaxBudgets+1), Grace: time.Second}, "ann"))
+	for _, c := range []Command{{Op: "x"}, {Op: Ask}, {Op: Ask, Kind: Server}, {Op: Halt}, {Op: See}, {Op: Set}, {Op: Set, Grace: time.Second, Budgets: []Budget{{}}},
+		{Op: Set, Grace: time.Second, Budgets: []Budget{{Name: "a", Kind: Server}}}, {Op: See, View: &View{Servers: make([]Seen, MaxSeen+1)}}} {
+		if a := w.do(c, "ann"); a.Code != Refused || a.Text == "" {
+			t.Errorf("%+v: %+v", c, a)
+		}
+	}
+}
--- a/lab/fleet/agree_test.go
+++ b/lab/fleet/agree_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/lab/scenario"
 	"dockhinge.example/dockhinge/lab/standin"
@@ -272,7 +273,7 @@
 	dir, _ := built() // agreeOptions has seen to it
 	for i, x := range a.coords {
 		if i == 1 { // one is old still
-			if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, "version 1") {
+			if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, fmt.Sprintf("version %d", coord.Version)) {
 				t.Errorf("%s", out)
 			}
 		}
@@ -283,7 +284,7 @@
 		a.up(x.proc)
 		settled(t, a)
 	}
-	if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, "version 2") {
+	if out := tool(t, a, "members", "upgrade"); !strings.Contains(out, fmt.Sprintf("version %d", coord.Version+1)) {
 		t.Errorf("%s", out)
 	}
 	rows, err := c.Rows(t.Context(), "kept")
