Have routers follow the fleet's drains, and operators change the fleet by permits

Need: budgets and permits in the agreed state are of no use before routers obey drains and tools ask. internal/rollout/follow tells how a router sees itself and the servers, leaves out what is drained and acknowledges once no attempt is out there; a router that starts knows it before its first client (2 s at most); a drain by hand and one by the fleet hold apart. dockhinge-coord gains budgets, fleet, permit take|clear, drain, undrain, forget, halt, resume. Off without 'agreement.drains'.

The referee excuses what a stopped router held, and counts what a restarted one was told by its configuration.

--- a/cmd/dockhinge-coord/main.go
+++ b/cmd/dockhinge-coord/main.go
@@ -29,6 +29,7 @@
 	"dockhinge.example/dockhinge/internal/coord/config"
 	"dockhinge.example/dockhinge/internal/coord/node"
 	"dockhinge.example/dockhinge/internal/logging"
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 func main() {
@@ -48,7 +49,9 @@
 func root() *cobra.Command {
 	r := &cobra.Command{Use: "dockhinge-coord", Short: "Leases for tasks of the whole fleet", SilenceUsage: true, SilenceErrors: true,
 		Long: "A coordinator and the operators' tool for them. docs/agreement.md tells more."}
-	r.AddCommand(serve(), check(), initGroup(), status(), members(), lease(), recoverOne())
+	r.AddCommand(serve(), check(), initGroup(), status(), members(), lease(), recoverOne(), budgets(), fleet(), permit(), drain(),
+		word("undrain", "Have routers send to a drained cache server again", rollout.Clear),
+		word("forget", "Say that a router or cache server that isn't there belongs to the fleet no more", rollout.Forget), halt(), resume())
 	return r
 }
 
@@ -222,7 +225,11 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), 10*time.Second)
 			defer cancel()
-			return Init(ctx, all)
+			if err := Init(ctx, all); err != nil {
+				return err
+			}
+			_, err = t.upgrade(ctx) // a new group has no older program in it
+			return err
 		}}
 	t.add(cmd)
 	return cmd
@@ -250,34 +257,67 @@
 	return client.Call(ctx, http.MethodPost, all[group[0].Name], "/v1/init", group, nil)
 }
 
-func members() *cobra.Command {
-	var t tool
-	// leading asks the leader, whoever that is.
-	leading := func(ctx context.Context, f func(addr string) error) error {
-		all, err := t.names()
-		if err != nil {
-			return err
-		}
-		for range 20 {
-			got, _ := statuses(ctx, all)
-			for name, s := range got {
-				if s.State == "Leader" {
-					if err = f(all[name]); err == nil || !errors.Is(err, client.ErrNotLeader) {
-						return err
-					}
+// leading asks the leader, whoever that is.
+func (t *tool) leading(ctx context.Context, f func(addr string) error) error {
+	all, err := t.names()
+	if err != nil {
+		return err
+	}
+	for range 20 {
+		got, _ := statuses(ctx, all)
+		for name, s := range got {
+			if s.State == "Leader" {
+				if err = f(all[name]); err == nil || !errors.Is(err, client.ErrNotLeader) {
+					return err
 				}
 			}
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(200 * time.Millisecond):
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	return errors.Join(errors.New("no leader answers"), err)
+}
+
+// upgrade lets the coordinators use what all of them understand, and tells the version that is in force.
+func (t *tool) upgrade(ctx context.Context) (to int, err error) {
+	all, err := t.names()
+	if err != nil {
+		return 0, err
+	}
+	got, fails := statuses(ctx, all)
+	for name, s := range got {
+		if to == 0 || s.Understands < to {
+			to = s.Understands
+		}
+		for _, m := range s.Members {
+			if all[m.Name] == "" {
+				return 0, fmt.Errorf("--coordinators: %s is a member too (says %s)", m.Name, name)
 			}
 		}
-		return errors.Join(errors.New("no leader answers"), err)
 	}
+	for name, err := range fails {
+		return 0, fmt.Errorf("%s: %w (each must answer: one that runs an older program could not go on)", name, err)
+	}
+	return to, t.leading(ctx, func(leader string) error {
+		var a coord.Answer
+		if err := client.Call(ctx, http.MethodPost, leader, "/v1/upgrade", coord.Command{Version: to}, &a); err != nil {
+			return err
+		}
+		if a.Code != coord.OK {
+			return errors.New(a.Text)
+		}
+		return nil
+	})
+}
+
+func members() *cobra.Command {
+	var t tool
 	cmd := &cobra.Command{Use: "members", Short: "Who the coordinators are", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return leading(cmd.Context(), func(addr string) error {
+			return t.leading(cmd.Context(), func(addr string) error {
 				var all []node.Member
 				if err := client.Call(cmd.Context(), http.MethodGet, addr, "/v1/members", nil, &all); err != nil {
 					return err
@@ -304,7 +344,7 @@
 				if s.Name != name || s.State != "Waiting" {
 					return fmt.Errorf("%s: the coordinator there is %s and %s; one that belongs to no group is wanted", name, s.Name, s.State)
 				}
-				err = leading(cmd.Context(), func(leader string) error {
+				err = t.leading(cmd.Context(), func(leader string) error {
 					return client.Call(cmd.Context(), http.MethodPost, leader, "/v1/members", node.Member{Name: name, Identity: s.Identity, Address: s.Listen, Newest: s.Understands}, nil)
 				})
 			}
@@ -312,43 +352,16 @@
 		}}
 	remove := &cobra.Command{Use: "remove NAME", Short: "Take a coordinator out, dead or alive", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return leading(cmd.Context(), func(leader string) error {
+			return t.leading(cmd.Context(), func(leader string) error {
 				return client.Call(cmd.Context(), http.MethodDelete, leader, "/v1/members/"+args[0], nil, nil)
 			})
 		}}
 	upgrade := &cobra.Command{Use: "upgrade", Short: "Let the coordinators use what all of them understand, once each runs the new program", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			all, err := t.names()
+			to, err := t.upgrade(cmd.Context())
 			if err != nil {
 				return err
 			}
-			got, fails := statuses(cmd.Context(), all)
-			to := 0
-			for name, s := range got {
-				if to == 0 || s.Understands < to {
-					to = s.Understands
-				}
-				for _, m := range s.Members {
-					if all[m.Name] == "" {
-						return fmt.Errorf("--coordinators: %s is a member too (says %s)", m.Name, name)
-					}
-				}
-			}
-			for name, err := range fails {
-				return fmt.Errorf("%s: %w (each must answer: one that runs an older program could not go on)", name, err)
-			}
-			if err := leading(cmd.Context(), func(leader string) error {
-				var a coord.Answer
-				if err := client.Call(cmd.Context(), http.MethodPost, leader, "/v1/upgrade", coord.Command{Version: to}, &a); err != nil {
-					return err
-				}
-				if a.Code != coord.OK {
-					return errors.New(a.Text)
-				}
-				return nil
-			}); err != nil {
-				return err
-			}
 			fmt.Fprintf(cmd.OutOrStdout(), "version %d is in force\n", to)
 			return nil
 		}}
--- a/cmd/dockhinge/main.go
+++ b/cmd/dockhinge/main.go
@@ -147,14 +147,22 @@
 }
 
 func version(stdout io.Writer) error {
-	of := "unknown"
+	of := revision()
 	if info, ok := debug.ReadBuildInfo(); ok {
-		of = info.Main.Version + " " + info.GoVersion
+		of += " " + info.GoVersion
 	}
 	_, err := fmt.Fprintf(stdout, "dockhinge %s\noperator file %d\nhandover %d\n", of, operator.Version, handover.Version)
 	return err
 }
 
+// revision is the version that the program was built from.
+func revision() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
 // completion prints a script for a shell: sub-commands first, then the flags of the one that is there, or files.
 func completion(stdout io.Writer, shell []string, all []subcommand) error {
 	var names, cases, fish strings.Builder
--- a/cmd/dockhinge/serve.go
+++ b/cmd/dockhinge/serve.go
@@ -155,7 +155,7 @@
 	}
 	if a := extra.Agreement; len(a.Coordinators) > 0 {
 		cfg.Agreement = &router.Agreement{Coordinators: probing.Coordinators(a.Coordinators), TTL: operator.Time(a.TTL), Probes: a.Probes,
-			ProbeEvery: operator.Time(a.ProbeEvery), ProbeStale: operator.Time(a.ProbeStale)}
+			ProbeEvery: operator.Time(a.ProbeEvery), ProbeStale: operator.Time(a.ProbeStale), Drains: a.Drains, Label: cmp.Or(a.Label, revision())}
 	}
 	if !extra.Admission.Enabled {
 		return cfg, nil
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -50,6 +50,12 @@
 	s.doubt, s.fails, s.pause = 0, b.usual, 0
 }
 
+// Ejected tells whether the router avoids a server because of how it answered.
+func (b *Balancer) Ejected(id uint32) bool {
+	s := b.servers[id]
+	return s != nil && s.ejected
+}
+
 // Targets counts the servers on the list, and those of them that are avoided, by hand or by choice: what the list takes out is no choice.
 func (b *Balancer) Targets() (listed, avoided int) {
 	for _, s := range b.servers {
--- /dev/null
+++ b/internal/coord/config/budgets.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/diag"
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+// Budgets is a file of budgets. docs/rollout.md describes each key.
+type Budgets struct {
+	Version int      `toml:"version"`
+	Grace   string   `toml:"grace"` // longer than routers' sessions last, 1s to 1h
+	Budget  []Budget `toml:"budget"`
+}
+
+// Budget is one of them; see rollout.Budget.
+type Budget struct {
+	Name  string  `toml:"name"`
+	Kind  string  `toml:"kind"`
+	Match string  `toml:"match"`
+	Per   string  `toml:"per"`
+	Most  int     `toml:"most"`
+	Share float64 `toml:"share"`
+	Warm  string  `toml:"warm"`
+}
+
+// LoadBudgets reads the file at path. The error joins a diag.Problem for each mistake.
+func LoadBudgets(path string) (all []rollout.Budget, grace time.Duration, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, 0, fmt.Errorf("budgets: %w", err)
+	}
+	return ParseBudgets(path, text)
+}
+
+// ParseBudgets reads a file that was read from path.
+func ParseBudgets(path string, text []byte) (all []rollout.Budget, grace time.Duration, err error) {
+	if len(text) > maxFile {
+		return nil, 0, diag.Problem{File: path, Reason: fmt.Sprintf("%d bytes, %d at most", len(text), maxFile)}
+	}
+	f := Budgets{Grace: rollout.DefaultGrace.String()}
+	if err := diag.DecodeTOML(path, text, &f); err != nil {
+		return nil, 0, err
+	}
+	var errs []error
+	bad := func(setting, form string, v ...any) {
+		errs = append(errs, diag.Problem{File: path, Setting: setting, Reason: fmt.Sprintf(form, v...)})
+	}
+	if f.Version != Version {
+		bad("version", "%d is not %d, the version that this program reads", f.Version, Version)
+	}
+	if grace, err = time.ParseDuration(f.Grace); err != nil || grace < rollout.MinGrace || grace > rollout.MaxWarm {
+		bad("grace", "%q is no duration from %v to %v", f.Grace, rollout.MinGrace, rollout.MaxWarm)
+	}
+	if len(f.Budget) == 0 {
+		bad("budget", "none: nothing would ever be let out")
+	}
+	if len(f.Budget) > rollout.MaxBudgets {
+		bad("budget", "%d, %d at most", len(f.Budget), rollout.MaxBudgets)
+	}
+	names := map[string]bool{}
+	for i, x := range f.Budget {
+		b := rollout.Budget{Name: x.Name, Kind: rollout.Kind(x.Kind), Match: x.Match, Per: x.Per, Most: x.Most, Share: x.Share}
+		setting := fmt.Sprintf("budget[%d]", i+1)
+		if x.Warm != "" {
+			if b.Warm, err = time.ParseDuration(x.Warm); err != nil {
+				bad(setting+".warm", "%q is no duration", x.Warm)
+				continue
+			}
+		}
+		if err := b.Check(); err != nil {
+			bad(setting, "%v", err)
+		}
+		if names[x.Name] {
+			bad(setting+".name", "%q is there twice", x.Name)
+		}
+		names[x.Name] = true
+		all = append(all, b)
+	}
+	return all, grace, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/coord/config/config_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+// Each mistake is told with file and setting; what is right is read.
+func TestFiles(t *testing.T) {
+	f, err := Parse("c.toml", []byte("version = 1\nname = \"c1\"\ndir = \"d\"\nlisten = \"a:1\"\napi = \"a:2\"\nbeat = \"300ms\"\n"))
+	if err != nil || f.BeatTime() != 300*time.Millisecond || f.ClockRate != 0.01 {
+		t.Errorf("%+v, %v", f, err)
+	}
+	good := "version = 1\ngrace = \"9s\"\n[[budget]]\nname = \"a\"\nkind = \"server\"\nper = \"zone\"\nshare = 0.2\nwarm = \"30s\"\n"
+	all, grace, err := ParseBudgets("b.toml", []byte(good))
+	if err != nil || grace != 9*time.Second || len(all) != 1 || all[0] != (rollout.Budget{Name: "a", Kind: rollout.Server, Per: "zone", Share: 0.2, Warm: 30 * time.Second}) {
+		t.Errorf("%+v, %v, %v", all, grace, err)
+	}
+	for text, want := range map[string]string{
+		"":                                        "version: 0 is not 1",
+		"version = 1\nx = 1":                      "x",
+		"version = 1\ngrace = \"1\"":              "grace: \"1\" is no duration",
+		"version = 1":                             "budget: none",
+		good + good[strings.Index(good, "[["):]:   "budget[2].name: \"a\" is there twice",
+		strings.Replace(good, "0.2", "0", 1):      "it would never let anything out",
+		strings.Replace(good, "server", "cat", 1): "budget[1]: kind: \"cat\"",
+		strings.Replace(good, "30s", "soon", 1):   "budget[1].warm: \"soon\" is no duration",
+		strings.Replace(good, "\"a\"", "\"a\"\nmatch = \"[\"", 1): "match: \"[\"",
+	} {
+		if _, _, err := ParseBudgets("b.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "b.toml") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	for text, want := range map[string]string{
+		"version = 2":              "version: 2 is not 1",
+		"name = \"a b\"":           "name: \"a b\" is no name",
+		"listen = \"a\"":           "listen: \"a\" is no host:port",
+		"clock_rate = 0.5":         "clock_rate: 0.5",
+		"beat = \"1ms\"":           "beat: \"1ms\"",
+		"snapshot_every = 1":       "snapshot_every: 1",
+		"log_level = \"loud\"":     "log_level: \"loud\"",
+		"[peers]\n\"c 2\" = \"a\"": "peers.c 2",
+	} {
+		if _, err := Parse("c.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -40,6 +40,8 @@
 	Probes       bool     `toml:"probes"`       // one router probes a cache server for all
 	ProbeEvery   string   `toml:"probe_every"`  // a duration, 200ms to 10s
 	ProbeStale   string   `toml:"probe_stale"`  // a report counts until it is so old, 500ms to 30s, more than probe_every
+	Drains       bool     `toml:"drains"`       // the router takes part in drains and releases that the fleet agrees on
+	Label        string   `toml:"label"`        // what its program's version is called there, at most 64 bytes; "" = the program's own
 }
 
 // Time reads a duration of the file, which has been checked.
@@ -186,6 +188,12 @@
 			bad("agreement.coordinators", "%q is not NAME=HOST:PORT", w)
 		}
 	}
+	if len(f.Agreement.Label) > 64 {
+		bad("agreement.label", "%d bytes, 64 at most", len(f.Agreement.Label))
+	}
+	if f.Agreement.Drains && len(f.Agreement.Coordinators) == 0 {
+		bad("agreement.drains", "true, and agreement.coordinators names none")
+	}
 	if f.Agreement.Probes && len(f.Agreement.Coordinators) == 0 {
 		bad("agreement.probes", "true, and agreement.coordinators names none")
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -475,6 +475,14 @@
 		if c.Within < 0 || c.Within > MaxWait || len(c.Why) > MaxText {
 			return bad("within: %v is not from 0 to %v, or the reason has over %d bytes", c.Within, MaxWait, MaxText)
 		}
+		// Who has the name of one that died in the step takes it over, with a token of its own.
+		for _, p := range s.Permits {
+			if p.Kind == c.Kind && p.Name == c.Name && p.Stage == Begun && p.Session == "" && p.Client == f.Client {
+				s.drop(func(q *Permit) bool { return q == s.own(c, f) }) // the wish for it that it has had meanwhile
+				p.Session, p.Token, p.Waits = f.Session, f.Token(), ""
+				return Answer{Code: OK}
+			}
+		}
 		if p := s.own(c, f); p != nil {
 			p.Priority = max(p.Priority, c.Priority)
 			return Answer{Code: OK}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -152,7 +152,7 @@
 				}
 				// Before it, what would be out with it, and whether it was out without it.
 				thing := w.s.things(k)[name]
-				was := w.isOut(k, name, thing)
+				down := !thing.Up
 				began := p.Stage == Begun
 				a := w.do(Command{Op: Begin, Kind: k, Name: name, Token: p.Token}, p.Client)
 				if a.Code != OK || began {
@@ -162,7 +162,7 @@
 					t.Fatalf("event %d: token %d after %d", i, p.Token, w.given[key(k, name)])
 				}
 				w.given[key(k, name)] = p.Token
-				if was {
+				if down && p.Priority == Emergency {
 					continue
 				}
 				for _, b := range w.s.Budgets {
@@ -307,7 +307,7 @@
 	two(t, w.must(Command{Op: Begin, Kind: Server, Name: "sa1", Token: p.Token}, "cid"), Begun, "r1, r2, r3")
 	two(t, w.must(Command{Op: Ask, Kind: Server, Name: "sa2", Priority: Normal}, "bob"), Waiting, "1 of at most 1 out: sa1 (by plan)")
 	w.must(Command{Op: Back, Kind: Server, Name: "sa1", Token: p.Token}, "cid")
-	two(t, ask("sa2", "bob", Normal), Waiting, "sa1 (cold, 30s more)")
+	two(t, ask("sa2", "bob", Normal), Waiting, "sa1 (cold)")
 	w.pass(30 * time.Second) // ann waits still for sa1, and came first
 	w.must(Command{Op: Cancel, Kind: Server, Name: "sa1"}, "ann")
 	two(t, ask("sa2", "bob", Normal), Granted, "")
@@ -319,7 +319,8 @@
 	two(t, ask("sa2", "bob", Normal), Granted, "") // one router is no evidence
 	w.router("r2", "z1", "sb1:bad/1")
 	two(t, ask("sa2", "bob", Normal), Waiting, "sb1 (down)")
-	two(t, ask("sb1", "eve", Normal), Granted, "") // it is out already
+	two(t, ask("sb1", "eve", Normal), Waiting, "permit before this one") // bob's is weighed first
+	two(t, ask("sb1", "eve", Emergency), Granted, "")                    // it is out already
 	if a := ask("nobody", "eve", Normal); a.Code != Refused || !strings.Contains(a.Text, "it has sa1, sa2, sb1, sb2") {
 		t.Errorf("%+v", a)
 	}
@@ -363,7 +364,11 @@
 	} {
 		a := w.must(Command{Op: Ask, Kind: x.k, Name: x.name}, "ann")
 		w.must(Command{Op: Begin, Kind: x.k, Name: x.name, Token: a.Token}, "ann")
+		w.pass(4 * time.Second)
 		w.end("ann")
+		if x.k == Server && x.name == "sa1" { // news from before the step
+			w.router("r1", "z1", "sa1:up/1b")
+		}
 		w.pass(time.Hour)
 		if p := w.permit(x.k, x.name); p == nil || !strings.Contains(p.Waits, "its holder ann is gone") || x.k == Server && !slices.Equal(w.s.Drained(), []string{x.name}) {
 			t.Errorf("%s: %+v, drained %v", x.name, p, w.s.Drained())
@@ -375,13 +380,33 @@
 	}
 }
 
+// One of the same name takes over from a holder that died in the step, with a higher token; one of another name waits.
+func TestTakeOver(t *testing.T) {
+	w := fleet(Budget{Name: "s", Kind: Server, Most: 1})
+	ask := func(who string) Answer { return w.must(Command{Op: Ask, Kind: Server, Name: "sa1"}, who) }
+	a := ask("ann")
+	w.must(Command{Op: Begin, Kind: Server, Name: "sa1", Token: a.Token}, "ann")
+	old := w.holders["ann"]
+	delete(w.holders, "ann") // a new process, before the session of the old one has ended
+	two(t, ask("ann"), Waiting, "another permit of it is given")
+	w.s.Ended(old.Session, "ann", w.clock, w.next)
+	two(t, ask("bob"), Waiting, "another permit of it is given")
+	if b := ask("ann"); b.Stage != Begun || b.Token <= a.Token || len(w.s.Permits) != 2 {
+		t.Errorf("%+v, %d permits", b, len(w.s.Permits))
+	}
+	old.Clock = w.clock
+	if b := w.s.Apply(Command{Op: Back, Kind: Server, Name: "sa1", Token: a.Token}, old); b.Code != NotHeld {
+		t.Errorf("the one that had died gives it back: %+v", b)
+	}
+}
+
 // A server is drained when all routers have said so that could send to it, a cut-off one by discovery's list and time.
 func TestDrained(t *testing.T) {
 	w := fleet(Budget{Name: "s", Kind: Server, Most: 1})
 	a := w.must(Command{Op: Ask, Kind: Server, Name: "sa1"}, "ann")
 	w.must(Command{Op: Begin, Kind: Server, Name: "sa1", Token: a.Token}, "ann")
 	state := func() Answer { return w.do(Command{Op: Ask, Kind: Server, Name: "sa1"}, "ann") }
-	two(t, state(), Begun, "drained once r1, r2, r3 don't send")
+	two(t, state(), Begun, "until nothing more is sent to it by r1, r2, r3")
 	w.must(Command{Op: Ack, Drains: w.s.Drains}, RouterClient+"r1")
 	w.must(Command{Op: Ack, Drains: w.s.Drains + 5}, RouterClient+"r2")
 	w.end(RouterClient + "r3")
--- a/internal/rollout/settle.go
+++ b/internal/rollout/settle.go
@@ -94,7 +94,12 @@
 		case p.Session != "":
 			return false
 		}
-		// Nobody says any more what became of the step. It is over once the thing runs that was started since.
+		// Nobody says any more what became of the step. It is over once the thing runs that was started since. What is heard of its
+		// start within the grace may be news from before the step.
+		if at := p.Began + s.Grace; t != nil && at > clock && !mutant.Is("late-news-believed") {
+			s.wake(at)
+			p.Run = t.Run
+		}
 		if t != nil && t.Up && t.Run != p.Run {
 			t.Since = clock
 			return true
@@ -139,7 +144,7 @@
 		}
 		slices.Sort(missing)
 		if p.Session != "" {
-			p.Waits = fmt.Sprintf("drained once %s don't send to it any more", few(missing))
+			p.Waits = fmt.Sprintf("until nothing more is sent to it by %s", few(missing))
 		}
 	}
 }
@@ -227,11 +232,7 @@
 				x.n++
 				if why != In {
 					x.taken[key(k, name)] = true
-					text := fmt.Sprintf("%s (%s)", name, why)
-					if until > 0 {
-						text = fmt.Sprintf("%s (%s, %.0fs more)", name, why, math.Ceil((until - clock).Seconds()))
-					}
-					x.out = append(x.out, text)
+					x.out = append(x.out, fmt.Sprintf("%s (%s)", name, why)) // without how long: that would change with no event
 				}
 			}
 		}
@@ -314,14 +315,18 @@
 	if len(scopes) == 0 {
 		return fmt.Sprintf("no budget covers %s: nothing goes out without one", key(p.Kind, p.Name))
 	}
-	if is != In { // it counts already
+	if is == Down && p.Priority >= Emergency { // it counts already, and serves nobody
 		return ""
 	}
 	k := string(p.Kind)
-	if in[k] <= 1 && !mutant.Is("budget-unchecked") {
+	id, cost := key(p.Kind, p.Name), 1
+	if is != In { // it counts already; what is left over must be there all the same, as one that is cold or unknown may well serve
+		cost = 0
+	}
+	if cost > 0 && in[k] <= 1 && !mutant.Is("budget-unchecked") {
 		return fmt.Sprintf("it is the last %s that is in", k)
 	}
-	if in[k+"\x00"+t.Zone] <= 1 && in[k+"\x00all\x00"+t.Zone] > 1 && !mutant.Is("budget-unchecked") {
+	if cost > 0 && in[k+"\x00"+t.Zone] <= 1 && in[k+"\x00all\x00"+t.Zone] > 1 && !mutant.Is("budget-unchecked") {
 		return fmt.Sprintf("it is the last %s of zone %s that is in", k, t.Zone)
 	}
 	for _, x := range scopes {
@@ -329,7 +334,7 @@
 		case mutant.Is("budget-unchecked"):
 		case x.allowed == 0:
 			return fmt.Sprintf("%s: a share of %v of %d is none: raise it, or say a number", x.text(), x.b.Share, x.n)
-		case len(x.taken)+1 > x.allowed:
+		case len(x.taken)+cost > x.allowed && mutant.Is("out-is-free") && !x.taken[id], len(x.taken)+cost > x.allowed && !mutant.Is("out-is-free"):
 			return fmt.Sprintf("%s: %d of at most %d out: %s", x.text(), len(x.taken), x.allowed, few(x.out))
 		}
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -52,8 +52,10 @@
 	version    int64            // and its version
 	floor      floor
 	names      names
-	memory     int64       // bytes that the router may take
-	ready      atomic.Bool // a list is held
+	byHand     map[string]bool // servers that are left out by hand,
+	agreed     map[string]bool // and by what the fleet agrees on; both bounded by maxNames
+	memory     int64           // bytes that the router may take
+	ready      atomic.Bool     // a list is held
 	trace      *trace.Trace
 	board      *probing.Board // what other routers' probes told; nil = each probes by itself
 	admission  *admission     // nil = every request goes to the Balancer
@@ -157,7 +159,7 @@
 func newLoop(cfg *Config, up *upstreams, m *metrics.Router) (*loop, error) {
 	s := cfg.settings.Config
 	l := &loop{clock: clock{time.Now()}, up: up, trace: cfg.Trace, metrics: m, urgent: make(chan func(), 32), originKind: s.OriginKind, events: make(chan func(), 1024),
-		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{}}
+		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{}, byHand: map[string]bool{}, agreed: map[string]bool{}}
 	l.rules.Store(newRules(s, m))
 	l.memory = cfg.Limits.MemoryMB << 20
 	l.share(1)
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,13 +25,16 @@
 	List   list
 	Names  names
 	Door   *admit.Carried // nil = admission is off
+	ByHand []string       `json:",omitempty"` // servers left out by hand,
+	Agreed []string       `json:",omitempty"` // and by the fleet
 }
 
 // ban is a call of the operators, as it goes from one process to the other.
 type ban struct {
 	ID       string `json:"id"`
 	Disabled bool   `json:"disabled"`
-	Known    bool   `json:"known"` // the sender's list had the id
+	Known    bool   `json:"known"`            // the sender's list had the id
+	Agreed   bool   `json:"agreed,omitempty"` // by the fleet, not by hand
 }
 
 const (
@@ -116,7 +121,8 @@
 	var h handed
 	err := r.l.do(ctx, func() error {
 		r.peers.add(k, false)
-		h = handed{Module: r.l.b.HandOver(r.l.now()), List: r.l.known(), Names: r.l.names.copied()}
+		h = handed{Module: r.l.b.HandOver(r.l.now()), List: r.l.known(), Names: r.l.names.copied(),
+			ByHand: slices.Collect(maps.Keys(r.l.byHand)), Agreed: slices.Collect(maps.Keys(r.l.agreed))}
 		if r.l.admission != nil {
 			door := r.l.admission.a.HandOver(r.l.now())
 			h.Door = &door
@@ -154,6 +160,12 @@
 			}
 		}
 		l.names, known = h.Names, h.List
+		for _, name := range h.ByHand[:min(len(h.ByHand), maxNames)] {
+			l.byHand[name] = true
+		}
+		for _, name := range h.Agreed[:min(len(h.Agreed), maxNames)] {
+			l.agreed[name] = true
+		}
 		l.floor.raise(known.Version)
 	}
 	l.list(decide.Remembered, known)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dockhinge.example/dockhinge/decide"
@@ -31,6 +32,7 @@
 	before  *handed        // from the process before this one,
 	link    *handover.Link // which lives
 	peers   peers
+	open    atomic.Bool // clients are taken
 }
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
@@ -76,10 +78,20 @@
 	if r.link != nil {
 		wg.Go(func() { r.Joined(work, r.link) })
 	}
+	known := make(chan struct{})
 	if cfg.Agreement != nil {
-		wg.Go(func() { r.agree(ctx, cfg.Agreement) })
+		wg.Go(func() { r.agree(work, ctx, cfg.Agreement, func() { close(known) }) })
 	}
 	wg.Go(func() { l.discover(work, cfg, held, updates, r.tellList) })
+	if cfg.Agreement != nil && cfg.Agreement.Drains { // what is drained is known before the first request
+		select {
+		case <-known:
+		case <-ctx.Done():
+		case <-time.After(knowWithin):
+			slog.Warn("what the fleet has drained isn't known: discovery's list alone counts until it is")
+		}
+	}
+	r.open.Store(true)
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	slog.Info("listening", "name", cfg.Name, "address", s.ln.Addr().String())
 
@@ -103,7 +115,7 @@
 var errNotDone = errors.New("the router was too busy to do it in time")
 
 // Ready reports whether the router can serve.
-func (r *Router) Ready() bool { return r.l.ready.Load() && !r.s.draining.Load() }
+func (r *Router) Ready() bool { return r.open.Load() && r.l.ready.Load() && !r.s.draining.Load() }
 
 // Metrics is the report of the figures.
 func (r *Router) Metrics() ([]byte, error) { return r.metrics.JSON() }
@@ -139,13 +151,24 @@
 	switch {
 	case !known:
 		return admin.ErrUnknown
-	case o.Disabled:
+	}
+	mine, other, by := l.byHand, l.agreed, "hand"
+	if o.Agreed {
+		mine, other, by = l.agreed, l.byHand, "agreement"
+	}
+	if o.Disabled {
+		if len(mine) < maxNames {
+			mine[o.ID] = true
+		}
 		l.b.Disable(l.now(), id)
-	default:
-		l.b.Enable(l.now(), id)
+	} else {
+		delete(mine, o.ID)
+		if !other[o.ID] { // what is out by both is in once both have let go
+			l.b.Enable(l.now(), id)
+		}
 	}
 	l.count()
-	slog.Info("cache server by hand", "server", o.ID, "disabled", o.Disabled)
+	slog.Info("cache server by "+by, "server", o.ID, "disabled", o.Disabled)
 	return nil
 }
 
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -88,6 +88,10 @@
 			r.signal(r.newest(), syscall.SIGHUP)
 		}
 	case "coordinators-die":
+		if !fl.coordsBusy.TryLock() {
+			return
+		}
+		defer fl.coordsBusy.Unlock()
 		fl.mark("all coordinators are killed")
 		for _, c := range fl.coords.coords {
 			c.kill()
@@ -100,6 +104,25 @@
 				}
 			}
 		}
+	case "coordinator-dies":
+		if !fl.coordsBusy.TryLock() {
+			return
+		}
+		defer fl.coordsBusy.Unlock()
+		c := fl.coords.coords[fl.draw(len(fl.coords.coords))]
+		fl.mark("coordinator %s is killed", c.name)
+		c.kill()
+		if over(); ctx.Err() == nil {
+			if err := c.start(); err != nil {
+				fl.trouble(err)
+			}
+		}
+	case "change-servers", "change-routers":
+		fl.change(ctx, f)
+	case "tools-die":
+		fl.killTools(ctx, f)
+	case "kill-routers", "stop-routers", "cut-routers":
+		fl.hitRouters(ctx, f, over)
 	case "rude":
 		fl.rudeClients(ctx, f.ForS)
 	}
@@ -141,8 +164,14 @@
 
 // crash has servers die and come back cold.
 func (fl *Fleet) crash(ctx context.Context, f scenario.Fault) {
-	part := fl.pick(f)
+	part := slices.DeleteFunc(fl.pick(f), func(m *member) bool { return !m.busy.TryLock() })
+	defer func() {
+		for _, m := range part {
+			m.busy.Unlock()
+		}
+	}()
 	fl.mark("crash of %s", names(part))
+	from := fl.clock.Now()
 	for _, m := range part {
 		m.Kill()
 		e := m.entry
@@ -155,6 +184,9 @@
 	fl.mark("they come back cold")
 	for _, m := range part {
 		fl.back(m)
+		fl.mu.Lock()
+		fl.outages = append(fl.outages, outage{thing: "server/" + m.entry.ID, from: from, to: fl.clock.Now()})
+		fl.mu.Unlock()
 	}
 }
 
@@ -283,7 +315,7 @@
 			continue
 		}
 		fl.mark("upgrade of %s", r.name)
-		if err := r.start(ctx, fl.command(), fl.config(r), fl.o.Ready); err != nil {
+		if err := r.start(ctx, fl.command(r), fl.config(r), fl.o.Ready); err != nil {
 			if ctx.Err() == nil {
 				fl.trouble(err)
 			}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -29,9 +30,11 @@
 
 // Options say how to play.
 type Options struct {
-	Command  []string // of one router; GW_CONFIG tells it the rest
-	Coord    []string // of one coordinator, where the scenario has them
-	Dir      string   // for logs and configurations; it must be there
+	Command  []string      // of one router; GW_CONFIG tells it the rest
+	Coord    []string      // of one coordinator, where the scenario has them
+	CoordEnv []string      // of the coordinators
+	Patience time.Duration // how long planned changes may last beyond the load; 0: not at all
+	Dir      string        // for logs and configurations; it must be there
 	Ready    time.Duration
 	Progress func(load.Now, *Fleet)
 	Say      func(format string, v ...any) // what happens, a line each
@@ -72,10 +75,11 @@
 	Servers    []ServerResult         `json:"servers"`
 	Probes     int64                  `json:"probes"` // answered by cache servers
 	Calls      int                    `json:"discovery_calls"`
-	LateMS     float64                `json:"machine_late_ms"` // the longest time by which the machine was late
-	Rude       [2]int                 `json:"rude"`            // misbehaving clients: told or closed on in time, of all
-	Failures   []string               `json:"failures"`        // what did not hold
-	Cut        bool                   `json:"cut"`             // stopped before its end
+	LateMS     float64                `json:"machine_late_ms"`   // the longest time by which the machine was late
+	Rude       [2]int                 `json:"rude"`              // misbehaving clients: told or closed on in time, of all
+	Changes    []Change               `json:"changes,omitempty"` // planned, by the fleet's agreement
+	Failures   []string               `json:"failures"`          // what did not hold
+	Cut        bool                   `json:"cut"`               // stopped before its end
 }
 
 // maxEvents bounds the referee's journal.
@@ -93,24 +97,30 @@
 	origin    *standin.Server
 	rng       *rand.Rand // of the faults
 
-	mu      sync.Mutex // guards what follows
-	coords  *agreement // nil = none
-	members []*member
-	missed  *simplelru.LRU[string, []*standin.Server] // by request: where a read was missing
-	routers []*router
-	relays  map[string]*standin.Relay // router/server
-	marks   []Mark
-	samples []Sample
-	began   float64
-	late    float64
-	rude    [2]int
-	problem []string
-	n       int // of ids given
+	mu         sync.Mutex // guards what follows
+	coords     *agreement // nil = none
+	coordsBusy sync.Mutex // whoever has some of them down; not guarded by mu
+	members    []*member
+	missed     *simplelru.LRU[string, []*standin.Server] // by request: where a read was missing
+	routers    []*router
+	relays     map[string]*standin.Relay // router/server
+	marks      []Mark
+	samples    []Sample
+	began      float64
+	late       float64
+	rude       [2]int
+	problem    []string
+	n          int // of ids given
+	changes    []*Change
+	outages    []outage
+	tools      map[string]*proc            // of planned changes that are under way, by thing
+	toCoord    map[string][]*standin.Relay // by router: to the coordinators
 }
 
 // member is a cache server's place in the fleet.
 type member struct {
 	*standin.Server
+	busy  sync.Mutex // whoever has it down
 	entry model.Entry
 	gone  bool
 }
@@ -125,7 +135,7 @@
 	if o.Say == nil {
 		o.Say = func(string, ...any) {}
 	}
-	fl := &Fleet{File: f, o: o, clock: standin.NewClock(), journal: referee.NewJournal(maxEvents), relays: map[string]*standin.Relay{},
+	fl := &Fleet{File: f, o: o, clock: standin.NewClock(), journal: referee.NewJournal(maxEvents), relays: map[string]*standin.Relay{}, tools: map[string]*proc{}, toCoord: map[string][]*standin.Relay{},
 		rng: rand.New(rand.NewPCG(f.Seed, 10))}
 	fl.missed, _ = simplelru.NewLRU[string, []*standin.Server](maxMissed, nil) // the size is positive
 	fl.front = standin.NewFront(fl.clock)
@@ -250,6 +260,9 @@
 		if r.discovery, err = fl.discovery.Door(r.name, func(e model.Entry) string { return fl.addrFor(r, e) }); err != nil {
 			return err
 		}
+		if err := fl.writeOperator(r); err != nil {
+			return err
+		}
 		fl.mu.Lock()
 		fl.routers = append(fl.routers, r)
 		fl.mu.Unlock()
@@ -259,7 +272,7 @@
 	return errors.Join(fails...)
 }
 
-func (fl *Fleet) operatorFile() string { return filepath.Join(fl.o.Dir, "operator.toml") }
+func (fl *Fleet) operatorFile(r *router) string { return filepath.Join(fl.o.Dir, r.name+".toml") }
 
 // startCoordinators starts those that the scenario has, and writes the operator file that makes routers their clients.
 func (fl *Fleet) startCoordinators(ctx context.Context) (err error) {
@@ -270,21 +283,47 @@
 	if len(fl.o.Coord) == 0 {
 		return errors.New("fleet.coordinators: no command of a coordinator is given")
 	}
-	if fl.coords, err = calm(ctx, n, AgreeOptions{Coord: fl.o.Coord, Dir: fl.o.Dir}); err != nil {
+	if fl.coords, err = calm(ctx, n, AgreeOptions{Coord: fl.o.Coord, Dir: fl.o.Dir, Env: fl.o.CoordEnv}); err != nil {
 		return err
 	}
+	if fl.File.Fleet.Out.On() {
+		return fl.setBudgets(ctx)
+	}
+	return nil
+}
+
+// writeOperator writes a router's operator file, which makes it a client of the coordinators. Where there are planned changes, a
+// relay stands before each of them.
+func (fl *Fleet) writeOperator(r *router) error {
+	if fl.coords == nil {
+		return nil
+	}
 	var words []string
 	for name, addr := range fl.coords.addresses() {
+		if fl.File.Fleet.Out.On() {
+			target := addr
+			relay, err := standin.NewRelay(func() string { return target })
+			if err != nil {
+				return err
+			}
+			fl.mu.Lock()
+			fl.toCoord[r.name] = append(fl.toCoord[r.name], relay)
+			fl.mu.Unlock()
+			addr = relay.Addr()
+		}
 		words = append(words, fmt.Sprintf("%q", name+"="+addr))
 	}
 	text := fmt.Sprintf("version = 1\n[agreement]\ncoordinators = [%s]\nttl = \"5s\"\nprobes = true\n", strings.Join(words, ", "))
-	return os.WriteFile(fl.operatorFile(), []byte(text), 0o600)
+	if fl.File.Fleet.Out.On() {
+		text += "drains = true\n"
+	}
+	return os.WriteFile(fl.operatorFile(r), []byte(text), 0o600)
 }
 
 // command is that of one router, with the operator file that the scenario names.
-func (fl *Fleet) command() []string {
+func (fl *Fleet) command(r *router) []string {
 	if fl.coords != nil {
-		return append(slices.Clip(fl.o.Command), "--operator", fl.operatorFile())
+		return append(slices.Clip(fl.o.Command), "--operator", fl.operatorFile(r))
 	}
 	if fl.File.Fleet.Operator == "" {
 		return fl.o.Command
@@ -294,7 +333,11 @@
 
 // startRouter starts a process of a router and has the front use it.
 func (fl *Fleet) startRouter(ctx context.Context, r *router) error {
-	if err := r.start(ctx, fl.command(), fl.config(r), fl.o.Ready); err != nil {
+	config := fl.config(r)
+	for _, e := range fl.discovery.List().Servers { // the configuration tells the list, whatever the process before was told
+		fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.Told, Router: r.name, Server: e.ID, State: e.State})
+	}
+	if err := r.start(ctx, fl.command(r), config, fl.o.Ready); err != nil {
 		return err
 	}
 	fl.front.Up(r.name, r.zone, r.listen)
@@ -439,10 +482,31 @@
 	over, end := context.WithCancel(context.Background())
 	wg.Go(func() { fl.heartbeat(over) })
 	wg.Go(func() { fl.sample(over) })
-	for i := range fl.File.Faults {
-		wg.Go(func() { fl.fault(running, fl.File.Faults[i]) })
+	endLive := context.CancelFunc(func() {})
+	live := running // planned changes, and the faults beside them, may last longer than the load
+	if fl.o.Patience > 0 {
+		live, endLive = context.WithCancel(ctx)
+		defer endLive()
+	}
+	changed := make(chan struct{})
+	var changing sync.WaitGroup
+	for i, f := range fl.File.Faults {
+		if strings.HasPrefix(f.What, "change-") {
+			changing.Go(func() { fl.fault(live, fl.File.Faults[i]) })
+		} else {
+			wg.Go(func() { fl.fault(live, fl.File.Faults[i]) })
+		}
 	}
+	wg.Go(func() { changing.Wait(); close(changed) })
 	got := l.Run(running)
+	if fl.o.Patience > 0 {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-time.After(fl.o.Patience):
+		}
+		endLive()
+	}
 	cut := ctx.Err() != nil
 	doors := fl.doors(ctx)
 	end()
@@ -575,7 +639,10 @@
 	}
 	wg.Wait()
 	fl.mu.Lock()
-	relays := fl.relays
+	relays := slices.Collect(maps.Values(fl.relays))
+	for _, more := range fl.toCoord {
+		relays = append(relays, more...)
+	}
 	fl.mu.Unlock()
 	if fl.discovery != nil {
 		fl.discovery.Close()
@@ -645,6 +712,10 @@
 	if cut {
 		return res
 	}
+	for _, c := range fl.changes {
+		res.Changes = append(res.Changes, *c)
+	}
+	res.Failures = append(res.Failures, fl.judgeChanges(events)...)
 	for _, x := range []struct {
 		name       string
 		is, atMost float64
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -27,6 +27,7 @@
 	discovery          string
 	dir                string
 	number             int
+	busy               sync.Mutex // whoever has it down
 
 	mu    sync.Mutex
 	procs []*process // the newest last
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -27,6 +27,7 @@
 	Fell                 // a server: it was cold and has been pushed over (Server)
 	Told                 // discovery: a router was told a server's state (Router, Server, State)
 	Killed               // the lab: a router was killed or has crashed (Router)
+	Paused               // the lab: a router's process was stopped (Router), and went on after Deadline ms
 )
 
 // Answer is what a client was given.
@@ -169,6 +170,7 @@
 		broken = append(broken, Breach{rule, at, fmt.Sprintf(form, v...)})
 	}
 	killed := map[string][]float64{}
+	paused := map[string][][2]float64{} // spells
 	type toldOf struct{ router, server string }
 	shut := map[toldOf][][2]float64{} // spells in which a server was told to drain, to a router
 	ran := map[string][]Event{}
@@ -200,6 +202,8 @@
 			add("cold", e.At, "server %s was pushed over while it was cold", e.Server)
 		case Killed:
 			killed[e.Router] = append(killed[e.Router], e.At)
+		case Paused:
+			paused[e.Router] = append(paused[e.Router], [2]float64{e.At, e.At + e.Deadline})
 		case Told:
 			k := toldOf{e.Router, e.Server}
 			spells := shut[k]
@@ -220,11 +224,13 @@
 		}
 		id, class := q.sent.Request, r.Classes[q.sent.Class]
 		until := q.sent.At + q.sent.Deadline + r.SlackMS
-		died := slices.ContainsFunc(killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
+		// What a stopped process holds, or gets meanwhile, it can't answer in time.
+		stood := slices.ContainsFunc(paused[q.sent.Router], func(x [2]float64) bool { return x[0] <= until && x[1] >= q.sent.At-r.SlackMS })
+		died := stood || slices.ContainsFunc(killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
 		switch {
 		case len(q.answers) > 1:
 			add("answer", q.answers[1].At, "request %s: %d final answers", id, len(q.answers))
-		case len(q.answers) == 1 && q.answers[0].At > until:
+		case len(q.answers) == 1 && q.answers[0].At > until && !stood:
 			add("answer", q.answers[0].At, "request %s: answered %.0f ms after its deadline", id, q.answers[0].At-until+r.SlackMS)
 		case len(q.answers) == 0 && died: // what a killed router held is nobody's fault
 		case len(q.answers) == 0 && q.closed != nil && len(q.attempts) > 0 && q.closed.At < until && !spoilt(q):
@@ -243,7 +249,7 @@
 				judgePair(id, b, a, class, r, add)
 			}
 			for _, s := range shut[toldOf{q.sent.Router, a.server}] {
-				if at := s[0] + r.GraceMS + r.SlackMS; a.began > at && a.began < s[1] {
+				if at := s[0] + r.GraceMS + r.SlackMS; a.began > at && a.began < s[1] && !stood {
 					add("drain", a.began, "request %s: sent to server %s %.0f ms after router %s was told that it drains",
 						id, a.server, a.began-s[0], q.sent.Router)
 				}
--- /dev/null
+++ b/lab/scenario/changes.go
@@ -0,0 +1,45 @@
+package scenario
+
+import "math/rand/v2"
+
+// Changes is the scenario drains with faults that the seed draws, while operators want to change every cache server and most
+// routers: tools and single routers die, are stopped or cut from the coordinators, a server crashes, coordinators die.
+func Changes(seed uint64, routers, servers int) (File, error) {
+	f, err := Load("drains")
+	if err != nil {
+		return f, err
+	}
+	rng := rand.New(rand.NewPCG(seed, 57))
+	f.Seed, f.Load.Seed, f.Fleet.Routers = seed, seed, routers
+	for i := range f.Kinds {
+		f.Kinds[i].Count = (servers + i) / len(f.Kinds)
+	}
+	between := func(from, to float64) float64 { return from + rng.Float64()*(to-from) }
+	f.Expect = Expect{Served: 100}
+	f.Load.LateShare = 1 // the verdict is on what must never be, not on service
+	f.Faults = []Fault{
+		{AtS: between(1, 4), What: "change-servers", Share: 1, DownS: between(0.1, 1)},
+		{AtS: between(1, 10), What: "change-routers", Count: max(1, routers*2/3), DownS: between(0.1, 1)},
+	}
+	for at := between(2, 4); at < f.DurationS-6; at += between(1, 5) {
+		x := Fault{AtS: at, ForS: between(0.3, 5), Count: 1 + rng.IntN(max(1, routers/6))}
+		switch rng.IntN(10) {
+		case 0, 1, 2:
+			x.What, x.Count = "tools-die", 1+rng.IntN(6)
+		case 3:
+			x.What = "coordinator-dies"
+		case 4:
+			x.What = "kill-routers"
+		case 5:
+			x.What, x.ForS = "stop-routers", between(0.3, 9)
+		case 6, 7:
+			x.What, x.ForS = "cut-routers", between(0.3, 9)
+		case 8:
+			x.What, x.Count = "crash", 1
+		case 9:
+			x.What = "coordinators-die"
+		}
+		f.Faults = append(f.Faults, x)
+	}
+	return f, f.check()
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -58,8 +58,19 @@
 	Operator     string   `toml:"operator"`      // an operator file, for each router
 	Coordinators int      `toml:"coordinators"`  // 0 to 9; the routers are their clients, and one probes a server for all
 	Warm         bool     `toml:"warm"`          // servers begin with the most popular keys in memory
+	Out          Out      `toml:"out"`           // budgets of who may be out; needs coordinators
 }
 
+// Out bounds what may be out at once by the fleet's agreement; all 0: it is off.
+type Out struct {
+	Routers int     `toml:"routers"`
+	Servers int     `toml:"servers"`
+	WarmS   float64 `toml:"warm_s"` // one that is back counts as out for so long
+}
+
+// On reports whether there are budgets.
+func (o Out) On() bool { return o.Routers > 0 || o.Servers > 0 }
+
 // Kind is a kind of cache server.
 type Kind struct {
 	Name  string       `toml:"name"`
@@ -100,7 +111,8 @@
 	"deploy": {"part", "batch"}, "roll": {"batch"}, "discovery-down": nil, "rewind": {"versions"}, "origin-busy": nil,
 	"partition-there": {"part", "relays"}, "partition-back": {"part", "relays"}, "partition": {"part", "relays"},
 	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil,
-	"coordinators-die": {"coordinators"},
+	"coordinators-die": {"coordinators"}, "coordinator-dies": {"coordinators"},
+	"change-servers": {"part", "out"}, "change-routers": {"part", "out"}, "kill-routers": {"part"}, "stop-routers": {"part"}, "cut-routers": {"part", "out"}, "tools-die": {"count", "out"},
 }
 
 // What lists the faults that a scenario may name.
@@ -270,10 +282,10 @@
 		}
 		for _, n := range needs {
 			lacks := map[string]bool{"part": t.Share <= 0 && t.Count <= 0 && len(t.Servers) == 0, "spoil": !slices.Contains(standin.Spoils, t.Spoil) || t.Answers <= 0,
-				"bytes_s": t.BytesS <= 0, "batch": t.Batch < 1, "relays": !f.Fleet.Relays, "coordinators": f.Fleet.Coordinators == 0, "versions": t.Versions < 1, "delay_ms": t.DelayMS <= 0}[n]
+				"bytes_s": t.BytesS <= 0, "batch": t.Batch < 1, "relays": !f.Fleet.Relays, "coordinators": f.Fleet.Coordinators == 0, "versions": t.Versions < 1, "count": t.Count < 1, "out": !f.Fleet.Out.On() || f.Fleet.Coordinators == 0, "delay_ms": t.DelayMS <= 0}[n]
 			if lacks {
 				return fmt.Errorf("%swhat: %s needs %s", at, t.What, map[string]string{"part": "share, count or servers",
-					"spoil": "spoil (" + strings.Join(standin.Spoils, ", ") + ") and answers", "relays": "fleet.relays = true", "coordinators": "fleet."}[n]+
+					"spoil": "spoil (" + strings.Join(standin.Spoils, ", ") + ") and answers", "relays": "fleet.relays = true", "coordinators": "fleet.", "out": "fleet.coordinators and fleet."}[n]+
 					map[bool]string{true: n}[n != "part" && n != "spoil" && n != "relays"])
 			}
 		}
