--- /dev/null
+++ b/cmd/dockhinge-coord/release.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/internal/coord/config"
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+func release() *cobra.Command {
+	cmd := &cobra.Command{Use: "release", Short: "Releases of routers in waves"}
+	cmd.AddCommand(releasePlan(), releaseRun(true), releaseRun(false), releaseStatus(),
+		releaseWord("back", "Bring all routers of the release back to the version before", rollout.WayBack),
+		releaseWord("end", "End the release as it stands", rollout.End))
+	return cmd
+}
+
+func releaseWord(use, short string, op rollout.Op) *cobra.Command {
+	var t tool
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return t.roll(cmd.Context(), rollout.Command{Op: op}) }}
+	t.add(cmd)
+	return cmd
+}
+
+// report asks how all stands.
+func (t *tool) report(ctx context.Context) (r rollout.Report, err error) {
+	all, err := t.names()
+	if err != nil {
+		return r, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, toolTTL)
+	defer cancel()
+	return client.New(client.Options{Coordinators: all, TTL: toolTTL}).Rollout(ctx, 0)
+}
+
+func releasePlan() *cobra.Command {
+	var t tool
+	cmd := &cobra.Command{Use: "plan FILE", Short: "The waves against the fleet as it is, and how long they take at least", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, p, err := config.LoadRelease(args[0])
+			if err != nil {
+				return err
+			}
+			r, err := t.report(cmd.Context())
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			names := rollout.Matching(r.All, p.Match)
+			if len(names) == 0 {
+				return fmt.Errorf("match: %q names no router", p.Match)
+			}
+			var warm time.Duration
+			most, binds := len(names), "none"
+			for _, b := range r.Budgets {
+				if b.Kind != rollout.Router {
+					continue
+				}
+				warm = max(warm, b.Warm)
+				if b.Allowed == 0 {
+					fmt.Fprintf(out, "budget %s%s lets nothing out: the release would not move\n", b.Budget, inZone(b.Zone))
+				}
+				if b.Zone == "" && b.Allowed < most {
+					most, binds = b.Allowed, b.Budget
+				}
+			}
+			w := tabwriter.NewWriter(out, 4, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "wave\trouters\tat once\tat least\tnames")
+			total, before := time.Duration(0), 0
+			for i, size := range p.Waves(len(names)) {
+				part := names[before:size]
+				rounds := (len(part) + max(1, most) - 1) / max(1, most)
+				took := p.Bake + time.Duration(rounds)*warm
+				total += took
+				fmt.Fprintf(w, "%d\t%d\t%d\t%v\t%s\n", i+1, len(part), min(len(part), most), took, few(part))
+				before = size
+			}
+			w.Flush()
+			fmt.Fprintf(out, "%d routers, at least %v beside the time that the command takes; the budget that binds: %s\n", len(names), total, binds)
+			return nil
+		}}
+	t.add(cmd)
+	return cmd
+}
+
+func few(names []string) string {
+	if len(names) > 4 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:4], ", "), len(names)-4)
+	}
+	return strings.Join(names, ", ")
+}
+
+func releaseStatus() *cobra.Command {
+	var t tool
+	cmd := &cobra.Command{Use: "status", Short: "How far the release is", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := t.report(cmd.Context())
+			if err != nil {
+				return err
+			}
+			c := r.Release
+			if c == nil {
+				return errors.New("there has been no release")
+			}
+			out := cmd.OutOrStdout()
+			if r.Halted != nil {
+				fmt.Fprintf(out, "HALTED by %s: %s\n", r.Halted.By, r.Halted.Why)
+			}
+			e, before, after := rollout.Evidence(c.Bins)
+			fmt.Fprintf(out, "release %s by %s: %s, towards %s; %d of %d routers are there, the wave has %d\n", c.Name, c.By, c.State, c.Goal, len(r.At), len(c.Names), c.Size)
+			fmt.Fprintf(out, "failed or refused: %.3f%% at %s, %.3f%% at %s; evidence that the new one is worse: %.3g\n", 100*before, c.From, 100*after, c.To, e)
+			for _, name := range r.Do {
+				fmt.Fprintf(out, "to be changed now: router/%s\n", name)
+			}
+			for name, why := range c.Left {
+				fmt.Fprintf(out, "left: router/%s: %s\n", name, why)
+			}
+			return nil
+		}}
+	t.add(cmd)
+	return cmd
+}
+
+// The lease of whoever drives a release. All that matters is decided by the agreed state, so that two of them do no harm: it is
+// there to spare work.
+const (
+	controllerLease  = "release/controller"
+	controllerTTL    = 10 * time.Second
+	controllerMargin = 3 * time.Second
+	controllerName   = "release" // of all who drive: one takes over the permits of one that died
+	maxSteps         = 16        // at once
+)
+
+func releaseRun(start bool) *cobra.Command {
+	var t tool
+	use, short := "run FILE", "Drive the release that is under way, or wait to take over from who does"
+	if start {
+		use, short = "start FILE", "Begin a release, and drive it"
+	}
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(1),
+		Long: "Runs the file's command for each router that is to be changed, within permits, wave by wave. It may be stopped or killed\n" +
+			"at any time: the release stays as it is until 'release run' is called again, anywhere. Ends when the release does.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, p, err := config.LoadRelease(args[0])
+			if err != nil {
+				return err
+			}
+			return t.operate(cmd.Context(), controllerName, func(ctx context.Context, c *client.Client) error {
+				if start {
+					if _, err := c.Roll(ctx, rollout.Command{Op: rollout.Start, Plan: &p}); err != nil {
+						return err
+					}
+				}
+				d := driver{t: t, c: c, f: f, say: cmd.ErrOrStderr()}
+				for {
+					over := false
+					err := c.Hold(ctx, controllerLease, "drives release "+p.Name, controllerTTL, controllerMargin, func(inner context.Context, _ *client.Lease) (err error) {
+						over, err = d.drive(inner)
+						return err
+					})
+					if over || ctx.Err() != nil {
+						return err
+					}
+				}
+			})
+		}}
+	t.add(cmd)
+	return cmd
+}
+
+// driver runs the commands of a release.
+type driver struct {
+	t   tool
+	c   *client.Client
+	f   config.Release
+	say io.Writer
+}
+
+// drive works until the release is over, or ctx ends.
+func (d *driver) drive(ctx context.Context) (over bool, err error) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	var mu sync.Mutex
+	busy := map[string]bool{}
+	goal := ""
+	steps, end := context.WithCancel(ctx)
+	defer func() { end() }()
+	var after uint64
+	var told string
+	for ctx.Err() == nil {
+		r, err := d.c.Rollout(ctx, after)
+		if err != nil {
+			if !clock.Sleep(ctx, 200*time.Millisecond) {
+				return false, ctx.Err()
+			}
+			continue
+		}
+		after = r.Version
+		x := r.Release
+		switch {
+		case x == nil || x.Name != d.f.Name:
+			return true, fmt.Errorf("release %s is not the one that is under way", d.f.Name)
+		case x.State == rollout.Done && x.Goal == x.To:
+			fmt.Fprintf(d.say, "release %s: done, %d routers have %s\n", x.Name, len(r.At), x.Goal)
+			return true, nil
+		case x.State != rollout.Running:
+			return true, fmt.Errorf("release %s: %s towards %s; %d routers were left", x.Name, x.State, x.Goal, len(x.Left))
+		}
+		if x.Goal != goal { // what was wanted before is wanted no more
+			end()
+			wg.Wait()
+			goal = x.Goal
+			fresh, cancel := context.WithCancel(ctx)
+			steps, end = fresh, cancel
+		}
+		if e, old, fresh := rollout.Evidence(x.Bins); r.Halted == nil && x.Goal == x.To && rollout.Worse(x.Bins, d.f.Alpha) {
+			why := fmt.Sprintf("%s fails or refuses %.2f%% of requests, and %s %.2f%% at the same time (evidence %.3g)", x.To, 100*fresh, x.From, 100*old, e)
+			if _, err := d.c.Roll(ctx, rollout.Command{Op: rollout.Halt, Why: why}); err != nil {
+				continue
+			}
+		}
+		now := fmt.Sprintf("towards %s: %d of %d routers there, wave of %d", x.Goal, len(r.At), len(x.Names), x.Size)
+		if r.Halted != nil {
+			now = fmt.Sprintf("halted by %s: %s", r.Halted.By, r.Halted.Why)
+		}
+		if now != told {
+			fmt.Fprintf(d.say, "release %s: %s\n", x.Name, now)
+			told = now
+		}
+		for _, name := range r.Do {
+			mu.Lock()
+			begin := !busy[name] && len(busy) < maxSteps
+			if begin {
+				busy[name] = true
+			}
+			mu.Unlock()
+			if !begin {
+				continue
+			}
+			ctx := steps
+			wg.Go(func() {
+				defer func() {
+					mu.Lock()
+					delete(busy, name)
+					mu.Unlock()
+				}()
+				if err := d.step(ctx, name, x); err != nil && ctx.Err() == nil {
+					fmt.Fprintf(d.say, "router/%s: %v\n", name, err)
+				}
+			})
+		}
+	}
+	return false, ctx.Err()
+}
+
+// step brings one router to the goal: permit, command, seen there, permit given back.
+func (d *driver) step(ctx context.Context, name string, x *rollout.Course) error {
+	w := want{t: d.t, priority: "release", why: "release " + x.Name + " towards " + x.Goal}
+	if x.Goal == x.From { // a bad version may have taken out more than the budgets let: what is down may always come back
+		w.priority = "emergency"
+	}
+	token, err := w.take(ctx, d.c, rollout.Router, name, d.say)
+	if err != nil {
+		return err
+	}
+	there := func() (bool, error) {
+		r, err := d.c.Rollout(ctx, 0)
+		return err == nil && slices.Contains(r.At, name), err
+	}
+	if at, err := there(); err != nil || !at { // else whoever drove before has done it
+		for try := 1; ; try++ {
+			if err = d.run(ctx, name, x, token); err == nil || ctx.Err() != nil {
+				break
+			}
+			if try >= d.f.Tries {
+				_, e := d.c.Roll(ctx, rollout.Command{Op: rollout.Failed, Name: name, Why: clip(fmt.Sprintf("its command failed %d times: %v", try, err))})
+				return errors.Join(err, e)
+			}
+			if !clock.Sleep(ctx, time.Second) {
+				break
+			}
+		}
+	}
+	for {
+		at, err := there()
+		if err == nil && at {
+			break
+		}
+		if !clock.Sleep(ctx, 100*time.Millisecond) { // the agreed state tells when it has lasted for too long
+			return ctx.Err()
+		}
+	}
+	_, err = d.c.Roll(ctx, rollout.Command{Op: rollout.Back, Kind: rollout.Router, Name: name, Token: token})
+	return err
+}
+
+// clip cuts a reason to what may be told.
+func clip(text string) string { return text[:min(len(text), rollout.MaxText)] }
+
+// run runs the operator's command for one router.
+func (d *driver) run(ctx context.Context, name string, x *rollout.Course, token uint64) error {
+	from := x.From
+	if x.Goal == x.From {
+		from = x.To
+	}
+	var words []string
+	for _, w := range d.f.Command {
+		words = append(words, strings.NewReplacer("{name}", name, "{to}", x.Goal, "{from}", from).Replace(w))
+	}
+	run := exec.CommandContext(ctx, words[0], words[1:]...)
+	run.Cancel = func() error { return syscall.Kill(-run.Process.Pid, syscall.SIGKILL) }
+	run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	run.Stdout, run.Stderr = os.Stderr, os.Stderr
+	run.Env = append(os.Environ(), "DOCKHINGE_PERMIT=router/"+name, "DOCKHINGE_TOKEN="+strconv.FormatUint(token, 10), "DOCKHINGE_VERSION="+x.Goal)
+	return run.Run()
+}
--- a/cmd/dockhinge-coord/rollout.go
+++ b/cmd/dockhinge-coord/rollout.go
@@ -181,6 +181,13 @@
 	var last string
 	var after uint64
 	began, waited := "", clock.Now()
+	defer func() { // a wish that nobody has any more would keep its place
+		if err != nil && began == "" {
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+			defer cancel()
+			_, _ = c.Roll(over, rollout.Command{Op: rollout.Cancel, Kind: k, Name: name}) // else it ends with the session
+		}
+	}()
 	for {
 		cmd.Op = rollout.Ask
 		session := c.Session()
--- a/cmd/dockhinge-lab/changes.go
+++ b/cmd/dockhinge-lab/changes.go
@@ -24,7 +24,8 @@
 	var from uint64
 	var durationS float64
 	var mutant string
-	var first bool
+	var first, calm bool
+	var release string
 	cmd := &cobra.Command{Use: "changes", Short: "Planned changes of all cache servers and most routers, with faults by seeds", Args: cobra.NoArgs,
 		Long: "Operators change every cache server and most routers by permits of the fleet's agreement, while the seed has tools,\n" +
 			"routers, servers and coordinators die, stop or be cut off. Judged by what the laboratory did and what servers saw: more\n" +
@@ -65,6 +66,9 @@
 				wg.Go(func() {
 					defer func() { <-room }()
 					f, err := scenario.Changes(from+uint64(i), routers, servers)
+					if release != "" {
+						f, err = scenario.Release(from+uint64(i), routers, servers, map[bool]string{true: release}[release != "good"], calm)
+					}
 					if err == nil {
 						f.Fleet.Coordinators, f.DurationS = coordinators, durationS
 					}
@@ -97,13 +101,21 @@
 						}
 						last = max(last, (x.Back-x.Asked)/1000)
 					}
-					faults += len(f.Faults) - 2
+					n := len(f.Faults) - 2
+					if release != "" {
+						n++
+					}
+					faults += n
 					breaches += len(res.Broken)
+					if r := res.Released; r != nil {
+						fmt.Printf("release: %d routers exposed, halted after %.1f s (%s), over after %.1f s, %d runs of the tool, %d repeats, %d old tokens refused\n", r.Exposed, r.HaltS, r.Halt, r.TookS, r.Drivers, r.Repeats, r.Refused)
+						last = r.TookS
+					}
 					tookS, service = append(tookS, last), append(service, res.Service)
 					if len(res.Failures) > 0 {
 						broke++
 					}
-					fmt.Printf("seed %d: %d changes in %.0f s, %d faults, service %.3f %s\n", f.Seed, len(res.Changes), last, len(f.Faults)-2, res.Service, strings.Join(res.Failures, "; "))
+					fmt.Printf("seed %d: %d changes in %.0f s, %d faults, service %.3f %s\n", f.Seed, len(res.Changes), last, n, res.Service, strings.Join(res.Failures, "; "))
 				})
 			}
 			wg.Wait()
@@ -129,6 +141,8 @@
 	cmd.Flags().IntVar(&coordinators, "coordinators", 5, "coordinators")
 	cmd.Flags().Float64Var(&durationS, "duration", 40, "seconds of load; changes that are left go on after it")
 	cmd.Flags().StringVar(&mutant, "mutant", "", "plant a fault in the coordinators")
+	cmd.Flags().StringVar(&release, "release", "", "a release of the routers instead: good, or what is wrong with the new version (never, crash, fails)")
+	cmd.Flags().BoolVar(&calm, "calm", false, "with it: no faults beside the release")
 	cmd.Flags().BoolVar(&first, "first", false, "end after the first seed that broke")
 	return cmd
 }
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -211,7 +211,7 @@
 		var d rollout.Drains
 		err := n.Read(func(s *coord.State) {
 			if s.Rollout != nil {
-				d = rollout.Drains{Version: s.Rollout.Drains, Servers: s.Rollout.Drained()}
+				d = rollout.Drains{Version: s.Rollout.Drains, Servers: s.Rollout.Drained(), Figures: s.Rollout.Release != nil && s.Rollout.Release.State == rollout.Running}
 			}
 		})
 		n.give(w, d, err)
--- a/internal/rollout/follow/follow.go
+++ b/internal/rollout/follow/follow.go
@@ -21,6 +21,7 @@
 	Client *client.Client
 	Zone   string
 	Label  string                                                   // of the program's version
+	Counts func() (good, bad int64)                                 // requests served, and refused or failed
 	Ready  func() bool                                              // whether the router takes clients
 	Seen   func(context.Context) ([]rollout.Seen, error)            // all servers of discovery's list, as the router sees them
 	Drain  func(ctx context.Context, server string, out bool) error // leaves one out, or puts it back where nothing else keeps it out
@@ -30,8 +31,9 @@
 }
 
 const (
-	every    = 250 * time.Millisecond // between two looks at what has changed
-	settling = 20 * time.Millisecond  // between two looks at whether attempts are back
+	every       = 250 * time.Millisecond // between two looks at what has changed
+	tellFigures = time.Second            // between two reports of what was answered
+	settling    = 20 * time.Millisecond  // between two looks at whether attempts are back
 )
 
 // follower is a router's part.
@@ -42,6 +44,7 @@
 	drained map[string]string // servers that are left out, with the run that they had then
 	done    uint64            // the version of the drains by which it acts
 	news    chan struct{}     // of capacity 1: done has grown
+	figures bool              // what is answered is told
 }
 
 // Run takes part until ctx ends.
@@ -62,6 +65,8 @@
 	told := map[string]rollout.Seen{} // what
 	var acked uint64                  // and acknowledged
 	var ready bool
+	var lastGood, lastBad int64 // counts that were told,
+	var at time.Duration        // and when
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,9 +102,16 @@
 			}
 		}
 		is := f.o.Ready()
-		for fresh || len(changed) > 0 || is != ready {
+		f.mu.Lock()
+		figures := f.figures
+		f.mu.Unlock()
+		var good, bad int64
+		if figures {
+			good, bad = f.o.Counts()
+		}
+		for fresh || figures && (good > lastGood || bad > lastBad) && clock.Now()-at >= tellFigures || len(changed) > 0 || is != ready {
 			part := changed[:min(len(changed), rollout.MaxSeen)]
-			a, err := f.o.Client.Roll(ctx, rollout.Command{Op: rollout.See, View: &rollout.View{Zone: f.o.Zone, Version: f.o.Label, Ready: is, Servers: part}})
+			a, err := f.o.Client.Roll(ctx, rollout.Command{Op: rollout.See, View: &rollout.View{Zone: f.o.Zone, Version: f.o.Label, Ready: is, Servers: part, Good: good, Bad: bad}})
 			if err != nil {
 				f.log("what the router sees could not be told", err)
 				break
@@ -113,6 +125,7 @@
 				}
 			}
 			in, fresh, ready, changed = session, false, is, changed[len(part):]
+			lastGood, lastBad, at = good, bad, clock.Now()
 		}
 		f.mu.Lock()
 		done := f.done
@@ -174,7 +187,7 @@
 			}
 		}
 		f.mu.Lock()
-		f.done = d.Version
+		f.done, f.figures = d.Version, d.Figures
 		f.mu.Unlock()
 		select {
 		case f.news <- struct{}{}:
--- /dev/null
+++ b/internal/rollout/release_test.go
@@ -0,0 +1,214 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// driven is a fleet of n routers with version a, and a release of them to b.
+func driven(n int, plan Plan) *world {
+	w := newWorld(Budget{Name: "r", Kind: Router, Most: 3, Warm: 2 * time.Second})
+	for i := range n {
+		w.tell(fmt.Sprintf("r%02d", i), "a", true, 0, 0)
+	}
+	w.pass(time.Hour)
+	w.must(Command{Op: Start, Plan: &plan}, "ann")
+	return w
+}
+
+func (w *world) tell(name, version string, ready bool, good, bad int64) {
+	w.must(Command{Op: See, View: &View{Zone: "z" + name[len(name)-1:], Version: version, Ready: ready, Good: good, Bad: bad}}, RouterClient+name)
+}
+
+func plan() Plan {
+	return Plan{Name: "x", From: "a", To: "b", First: 1, Grow: 2, Bake: 10 * time.Second, Step: time.Minute}
+}
+
+// change plays one router's step by whoever drives; version is what comes back ("" = nothing does).
+func (w *world) change(name, version string) {
+	a := w.must(Command{Op: Ask, Kind: Router, Name: name, Priority: Release}, "release")
+	if a.Stage != Granted {
+		w.must(Command{Op: Cancel, Kind: Router, Name: name}, "release")
+		return
+	}
+	w.must(Command{Op: Begin, Kind: Router, Name: name, Token: a.Token}, "release")
+	w.end(RouterClient + name)
+	if version != "" {
+		w.tell(name, version, true, 0, 0)
+		w.must(Command{Op: Back, Kind: Router, Name: name, Token: a.Token}, "release")
+	}
+}
+
+// Whatever the fleet and the plan: waves grow as planned, none begins before the one before it is complete and has baked, and in
+// the end all have the version; the way back from any point brings all back.
+func TestRelease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 24).Draw(t, "routers")
+		p := plan()
+		p.First, p.Grow = rapid.IntRange(1, 4).Draw(t, "first"), float64(rapid.IntRange(1, 4).Draw(t, "grow"))
+		w := driven(n, p)
+		waves := p.Waves(n)
+		turn := rapid.IntRange(0, 400).Draw(t, "turns back at")
+		wave, complete := 0, time.Duration(-1)
+		for i := range 4000 {
+			c := w.s.Release
+			if c.State != Running {
+				break
+			}
+			if i == turn {
+				w.must(Command{Op: WayBack}, "ann")
+				c = w.s.Release
+			}
+			if c.Goal == "b" {
+				for wave < len(waves) && waves[wave] != c.Size {
+					if wave++; complete < 0 || w.clock < complete+p.Bake {
+						t.Fatalf("wave %d of %v at %v, the one before it was complete at %v", wave, waves, w.clock, complete)
+					}
+					complete = -1
+				}
+				if wave == len(waves) {
+					t.Fatalf("size %d is none of %v", c.Size, waves)
+				}
+				if complete < 0 && len(w.s.At()) >= c.Size && len(w.s.Do()) == 0 {
+					complete = w.clock
+				}
+			}
+			if do := w.s.Do(); len(do) > 0 && rapid.IntRange(0, 3).Draw(t, "drives") > 0 {
+				w.change(rapid.SampledFrom(do).Draw(t, "router"), c.Goal)
+				if c.Goal == "b" && len(w.s.Do()) == 0 && complete < 0 {
+					complete = w.clock
+				}
+			}
+			w.pass(time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms")) * time.Millisecond)
+		}
+		if c := w.s.Release; c.State != Done || len(w.s.At()) != n {
+			t.Fatalf("%s towards %s, %d of %d there, halted %+v", c.State, c.Goal, len(w.s.At()), n, w.s.Halted)
+		}
+	})
+}
+
+// A release halts where a router doesn't come back or its command fails, and where nobody uses the new version; on the way back
+// one that can't is named and left.
+func TestReleaseHalts(t *testing.T) {
+	halted := func(w *world, want string) {
+		t.Helper()
+		if w.s.Halted == nil || !strings.Contains(w.s.Halted.Why, want) || w.s.Halted.By != "release x" || len(w.s.Do()) > 0 {
+			t.Errorf("halted %+v, to do %v; want %q", w.s.Halted, w.s.Do(), want)
+		}
+	}
+	w := driven(4, plan())
+	w.change("r00", "")
+	w.pass(59 * time.Second)
+	if w.s.Halted != nil {
+		t.Errorf("%+v", w.s.Halted)
+	}
+	w.pass(time.Second)
+	halted(w, "router/r00: it is not ready with b within 1m0s")
+	w.must(Command{Op: WayBack}, "ann")
+	w.pass(59 * time.Second) // its step has a time of its own on the way back
+	if len(w.s.Release.Left) > 0 {
+		t.Errorf("%v", w.s.Release.Left)
+	}
+	w.pass(time.Hour)
+	w.pass(time.Hour)
+	if c := w.s.Release; c.State != Done || c.Left["r00"] == "" {
+		t.Errorf("%+v", c)
+	}
+	w = driven(4, plan())
+	w.change("r00", "b")
+	w.end(RouterClient + "r00")
+	halted(w, "router/r00 had b and is down again")
+	w = driven(4, plan())
+	w.must(Command{Op: Failed, Name: "r00", Why: "no such file"}, "release")
+	halted(w, "router/r00: no such file")
+	p := plan()
+	p.Least = 5
+	w = driven(4, p)
+	w.change("r00", "b")
+	w.pass(10 * time.Second)
+	w.pass(99 * time.Second)
+	if w.s.Halted != nil || w.s.Release.Size != 1 {
+		t.Errorf("%+v, size %d", w.s.Halted, w.s.Release.Size)
+	}
+	w.pass(time.Second)
+	halted(w, "b has answered 0 of the 5 requests wanted")
+	w.must(Command{Op: Resume}, "ann")
+	w.tell("r00", "b", true, 1, 0) // the first report counts for nothing: it is of who knows when
+	w.tell("r00", "b", true, 9, 0)
+	w.pass(10 * time.Second)
+	if w.s.Release.Size != 3 {
+		t.Errorf("size %d after %d requests", w.s.Release.Size, w.s.Release.Seen)
+	}
+	for _, x := range []Plan{{}, {Name: "x", From: "a", To: "a"}, {Name: "y", From: "c", To: "b", First: 1, Grow: 1, Bake: time.Minute, Step: time.Minute}, plan()} {
+		if a := w.do(Command{Op: Start, Plan: &x}, "ann"); a.Code != Refused || a.Text == "" {
+			t.Errorf("%+v: %+v", x, a)
+		}
+	}
+	for i := range int64(2 * MaxBins) {
+		w.tell("r01", "a", true, 10*i+1, i)
+		w.pass(BinEvery)
+	}
+	if n := len(w.s.Release.Bins); n != MaxBins {
+		t.Errorf("%d bins", n)
+	}
+}
+
+// run draws the figures of a canary among n old routers, some 20 requests a second each, until the evidence halts it; it returns
+// after how many bins, or -1. The load's own share of failures wanders and jumps, alike for both.
+func sampled(rng *rand.Rand, routers int, worse float64, bins int) int {
+	var all []Bin
+	base := 0.002 + 0.03*rng.Float64()
+	for i := range bins {
+		now := base
+		if rng.IntN(20) == 0 { // a second of trouble for all
+			now = 0.3
+		}
+		var b Bin
+		for k, n := range []int{40 * (routers - 1), 40} {
+			p := now
+			if k == 1 {
+				p = min(1, now+worse)
+			}
+			for range n {
+				if rng.Float64() < p {
+					b.Bad[k]++
+				} else {
+					b.Good[k]++
+				}
+			}
+		}
+		if all = append(all, b); Worse(all, 0.001) {
+			return i + 1
+		}
+	}
+	return -1
+}
+
+// The test's power and false halts, as docs/rollout-design.md states them.
+func TestEvidence(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	false_, took := 0, []int{}
+	for range 200 {
+		if sampled(rng, 24, 0, 150) >= 0 {
+			false_++
+		}
+	}
+	for range 50 {
+		n := sampled(rng, 24, 0.05, 150)
+		if n < 0 {
+			n = 1000
+		}
+		took = append(took, n)
+	}
+	slices.Sort(took)
+	t.Logf("%d false halts in 200 calm releases of 300 s; 5%% more failures are found after %d s in the middle, %d s at 90%%", false_, 2*took[25], 2*took[45])
+	if false_ > 1 || took[45] > 100 {
+		t.Errorf("%d false halts of 200, 5%% more failures found after %v bins", false_, took)
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -65,6 +65,11 @@
 	Forget Op = "forget"  // an operator's word: Kind/Name, which is not in, belongs to the fleet no more
 	Halt   Op = "halt"    // nothing new goes out, for the reason Why
 	Resume Op = "resume"  // the halt is over
+
+	Start   Op = "release"  // of the Plan
+	WayBack Op = "way-back" // the release goes back to the version before
+	End     Op = "end"      // the release ends as it stands
+	Failed  Op = "failed"   // router Name can't be brought to the goal, for the reason Why
 )
 
 // Command is one of them, from a session.
@@ -80,6 +85,7 @@
 	Priority int           `json:"priority,omitempty"`
 	Within   time.Duration `json:"within,omitempty"` // Ask: the permit is not wanted any more after it; 0 = ever
 	Why      string        `json:"why,omitempty"`
+	Plan     *Plan         `json:"plan,omitempty"`
 }
 
 // View is what a router tells of itself and of the cache servers. Servers has what changed since its last one.
@@ -88,6 +94,8 @@
 	Version string `json:"version,omitempty"`
 	Ready   bool   `json:"ready"`
 	Servers []Seen `json:"servers,omitempty"`
+	Good    int64  `json:"good,omitempty"` // requests served since the process began,
+	Bad     int64  `json:"bad,omitempty"`  // and refused or failed; told while a release is under way
 }
 
 // Sight is how a router sees a server.
@@ -178,6 +186,8 @@
 	Ready   bool          `json:"ready,omitempty"`
 	Ended   time.Duration `json:"ended,omitempty"` // when its last session did
 	Acked   uint64        `json:"acked,omitempty"` // the newest version of the drains that it acts by
+	Good    int64         `json:"good,omitempty"`  // as its View told last
+	Bad     int64         `json:"bad,omitempty"`
 
 	// A server's.
 	Saw    map[string]Sight `json:"saw,omitempty"`    // by router, as long as its session lasts
@@ -230,6 +240,7 @@
 	Servers map[string]*Thing `json:"servers"`
 	Permits []*Permit         `json:"permits,omitempty"` // by ID
 	Halted  *Stop             `json:"halted,omitempty"`
+	Release *Course           `json:"release,omitempty"`
 	IDs     uint64            `json:"ids"`
 
 	next time.Duration // nothing changes by time alone before this
@@ -261,6 +272,8 @@
 	Token   uint64
 	Stage   Stage // of the permit
 	Drained bool
+
+	same bool // nothing that others may want to know has changed, unless settling finds it
 }
 
 // From is who sends a command, and when.
@@ -294,7 +307,12 @@
 		a = Answer{Code: OK}
 	case Resume:
 		s.Halted = nil
+		s.again(f.Clock)
 		a = Answer{Code: OK}
+	case Start:
+		a = s.start(c, f)
+	case WayBack, End, Failed:
+		a = s.steer(c, f)
 	case Ask, Begin, Back, Cancel, Clear, Forget:
 		if c.Kind != Router && c.Kind != Server {
 			return bad("kind: %q is none of router, server", c.Kind)
@@ -306,7 +324,9 @@
 	default:
 		return bad("op: %q is none", c.Op)
 	}
-	s.Version++
+	if a.Code == OK && !a.same { // who only looks wakes nobody
+		s.Version++
+	}
 	s.settle(f.Clock, f.Token)
 	if p := s.own(c, f); p != nil && a.Code == OK { // as it stands after all has been weighed
 		a.Token, a.Stage, a.Text, a.Drained = p.Token, p.Stage, p.Waits, p.Drained
@@ -381,7 +401,11 @@
 		}
 		s.blind(name)
 		r.Session, r.Opened, r.Run, r.Acked = f.Session, f.Opened, f.Session, 0
+		r.Good, r.Bad = 0, 0
 	}
+	fresh := r.Good+r.Bad == 0 || r.Good+r.Bad > c.View.Good+c.View.Bad
+	s.figures(r, name, c.View.Good, c.View.Bad, fresh, f.Clock)
+	same := r.Zone == c.View.Zone && r.Version == c.View.Version && r.Ready == c.View.Ready && len(c.View.Servers) == 0
 	r.Zone, r.Version, r.Ready = c.View.Zone, c.View.Version, c.View.Ready
 	for _, x := range c.View.Servers {
 		t := s.Servers[x.Name]
@@ -403,7 +427,7 @@
 		}
 		t.Saw[name] = x.Is
 	}
-	return Answer{Code: OK}
+	return Answer{Code: OK, same: same}
 }
 
 func (s *State) ack(c Command, f From) Answer {
@@ -416,7 +440,7 @@
 		return bad("ack: only a router that has told what it sees acknowledges")
 	}
 	r.Acked = max(r.Acked, min(c.Drains, s.Drains))
-	return Answer{Code: OK}
+	return Answer{Code: OK, same: true}
 }
 
 // blind drops what a router has seen.
@@ -484,8 +508,9 @@
 			}
 		}
 		if p := s.own(c, f); p != nil {
+			same := p.Priority >= c.Priority
 			p.Priority = max(p.Priority, c.Priority)
-			return Answer{Code: OK}
+			return Answer{Code: OK, same: same}
 		}
 		if len(s.Permits) >= MaxPermits {
 			return Answer{Code: Full, Text: fmt.Sprintf("permits: %d at most", MaxPermits)}
@@ -622,6 +647,7 @@
 		}
 		return to
 	}
+	c.Release = s.Release.clone()
 	c.Routers, c.Servers = copied(s.Routers), copied(s.Servers)
 	if s.Halted != nil {
 		one := *s.Halted
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -294,6 +294,9 @@
 	}
 	two(t, ask("sa1", "ann", Normal), Granted, "")
 	two(t, ask("sa2", "bob", Normal), Waiting, "1 of at most 1 out: sa1 (permit before this one)")
+	if v := w.s.Version; ask("sa2", "bob", Normal).Code != OK || w.s.Version != v {
+		t.Error("asking again wakes all others")
+	}
 	two(t, ask("sa1", "cid", Emergency), Granted, "") // takes back what hasn't begun
 	if a := w.do(Command{Op: Begin, Kind: Server, Name: "sa1", Token: 1}, "ann"); a.Code != NotHeld {
 		t.Errorf("begun with a permit that was taken back: %+v", a)
--- a/internal/rollout/settle.go
+++ b/internal/rollout/settle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"path"
 	"slices"
 	"strings"
 	"time"
@@ -27,9 +28,13 @@
 // may go out. The outcome is a function of the state and the clock alone, so that weighing twice changes nothing.
 func (s *State) settle(clock time.Duration, token func() uint64) {
 	s.next = math.MaxInt64
-	s.look(clock)
-	s.over(clock)
+	for before := s.Version - 1; before != s.Version; { // a permit that is over may let a server be forgotten
+		before = s.Version
+		s.look(clock)
+		s.over(clock)
+	}
 	s.drained(clock)
+	s.course(clock)
 	s.grant(clock, token)
 }
 
@@ -279,7 +284,7 @@
 	for _, p := range wait {
 		t := s.things(p.Kind)[p.Name]
 		id := key(p.Kind, p.Name)
-		why := s.fits(p, t, all, in, reasons[id], used[id])
+		why := s.fits(p, t, all, in, reasons[id], used[id], clock)
 		used[id] = true
 		if reasons[id] == In {
 			in[string(p.Kind)]--
@@ -304,7 +309,7 @@
 }
 
 // fits tells why a permit can't be given now; "" where it can.
-func (s *State) fits(p *Permit, t *Thing, all map[string]*scope, in map[string]int, is Reason, used bool) string {
+func (s *State) fits(p *Permit, t *Thing, all map[string]*scope, in map[string]int, is Reason, used bool, clock time.Duration) string {
 	if used {
 		return "another permit of it is given or comes first"
 	}
@@ -316,7 +321,11 @@
 		return fmt.Sprintf("no budget covers %s: nothing goes out without one", key(p.Kind, p.Name))
 	}
 	if is == Down && p.Priority >= Emergency { // it counts already, and serves nobody
-		return ""
+		at := t.Since + s.Grace // by then one that only the agreement had lost would be back
+		if at <= clock {
+			return ""
+		}
+		s.wake(at)
 	}
 	k := string(p.Kind)
 	id, cost := key(p.Kind, p.Name), 1
@@ -349,6 +358,8 @@
 	Things  int    `json:"things"`
 	Allowed int    `json:"allowed"`
 	Out     int    `json:"out"`
+
+	Warm time.Duration `json:"warm"`
 }
 
 // Missing is one thing that is out.
@@ -360,6 +371,23 @@
 	For    time.Duration `json:"for"` // by the agreed clock
 }
 
+// Member is one router of the fleet.
+type Member struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
+// Matching are the names of routers that match, in their order.
+func Matching(all []Member, match string) (names []string) {
+	for _, m := range all {
+		if ok, _ := path.Match(match, m.Name); ok || match == "" {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // Report is how all stands, for people and tools.
 type Report struct {
 	Version uint64    `json:"version"`
@@ -369,24 +397,32 @@
 	Servers int       `json:"servers"`
 	Budgets []Used    `json:"budgets"`
 	Out     []Missing `json:"out"`
+	All     []Member  `json:"all"` // routers, zone by zone
 	Permits []*Permit `json:"permits"`
 	Halted  *Stop     `json:"halted,omitempty"`
+	Release *Course   `json:"release,omitempty"`
+	Do      []string  `json:"do,omitempty"` // routers that the release is to change now
+	At      []string  `json:"at,omitempty"` // routers that are up with the version that it wants
 }
 
 // Drains is the set of servers to which nothing new is sent.
 type Drains struct {
 	Version uint64   `json:"version"`
 	Servers []string `json:"servers"`
+	Figures bool     `json:"figures,omitempty"` // routers report what they answer: a release is under way
 }
 
 // Report tells how all stands at the clock, without changing it.
 func (s *State) Report(clock time.Duration) Report {
 	c := s.Clone()
 	all, _, reasons := c.scopes(clock)
-	r := Report{Version: c.Version, Drains: c.Drains, Drained: c.Drained(), Routers: len(c.Routers), Servers: len(c.Servers), Permits: c.Permits, Halted: c.Halted}
+	r := Report{Version: c.Version, Drains: c.Drains, Drained: c.Drained(), Routers: len(c.Routers), Servers: len(c.Servers), Permits: c.Permits, Halted: c.Halted, Release: c.Release, Do: c.Do(), At: c.At()}
+	for _, name := range c.matching("") {
+		r.All = append(r.All, Member{name, c.Routers[name].Zone, c.Routers[name].Version})
+	}
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		x := all[id]
-		r.Budgets = append(r.Budgets, Used{x.b.Name, x.b.Kind, x.zone, x.n, x.allowed, len(x.taken)})
+		r.Budgets = append(r.Budgets, Used{x.b.Name, x.b.Kind, x.zone, x.n, x.allowed, len(x.taken), x.b.Warm})
 	}
 	for _, k := range []Kind{Router, Server} {
 		things := c.things(k)
--- a/internal/router/agreement.go
+++ b/internal/router/agreement.go
@@ -41,7 +41,7 @@
 		wg.Go(func() { r.probe(stop, a, c) })
 	}
 	if a.Drains {
-		follow.Run(ctx, follow.Options{Client: c, Zone: r.cfg.settings.Config.Zone, Label: a.Label, Ready: r.Ready, Seen: r.l.seen, Open: r.l.openAt, Held: r.l.heldOut, First: known,
+		follow.Run(ctx, follow.Options{Client: c, Zone: r.cfg.settings.Config.Zone, Label: a.Label, Ready: r.Ready, Seen: r.l.seen, Open: r.l.openAt, Held: r.l.heldOut, Counts: r.counts, First: known,
 			Drain: func(ctx context.Context, server string, out bool) error {
 				return r.disable(ctx, ban{ID: server, Disabled: out, Known: true, Agreed: true}, nil)
 			}})
@@ -74,6 +74,16 @@
 	return all, err
 }
 
+// counts are the requests served so far, and those refused or failed.
+func (r *Router) counts() (good, bad int64) {
+	s := r.metrics.Snapshot()
+	for name := range s.Success {
+		good += s.Success[name]
+		bad += s.Overload[name] + s.Error[name]
+	}
+	return good, bad
+}
+
 // heldOut names the servers that are left out by the fleet's word.
 func (l *loop) heldOut(ctx context.Context) (names []string) {
 	_ = l.do(ctx, func() error { // where the loop has ended, nothing is left out
--- /dev/null
+++ b/lab/fleet/change_test.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/scenario"
+)
+
+// changesOptions are those of a run with real routers, coordinators and tools.
+func changesOptions(t *testing.T) Options {
+	t.Helper()
+	dir, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Command: realRouter(t), Coord: []string{filepath.Join(dir, "dockhinge-coord")}, Dir: t.TempDir(), Patience: 3 * time.Minute, Ready: time.Minute}
+}
+
+// Three seeds of planned changes of all servers and most routers, with faults between all processes: never more out by plan than
+// the budgets leave, nothing sent to a drained server, each change done once.
+func TestPlannedChangesByProcesses(t *testing.T) {
+	o := changesOptions(t)
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f, err := scenario.Changes(seed, 3, 4)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.DurationS, f.Load.Rate, f.Fleet.Out.WarmS = 8, 60, 1
+			f.Faults = slices.DeleteFunc(f.Faults, func(x scenario.Fault) bool { return x.AtS > 8 })
+			o := o
+			o.Dir = t.TempDir()
+			res, err := Run(t.Context(), f, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(res.Failures) > 0 {
+				t.Errorf("%s", strings.Join(res.Failures, "\n"))
+			}
+			t.Logf("%d changes, %d faults", len(res.Changes), len(f.Faults)-2)
+		})
+	}
+}
+
+// Releases of real routers, whose drivers are killed: a good version comes to all, one that doesn't get ready and one that crashes
+// halt by themselves and go back. No router is brought anywhere twice.
+func TestReleasesByProcesses(t *testing.T) {
+	o := changesOptions(t)
+	for _, spoil := range []string{"", "never", "crash"} {
+		t.Run("spoilt by "+spoil, func(t *testing.T) {
+			t.Parallel()
+			f, err := scenario.Release(7, 4, 4, spoil, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.DurationS, f.Load.Rate, f.Fleet.Out, f.Fleet.Coordinators = 8, 60, scenario.Out{Routers: 1, WarmS: 0.5}, 3
+			f.Faults[0].ForS, f.Faults[0].Count = 60, 0 // a slow machine is no bad version
+			switch spoil {
+			case "never":
+				f.Faults[0].ForS = 20
+			case "crash": // seen once the session of the router that has crashed is over
+				f.Faults[0].DownS = 8
+			}
+			f.Faults = append(f.Faults, scenario.Fault{AtS: 3, What: "tools-die", Count: 4, ForS: 8})
+			o := o
+			o.Dir = t.TempDir()
+			res, err := Run(t.Context(), f, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(res.Failures) > 0 {
+				t.Errorf("%s", strings.Join(res.Failures, "\n"))
+			}
+			t.Logf("%+v", *res.Released)
+		})
+	}
+}
+
+// The referee finds each kind of fault in what is planned, by what the laboratory did and servers saw.
+func TestJudgeChanges(t *testing.T) {
+	for _, x := range []struct {
+		want    string
+		changes []*Change
+		outages []outage
+		events  []referee.Event
+	}{
+		{"", []*Change{{Thing: "server/a", Gone: 1, Back: 2, Tokens: []uint64{1}}, {Thing: "server/b", Gone: 1002, Back: 1003, Tokens: []uint64{2}}}, nil, nil},
+		{"server/b went at 900 ms", []*Change{{Thing: "server/a", Gone: 1, Back: 2}, {Thing: "server/b", Gone: 900, Back: 1003}}, nil, nil},
+		{"server/b went at 20000 ms", []*Change{{Thing: "server/b", Gone: 20000, Back: 21000}}, []outage{{thing: "server/a", from: 5000}}, nil},
+		{"", []*Change{{Thing: "server/b", Gone: 12000, Back: 21000}}, []outage{{thing: "server/a", from: 5000}}, nil}, // not noticed yet
+		{"was changed 2 times", []*Change{{Thing: "server/a", Gone: 1, Back: 2, Tokens: []uint64{1, 2}}}, nil, nil},
+		{"was not changed to the end", []*Change{{Thing: "server/a"}}, nil, nil},
+		{"1 attempts began after", []*Change{{Thing: "server/a", Gone: 10, Back: 20}}, nil, []referee.Event{{Kind: referee.Whole, Server: "a", Began: 15}, {Kind: referee.Whole, Server: "a", Began: 9}}},
+		{"", []*Change{{Thing: "server/a", Gone: 10, Back: 20}}, []outage{{thing: "router/r", from: 5, to: 12, stopped: true}},
+			[]referee.Event{{Kind: referee.Sent, Request: "q", Router: "r"}, {Kind: referee.Whole, Request: "q", Server: "a", Began: 15}}},
+	} {
+		fl := &Fleet{changes: x.changes, outages: x.outages}
+		fl.File.Fleet.Out = scenario.Out{Servers: 1, Routers: 1, WarmS: 1}
+		got := strings.Join(fl.judgeChanges(x.events), "; ")
+		if (x.want == "") != (got == "") || !strings.Contains(got, x.want) {
+			t.Errorf("%q, want %q", got, x.want)
+		}
+	}
+}
+
+// What operators do by hand: drain, look, halt, resume, undrain; a router that starts in the middle knows it before its first
+// client, and coordinators that take calls and never answer keep no router from starting.
+func TestDrainByHand(t *testing.T) {
+	t.Parallel()
+	f, err := scenario.Changes(1, 2, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Faults, f.DurationS, f.Load.Rate, f.Fleet.Out = nil, 600, 100, scenario.Out{Servers: 1, Routers: 1, WarmS: 0}
+	o := changesOptions(t)
+	fl := newFleet(f, o)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(fl.close)
+	t.Cleanup(cancel)
+	if err := fl.start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan struct{})
+	go func() { defer close(over); fl.play(ctx) }() //nolint:errcheck // cut short, and judged here
+	t.Cleanup(func() { cancel(); <-over })
+
+	tool := func(args ...string) (string, error) {
+		p := fl.tool(fmt.Sprint(strings.ReplaceAll(strings.Join(args, "-"), "/", "-"), len(args)), args...)
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		<-p.done
+		_, err := p.running()
+		text, _ := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+		return string(text), err
+	}
+	must := func(want string, args ...string) {
+		t.Helper()
+		if err := until(ctx, time.Minute, func() error {
+			out, err := tool(args...)
+			if err == nil && !strings.Contains(out, want) {
+				err = fmt.Errorf("%q is not in it", want)
+			}
+			if err != nil {
+				return fmt.Errorf("%v: %w\n%s", args, err, out)
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	began := func(server string) (n int) {
+		events, _ := fl.journal.Events()
+		for _, e := range events {
+			if e.Kind == referee.Whole && e.Server == server {
+				n++
+			}
+		}
+		return n
+	}
+	first, second := fl.members[0].entry.ID, fl.members[1].entry.ID
+	if err := until(ctx, time.Minute, func() error {
+		if began(first) == 0 {
+			return fmt.Errorf("nothing is sent to %s", first)
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	must("drained", "drain", "server/"+first)
+	at := began(first)
+	must("by plan", "fleet")
+	if out, err := tool("drain", "server/"+second, "--within", "2s"); err == nil || !strings.Contains(out, "1 of at most 1 out: "+first+" (by plan)") {
+		t.Errorf("a second one: %v\n%s", err, out)
+	}
+	must("", "halt", "--why", "enough")
+	must("HALTED by", "fleet")
+	r := fl.allRouters()[0]
+	p := r.newest()
+	r.signal(p, 15)
+	<-p.done
+	if err := fl.startRouter(ctx, r); err != nil {
+		t.Fatal(err)
+	}
+	sent := func() (n int) {
+		events, _ := fl.journal.Events()
+		for _, e := range events {
+			if e.Kind == referee.Sent && e.Router == r.name {
+				n++
+			}
+		}
+		return n
+	}
+	before := sent()
+	if err := until(ctx, time.Minute, func() error {
+		if sent() < before+50 {
+			return fmt.Errorf("router %s gets no requests", r.name)
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if n := began(first); n != at {
+		t.Errorf("%d attempts began at the drained server, over a router that started in the middle too", n-at)
+	}
+	for _, c := range fl.coords.coords { // stopped, not dead: they take calls and don't answer
+		c.signal(19)
+	}
+	r = fl.allRouters()[1]
+	p = r.newest()
+	r.signal(p, 15)
+	<-p.done
+	if err := fl.startRouter(ctx, r); err != nil {
+		t.Errorf("with coordinators that don't answer: %v", err)
+	}
+	for _, c := range fl.coords.coords {
+		c.signal(18)
+	}
+	must("", "resume")
+	at = began(first)
+	must("", "undrain", "server/"+first)
+	if err := until(ctx, time.Minute, func() error {
+		if began(first) == at {
+			return fmt.Errorf("nothing is sent to %s, which is back", first)
+		}
+		return nil
+	}); err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -119,6 +119,8 @@
 		}
 	case "change-servers", "change-routers":
 		fl.change(ctx, f)
+	case "release-routers":
+		fl.releaseRouters(ctx, f)
 	case "tools-die":
 		fl.killTools(ctx, f)
 	case "kill-routers", "stop-routers", "cut-routers":
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -78,8 +78,9 @@
 	LateMS     float64                `json:"machine_late_ms"`   // the longest time by which the machine was late
 	Rude       [2]int                 `json:"rude"`              // misbehaving clients: told or closed on in time, of all
 	Changes    []Change               `json:"changes,omitempty"` // planned, by the fleet's agreement
-	Failures   []string               `json:"failures"`          // what did not hold
-	Cut        bool                   `json:"cut"`               // stopped before its end
+	Released   *Released              `json:"released,omitempty"`
+	Failures   []string               `json:"failures"` // what did not hold
+	Cut        bool                   `json:"cut"`      // stopped before its end
 }
 
 // maxEvents bounds the referee's journal.
@@ -110,6 +111,7 @@
 	late       float64
 	rude       [2]int
 	problem    []string
+	released   *Released
 	n          int // of ids given
 	changes    []*Change
 	outages    []outage
@@ -129,6 +131,15 @@
 
 // Run plays a scenario. The error tells that it could not be played; what did not hold stands in the result.
 func Run(ctx context.Context, f scenario.File, o Options) (res Result, err error) {
+	fl := newFleet(f, o)
+	defer fl.close()
+	if err := fl.start(ctx); err != nil {
+		return res, err
+	}
+	return fl.play(ctx)
+}
+
+func newFleet(f scenario.File, o Options) *Fleet {
 	if o.Ready == 0 {
 		o.Ready = 20 * time.Second
 	}
@@ -139,17 +150,18 @@
 		rng: rand.New(rand.NewPCG(f.Seed, 10))}
 	fl.missed, _ = simplelru.NewLRU[string, []*standin.Server](maxMissed, nil) // the size is positive
 	fl.front = standin.NewFront(fl.clock)
-	defer fl.close()
+	return fl
+}
+
+// start starts all parties but the load; close ends them.
+func (fl *Fleet) start(ctx context.Context) error {
 	if err := fl.build(); err != nil {
-		return res, err
+		return err
 	}
 	if err := fl.startCoordinators(ctx); err != nil {
-		return res, err
-	}
-	if err := fl.startRouters(ctx); err != nil {
-		return res, err
+		return err
 	}
-	return fl.play(ctx)
+	return fl.startRouters(ctx)
 }
 
 // build starts the stand-ins.
@@ -260,6 +272,9 @@
 		if r.discovery, err = fl.discovery.Door(r.name, func(e model.Entry) string { return fl.addrFor(r, e) }); err != nil {
 			return err
 		}
+		if slices.ContainsFunc(fl.File.Faults, func(x scenario.Fault) bool { return x.What == "release-routers" }) {
+			r.label = "v1"
+		}
 		if err := fl.writeOperator(r); err != nil {
 			return err
 		}
@@ -299,8 +314,14 @@
 		return nil
 	}
 	var words []string
-	for name, addr := range fl.coords.addresses() {
+	all := fl.coords.addresses()
+	for i, name := range slices.Sorted(maps.Keys(all)) {
+		addr := all[name]
 		if fl.File.Fleet.Out.On() {
+			if i < len(fl.toCoord[r.name]) { // written before, with another label
+				words = append(words, fmt.Sprintf("%q", name+"="+fl.toCoord[r.name][i].Addr()))
+				continue
+			}
 			target := addr
 			relay, err := standin.NewRelay(func() string { return target })
 			if err != nil {
@@ -317,6 +338,12 @@
 	if fl.File.Fleet.Out.On() {
 		text += "drains = true\n"
 	}
+	fl.mu.Lock()
+	label := r.label
+	fl.mu.Unlock()
+	if label != "" {
+		text += fmt.Sprintf("label = %q\n", label)
+	}
 	return os.WriteFile(fl.operatorFile(r), []byte(text), 0o600)
 }
 
@@ -491,7 +518,7 @@
 	changed := make(chan struct{})
 	var changing sync.WaitGroup
 	for i, f := range fl.File.Faults {
-		if strings.HasPrefix(f.What, "change-") {
+		if strings.HasPrefix(f.What, "change-") || f.What == "release-routers" {
 			changing.Go(func() { fl.fault(live, fl.File.Faults[i]) })
 		} else {
 			wg.Go(func() { fl.fault(live, fl.File.Faults[i]) })
@@ -716,6 +743,9 @@
 		res.Changes = append(res.Changes, *c)
 	}
 	res.Failures = append(res.Failures, fl.judgeChanges(events)...)
+	if res.Released = fl.released; res.Released != nil {
+		res.Failures = append(res.Failures, res.Released.judge(fl.routers)...)
+	}
 	for _, x := range []struct {
 		name       string
 		is, atMost float64
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -28,6 +28,7 @@
 	dir                string
 	number             int
 	busy               sync.Mutex // whoever has it down
+	label              string     // of its program's version, guarded by the fleet's mu
 
 	mu    sync.Mutex
 	procs []*process // the newest last
--- a/lab/scenario/changes.go
+++ b/lab/scenario/changes.go
@@ -2,6 +2,24 @@
 
 import "math/rand/v2"
 
+// Release is Changes with a release of the routers in place of the planned changes; spoil says what is wrong with the new version
+// ("" = nothing). With calm there are no faults beside it.
+func Release(seed uint64, routers, servers int, spoil string, calm bool) (File, error) {
+	f, err := Changes(seed, routers, servers)
+	if err != nil {
+		return f, err
+	}
+	faults := f.Faults[2:]
+	f.Faults = []Fault{{AtS: 2.5, What: "release-routers", Spoil: spoil, DownS: 2, Count: 20}}
+	for _, x := range faults {
+		// What kills routers or all coordinators would rightly halt it too.
+		if !calm && x.What != "kill-routers" && x.What != "stop-routers" && x.What != "coordinators-die" && x.What != "cut-routers" {
+			f.Faults = append(f.Faults, x)
+		}
+	}
+	return f, f.check()
+}
+
 // Changes is the scenario drains with faults that the seed draws, while operators want to change every cache server and most
 // routers: tools and single routers die, are stopped or cut from the coordinators, a server crashes, coordinators die.
 func Changes(seed uint64, routers, servers int) (File, error) {
