Write no next attempt before the last one's close, nor a repeat after its window

The causes come from reading; each was forced on loopback sockets.

- loop.go cancel, timeOut: an attempt's end was told while context.AfterFunc, another goroutine, was still to close its connection, so the next one could be written first: two out at once.
The outcome now comes with the close; one that is served just then is still served.
- loop.go Send: the window of a keyed effect was looked at when a repeat was decided on; its connection may come up later, and it was written after the window.
Asked before the first byte too.
An attempt of which nothing was written ends as Ignored, not Canceled.
- client.go drain: a connection whose client always has something open never got idle, and its commands were taken past the time to SIGKILL.
No command is taken once all that is open has its answer (takeNoMore).
- client.go finish: only input that had come was looked for before the close, so one that was on its way reset the connection right behind the last answer.
What was answered within 0.1 s sees the end of the answers first.
- upstream.go awaitEnd: a connection that this side had closed ended the wait at once as if nothing were, and the waiter looked again without end.
- router.go newSource: peers were told of a list before the loop had it, and the state of a hand-over goes ahead of what waits there: a list between the two reached the successor in neither way.

TestLateAnswerOfTheOldDiscoveryIsPassedOver drove a source by hand without a loop; it does so from a goroutine now, as telling waits for the loop, and asserts the same.

--- a/decide/api.go
+++ b/decide/api.go
@@ -119,6 +119,8 @@
 	Size   float64 // bytes; 0 = unknown
 	Retry  bool
 	Write  bool
+	Under  *Class // the class as it was when the request came, and
+	Most   int    // how many attempts it had then, where the request has waited; nil = as the settings are
 }
 
 // Status is how an attempt or a probe ended.
@@ -342,12 +344,15 @@
 // Request takes a request of a client.
 func (b *Balancer) Request(now float64, q Request) {
 	b.begin(now)
-	c := b.classes[q.Class]
+	c, most := b.classes[q.Class], b.cfg.MaxAttempts
+	if q.Under != nil {
+		c, most = q.Under, q.Most
+	}
 	if c == nil {
 		b.host.Fail(q.ID)
 		return
 	}
-	r := &request{Request: q, class: c, most: b.cfg.MaxAttempts, until: now + q.Left, worth: c.Worth, work: b.workOf(q.Hint), key: b.flow(q)}
+	r := &request{Request: q, class: c, most: most, until: now + q.Left, worth: c.Worth, work: b.workOf(q.Hint), key: b.flow(q)}
 	r.aim = now + min(q.Left, c.Aim+c.Stretch*q.Hint-b.elapsed(c, q))
 	b.reqs[q.ID] = r
 	b.arrive(r)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -291,3 +292,122 @@
 		}
 	})
 }
+
+// One of the two may die or fall silent at any byte of what it says. The other one goes on: a new process alone, and soon, an
+// old one with its place for the next.
+func TestEitherMayEndAtAnyByte(t *testing.T) {
+	frame := func(text string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	}
+	t.Run("the old one", func(t *testing.T) {
+		shared, err := Listen(t.Context(), "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer shared.Close()
+		raw, err := shared.(*net.TCPListener).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := frame(`{"kind":"state","version":1,"body":"first"}`)
+		before := descriptors(t)
+		for n := range whole {
+			dir := t.TempDir()
+			path, d, err := place(dir, "a:1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			u, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				c, err := u.AcceptUnix()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close() // it dies
+				if n == 0 {
+					return
+				}
+				if _, err := readMessage(c); err != nil {
+					t.Error(err)
+				}
+				raw.Control(func(fd uintptr) { c.WriteMsgUnix(whole[:1], syscall.UnixRights(int(fd)), nil) })
+				c.Write(whole[1:n])
+			})
+			if _, _, _, err := Join(t.Context(), dir, "a:1"); err == nil {
+				t.Errorf("joined after %d bytes", n)
+			}
+			wg.Wait()
+			u.Close()
+			d.Close()
+		}
+		if after := descriptors(t); after > before {
+			t.Errorf("%d descriptors open, %d before", after, before)
+		}
+	})
+	t.Run("the new one", func(t *testing.T) {
+		dir := t.TempDir()
+		p, _ := serve(t, dir, "a:1", "first")
+		link, _ := join(t, dir, "a:1", "first")
+		link.Close()
+		next := func() *Link {
+			select {
+			case l := <-p.joined:
+				return l
+			case <-time.After(10 * time.Second):
+				t.Fatal("nobody joined")
+				return nil
+			}
+		}
+		for l := next(); !l.Ended(); {
+		}
+		path, d, err := place(dir, "a:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer d.Close()
+		said := frame(`{"kind":"hello","version":1}`)
+		for n := range len(said) + 1 {
+			c, err := net.Dial("unix", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write(said[:n])
+			c.Close()
+			if n == len(said) { // it dies with the state on its way, and has joined or has not
+				for end := time.Now().Add(10 * time.Second); ; {
+					select {
+					case l := <-p.joined:
+						for !l.Ended() {
+						}
+					default:
+					}
+					if l, ln, _, err := Join(t.Context(), dir, "a:1"); err == nil {
+						l.Close()
+						ln.Close()
+						break
+					}
+					if time.Now().After(end) {
+						t.Fatal("nobody can join any more")
+					}
+				}
+			}
+		}
+		for l := next(); !l.Ended(); {
+		}
+	})
+}
+
+// descriptors counts those that the process holds.
+func descriptors(t *testing.T) int {
+	t.Helper()
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -46,6 +46,7 @@
 	room     places    // one for each connection that may be open
 	readers  sync.Pool // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
+	over     atomic.Bool   // no further command is taken
 	asked    atomic.Int64  // connections that have asked
 	accepted chan struct{} // closed when no more are taken
 	wg       sync.WaitGroup
@@ -75,6 +76,7 @@
 	watching bool          // the reader waits for the client to leave: the end of its time wakes it
 	closing  bool          // ends as soon as nothing waits for its answer
 	since    time.Time     // idle since, while nothing is open
+	answered time.Time     // when an answer was last written
 }
 
 // past is a time for reading that is up.
@@ -312,6 +314,8 @@
 	switch {
 	case c.broken:
 		return net.ErrClosed
+	case c.s.over.Load():
+		return os.ErrDeadlineExceeded
 	case c.open() > 0:
 		c.SetReadDeadline(time.Time{})
 	case c.closing: // what has come already is answered
@@ -348,7 +352,7 @@
 	unknown := 0
 	for first := true; ; first = false {
 		_, err := c.r.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && waiting(c.Conn) { // a command that crosses the end of the time
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.s.over.Load() && waiting(c.Conn) { // a command that crosses the end of the time
 			c.begin(false)
 			_, err = c.r.Peek(1)
 		}
@@ -455,9 +459,10 @@
 	}
 }
 
-// finish waits until all answers are out, or the client has left, and closes the connection. A close with input unread
-// would reset it, and might destroy answers on their way: a client that was turned away, or whose next command has crossed
-// the end, sees the end of the answers first, and is read on for a bounded time.
+// finish waits until all answers are out, or the client has left, and closes the connection. A close with input unread, or
+// before input that is on its way, would reset it, and might destroy answers on theirs: a client that was turned away, whose
+// next command has crossed the end, or that has just been answered sees the end of the answers first, and is read on for a
+// bounded time.
 func (c *clientConn) finish(turnedAway bool) {
 	unwanted := 0
 	if turnedAway {
@@ -465,13 +470,15 @@
 	}
 	left := c.watch(func() bool { return c.open() == 0 }, unwanted)
 	c.mu.Lock()
-	broken := c.broken
+	broken, until := c.broken, c.answered.Add(rest)
 	c.mu.Unlock()
+	if turnedAway || c.r.Buffered() > 0 || waiting(c.Conn) {
+		until = time.Now().Add(lingerTime)
+	}
 	if left || broken {
 		c.leave()
-	} else if half, ok := c.Conn.(interface{ CloseWrite() error }); ok &&
-		(turnedAway || c.r.Buffered() > 0 || waiting(c.Conn)) && half.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(lingerTime))
+	} else if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && time.Now().Before(until) && half.CloseWrite() == nil {
+		c.SetReadDeadline(until)
 		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLine)) //nolint:errcheck // it is unwanted
 	}
 	c.Close()
@@ -551,9 +558,10 @@
 		c.writing = 0
 		return nil, 0
 	}
+	c.answered = time.Now()
 	if out, size = c.batch(); c.open() == 0 {
 		c.queue = nil // and the answers that its array holds
-		c.since = time.Now()
+		c.since = c.answered
 	}
 	switch {
 	case c.watching: // it may be what is waited for
@@ -575,8 +583,9 @@
 	return []byte("SERVER_ERROR not ready\r\n")
 }
 
-// drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
-func (s *clients) drain(ctx context.Context) {
+// drain has every connection closed once it has nothing to answer, and returns when all are, or end is over. Some always
+// have something open, as their clients send on: no further command is taken once noMore is over.
+func (s *clients) drain(noMore, end context.Context) {
 	s.startDrain()
 	closed := make(chan struct{})
 	go func() {
@@ -585,7 +594,14 @@
 	}()
 	select {
 	case <-closed:
-	case <-ctx.Done():
+		return
+	case <-noMore.Done():
+		s.takeNoMore()
+	case <-end.Done():
+	}
+	select {
+	case <-closed:
+	case <-end.Done():
 		s.mu.Lock()
 		for c := range s.conns {
 			c.Close()
@@ -595,6 +611,21 @@
 	}
 }
 
+// takeNoMore ends the reading of every connection: a client sends what is not read elsewhere. What has come whole of a command
+// that has begun is still taken, and so is a large value that is coming.
+func (s *clients) takeNoMore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over.Store(true)
+	for c := range s.conns {
+		c.mu.Lock()
+		if !c.taking.Load() {
+			c.SetReadDeadline(past)
+		}
+		c.mu.Unlock()
+	}
+}
+
 // startDrain has every connection closed once it has nothing to answer.
 func (s *clients) startDrain() {
 	s.draining.Store(true)
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -151,9 +151,15 @@
 // partsOf is parts with the clients too.
 func partsOf(t *testing.T, memoryMB int64, places int, entries ...entry) (*loop, *clients, string) {
 	t.Helper()
-	cfg := testConfig(t, "127.0.0.1:1", list{})
+	cfg := longLived(testConfig(t, "127.0.0.1:1", list{}))
 	cfg.Limits.MemoryMB = memoryMB
-	l, err := newLoop(longLived(cfg), newUpstreams(10*time.Second, time.Second, 100), metrics.New())
+	return partsUnder(t, cfg, places, entries...)
+}
+
+// partsUnder is the same with settings of its own.
+func partsUnder(t *testing.T, cfg *Config, places int, entries ...entry) (*loop, *clients, string) {
+	t.Helper()
+	l, err := newLoop(cfg, newUpstreams(10*time.Second, time.Second, 100), metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -342,7 +348,7 @@
 	late.wg.Go(late.accept)
 	late.acceptLast()
 	ln.Close()
-	late.drain(t.Context())
+	late.drain(t.Context(), t.Context())
 	for i, c := range queued {
 		if got := c.line(); got != fmt.Sprintf("VA 5 Oq%d hello", i) {
 			t.Errorf("got %q", got)
@@ -691,7 +697,7 @@
 	t.Helper()
 	s.ln.Close()
 	done := make(chan struct{})
-	go func() { defer close(done); s.drain(context.Background()) }()
+	go func() { defer close(done); s.drain(context.Background(), context.Background()) }()
 	next(t, done, "end of all connections")
 }
 
@@ -703,3 +709,291 @@
 	}
 	return cfg
 }
+
+// slowClose is a connection whose close tells and waits.
+type slowClose struct {
+	*net.TCPConn
+	closing chan<- struct{}
+	let     gate
+}
+
+func (c slowClose) Close() error {
+	c.closing <- struct{}{}
+	<-c.let.ch
+	return c.TCPConn.Close()
+}
+
+// An attempt that is given up is out until its connection is closed: the next one is not written before that, as two at once
+// are one too many.
+func TestNextAttemptWaitsForTheCloseOfTheOneBefore(t *testing.T) {
+	for _, how := range []string{"cancel", "time-out"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			answer := once("", hit) // whichever is asked first says nothing
+			a, b := startFake(t, answer), startFake(t, answer)
+			l, _, addr := partsOf(t, 192, 40, box("s-0000000b", a.addr), box("s-0000000c", b.addr), originAt("127.0.0.1:1"))
+			closing, let := make(chan struct{}, 10), newGate(t)
+			keep := func(t *target) {
+				nc, err := net.Dial("tcp", t.addr)
+				if err != nil {
+					panic(err)
+				}
+				c := &upstreamConn{Conn: slowClose{nc.(*net.TCPConn), closing, let}, since: time.Now()}
+				c.r = bufio.NewReaderSize(c, maxLine)
+				l.up.mu.Lock()
+				l.up.open++
+				l.up.mu.Unlock()
+				l.up.put(t, c, true)
+			}
+			look(l, func() {
+				for _, t := range l.targets {
+					if !t.origin {
+						keep(t)
+					}
+				}
+			})
+			c := dial(t, addr)
+			c.send(key(1, "w0", 60000) + "\r\n")
+			select {
+			case <-a.seen:
+			case <-b.seen:
+			case <-time.After(wait):
+				t.Fatal("no attempt")
+			}
+			look(l, func() {
+				if r := l.open["w0"]; how == "cancel" {
+					l.Cancel(r.id, 0)
+				} else {
+					l.timeOut(r.tries[0])
+				}
+			})
+			next(t, closing, "the close of the first one's connection")
+			look(l, func() {
+				if r := l.open["w0"]; r == nil || len(r.tries) != 1 || r.out != 1 {
+					t.Errorf("went on before it was closed: %+v", r)
+				}
+			})
+			let.let()
+			if got := c.line(); got != "VA 5 Ow0 hello" {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+}
+
+// A repeat that the module makes within its effect's window is not written after it, though its connection takes so long.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
+			t.Parallel()
+			cut, up := newGate(t), newGate(t)
+			dialing := make(chan struct{}, 10)
+			ends := once("close", hit)
+			answer := func(line string) string { <-cut.ch; return ends(line) }
+			a, b := startFake(t, answer), startFake(t, answer)
+			cfg := longLived(testConfig(t, "127.0.0.1:1", list{}))
+			for i := range cfg.settings.Config.Classes {
+				if k := &cfg.settings.Config.Classes[i]; k.Name == "read" {
+					k.Effect, k.Scope, k.Window = decide.Keyed, "all", 2000
+				}
+			}
+			l, _, addr := partsUnder(t, cfg, 40, box("s-0000000b", a.addr), box("s-0000000c", b.addr), originAt("127.0.0.1:1"))
+			c := dial(t, addr)
+			c.send(key(1, "w0", 60000) + ",k=7\r\n")
+			select {
+			case <-a.seen:
+			case <-b.seen:
+			case <-time.After(wait):
+				t.Fatal("no attempt")
+			}
+			l.up.holdDials(dialing, up)
+			var began float64
+			look(l, func() { began = l.open["w0"].tries[0].at })
+			cut.let() // it may have run
+			next(t, dialing, "the dial of a repeat")
+			if late {
+				until(t, l, "the end of the window", func() bool { return l.now() > began+2000 })
+			}
+			up.let()
+			got := c.line()
+			until(t, l, "the end of all", func() bool { return len(l.reqs) == 0 })
+			if n := len(a.seen) + len(b.seen); late && (n > 0 || !strings.HasPrefix(got, "SERVER_ERROR")) || !late && got != "VA 5 Ow0 hello" {
+				t.Errorf("got %q, written again %d times", got, n)
+			}
+		})
+	}
+}
+
+// A client that always has something open would keep its connection from ever being idle. Before the process ends, no further
+// command is taken from it, so none is unanswered when it does.
+func TestConnectionThatIsNeverIdleEndsBeforeTheProcess(t *testing.T) {
+	silent := startFake(t, func(string) string { return "" })
+	l, clients, addr := partsOf(t, 192, 40, box("s-0000000b", silent.addr), originAt(silent.addr))
+	c := dial(t, addr)
+	c.send(key(1, "a", 60000) + "\r\n")
+	until(t, l, "its arrival", func() bool { return len(l.open) == 1 })
+	noMore, cancel := context.WithCancel(t.Context())
+	drained := make(chan struct{})
+	go func() { defer close(drained); clients.drain(noMore, t.Context()) }()
+	c.send(key(2, "b", 60000) + "\r\n")
+	until(t, l, "what comes while it drains", func() bool { return len(l.open) == 2 })
+	cancel()
+	for !clients.over.Load() {
+	}
+	var conn *clientConn
+	clients.mu.Lock() // takeNoMore is over
+	for conn = range clients.conns {
+	}
+	clients.mu.Unlock()
+	c.send(key(3, "c", 60000) + "\r\n")
+	for !waiting(conn.Conn) {
+	}
+	look(l, func() { l.endBy(l.now()) })
+	for _, want := range []string{"SERVER_ERROR", "SERVER_ERROR", "EOF"} {
+		if got := c.line(); !strings.HasPrefix(got, want) {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	c.Close()
+	clients.ln.Close()
+	next(t, drained, "the end of all connections")
+	until(t, l, "the end of all", func() bool { return len(l.open) == 0 })
+}
+
+// shut is a connection that tells how it is shut.
+type shut struct {
+	*net.TCPConn
+	how chan<- string
+}
+
+func (c shut) CloseWrite() error { c.how <- "end of the answers"; return c.TCPConn.CloseWrite() }
+func (c shut) Close() error      { c.how <- "close"; return c.TCPConn.Close() }
+
+// A close that a command is on its way to would be a reset too, and might overtake the answer before it.
+func TestAnswerThatHasJustGoneOutArrivesBeforeTheClose(t *testing.T) {
+	for name, at := range map[string]time.Duration{"just answered": time.Hour, "answered long ago": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln := listenLocal(t)
+			client := dial(t, ln.Addr().String())
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			how := make(chan string, 10)
+			c := &clientConn{Conn: shut{nc.(*net.TCPConn), how}, r: bufio.NewReader(nc), dead: make(chan struct{}), answered: time.Now().Add(at)}
+			ended := make(chan struct{})
+			go func() { defer close(ended); c.finish(false) }()
+			if got := client.line(); got != "EOF" {
+				t.Errorf("got %q", got)
+			}
+			if at > 0 {
+				if got := next(t, how, "shutdown"); got != "end of the answers" {
+					t.Errorf("first %q", got)
+				}
+				client.send(key(1, "late", 60000) + "\r\n")
+				for range 2 { // it is not read as a command, and does not reset
+					client.send("mn\r\n")
+				}
+				client.Close()
+			}
+			if got := next(t, how, "shutdown"); got != "close" {
+				t.Errorf("then %q", got)
+			}
+			next(t, ended, "end")
+		})
+	}
+}
+
+// A request that waits at the door keeps the rules that it came under, though its class is dropped meanwhile.
+func TestRequestAtTheDoorOutlivesItsClass(t *testing.T) {
+	answer := newGate(t)
+	s := startFake(t, func(line string) string { <-answer.ch; return hit(line) })
+	t.Cleanup(answer.let) // before the fake waits for what it has started
+	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(s.addr)))
+	cfg := longLived(testConfig(t, d.Listener.Addr().String(), list{}))
+	rules := admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 1e6, MaxAfterMS: 1500,
+		Start: 1, Least: 1, Most: 1, RetryShare: 1, RetryBurst: 10}
+	cfg.Admission = &Admission{rules, admit.Identify{{By: "fact"}}}
+	dropped := longLived(retuned(t, cfg, `"name":"read"`, `"name":"fetch"`))
+	dropped.Admission = cfg.Admission
+	for _, c := range []*Config{cfg, dropped} {
+		c.settings.Config.Probes = false
+		for i := range c.settings.Config.Classes {
+			c.settings.Config.Classes[i].Aim = 500 // the door expects a request to take so long
+		}
+	}
+	r := start(t, cfg)
+	for c := dial(t, r.addr); c.ask("mn") != "MN"; {
+	}
+	l := r.router.l
+	first, second := dial(t, r.addr), dial(t, r.addr)
+	first.send(key(1, "a", 60000) + "\r\n")
+	next(t, s.seen, "the first, which takes the one place")
+	second.send(key(2, "b", 60000) + "\r\n")
+	until(t, l, "the second at the door", func() bool { return l.admission.a.State(0).Waiting == 1 })
+	r.updates <- dropped
+	until(t, l, "the new settings", func() bool { return l.rules.Load().classes["fetch"] != nil })
+	answer.let()
+	for i, c := range []*client{first, second} {
+		if got, want := c.line(), "VA 5 O"+string("ab"[i])+" hello"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
+
+// A list that discovery has told the old process, and that its loop has not come to when the state is handed over, reaches
+// the new one all the same.
+func TestListThatCrossesTheHandOverReachesTheNewProcess(t *testing.T) {
+	s, o := startFake(t, hit), startFake(t, originOK)
+	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(o.addr)))
+	old := start(t, testConfig(t, d.Listener.Addr().String(), list{}))
+	for c := dial(t, old.addr); c.ask("mn") != "MN"; {
+	}
+	l, held := old.router.l, newGate(t)
+	running := make(chan struct{})
+	l.post(func() { close(running); <-held.ch })
+	next(t, running, "the loop")
+	news := box("s-0000000b", s.addr)
+	news.State = "leaving"
+	d.change(news)
+	for len(l.events) == 0 { // the list, behind what the loop is at
+	}
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		for len(l.urgent) == 0 { // the state, which goes first
+		}
+		held.let()
+	}()
+	young, end := succeeded(t, old, testConfig(t, "127.0.0.1:1", list{}))
+	defer end()
+	next(t, asked, "the call for the state")
+	until(t, young.router.l, "the list", func() bool { return young.router.l.entries["s-0000000b"].State == "leaving" })
+}
+
+// Whoever waits for a client to leave learns that this side has closed the connection: else it would look again without end.
+func TestWaitForAClientEndsWithItsConnection(t *testing.T) {
+	ln := listenLocal(t)
+	client := dial(t, ln.Addr().String())
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	none := 0
+	c.SetReadDeadline(past)
+	if awaitEnd(c, &none) {
+		t.Error("the end of the time was taken for the client's")
+	}
+	c.SetReadDeadline(time.Time{})
+	ended := make(chan bool, 1)
+	go func() { ended <- awaitEnd(c, &none) }()
+	c.Close()
+	if !next(t, ended, "the end of the wait") {
+		t.Error("the close was not seen")
+	}
+	if !awaitEnd(c, &none) {
+		t.Error("a closed connection was not seen")
+	}
+	client.Close()
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -96,7 +96,10 @@
 	n      int
 	server uint32
 	at     float64
-	over   bool // has its outcome; what comes later is nobody's
+	over   bool          // has its outcome; what comes later is nobody's
+	ran    bool          // may have run, until its outcome proves the contrary
+	ending bool          // is given up, though written: its outcome, once its connection is closed,
+	as     decide.Status // is this, unless it was served just then
 	stop   context.CancelFunc
 	due    *timer
 	phase  atomic.Int32
@@ -331,7 +334,8 @@
 func (l *loop) decide(now float64, r *request) {
 	cmd := &r.cmd
 	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
-		Left: max(0, r.until-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
+		Left: max(0, r.until-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms",
+		Under: &r.rule.Class, Most: r.most}) // it may have waited at the door for longer than the settings have held
 }
 
 // gone tells that the client of a request has left. What is not written yet never is. What is written is given up where the
@@ -344,8 +348,8 @@
 	l.finish(r, nil, leftEarly)
 	l.b.Gone(l.now(), r.id)
 	for _, a := range r.tries {
-		if a.phase.CompareAndSwap(phaseOpening, phaseOff) {
-			a.cancel(l)
+		if a.callOff() {
+			l.later = append(l.later, func() { l.outcome(a, ends(decide.Canceled)) })
 		}
 	}
 }
@@ -355,8 +359,7 @@
 func (l *loop) callOff(server uint32) {
 	for _, r := range l.reqs {
 		for _, a := range r.tries {
-			if a.server == server && !a.over && a.phase.CompareAndSwap(phaseOpening, phaseOff) {
-				a.stop()
+			if a.server == server && a.callOff() {
 				l.later = append(l.later, func() { l.outcome(a, ends(decide.Ignored)) })
 			}
 		}
@@ -394,7 +397,7 @@
 // deadline applies any more. It returns the slot for the value, or nil where nobody waits for it.
 func (l *loop) pass(a *attempt, got reply) *slot {
 	r := a.r
-	if a.over || r.over {
+	if a.over || a.ending || r.over {
 		return nil
 	}
 	a.over, r.over = true, true
@@ -436,7 +439,10 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	if a.ending && got.status != decide.OK {
+		got = ends(a.as)
+	}
+	a.over, a.ran = true, !got.status.NeverRan()
 	a.stop()
 	l.timers.stop(a.due)
 	r := a.r
@@ -464,24 +470,51 @@
 
 // timeOut ends an attempt that is waited for no longer.
 func (l *loop) timeOut(a *attempt) {
-	if a.over {
-		return
-	}
-	st := decide.TimedOut
-	if a.phase.CompareAndSwap(phaseOpening, phaseOff) {
-		st = decide.ConnectError // the connection never came up, and now nothing will be written
+	if a.callOff() {
+		l.outcome(a, ends(decide.ConnectError)) // the connection never came up, and now nothing will be written
+	} else {
+		a.giveUp(decide.TimedOut)
 	}
-	l.outcome(a, ends(st))
 }
 
 // cancel gives an attempt up by closing its connection.
 func (a *attempt) cancel(l *loop) {
-	if a.over {
-		return
+	if a.callOff() {
+		l.later = append(l.later, func() { l.outcome(a, ends(decide.Canceled)) })
+	} else {
+		a.giveUp(decide.Canceled)
+	}
+}
+
+// callOff ends an attempt of which nothing is written, and tells whether it could: now nothing will be.
+func (a *attempt) callOff() bool {
+	if a.over || !a.phase.CompareAndSwap(phaseOpening, phaseOff) {
+		return false
 	}
-	a.phase.CompareAndSwap(phaseOpening, phaseOff)
 	a.stop()
-	l.later = append(l.later, func() { l.outcome(a, ends(decide.Canceled)) })
+	return true
+}
+
+// giveUp ends the wait for an attempt that is written, as told. Its outcome comes once its connection is closed: a further
+// attempt that was written before that would be a second copy.
+func (a *attempt) giveUp(as decide.Status) {
+	if !a.over && !a.ending && a.phase.Load() == phaseWriting {
+		a.ending, a.as = true, as
+		a.stop()
+	}
+}
+
+// windowOver is when no further attempt of a request may be written: the window of its effect runs from the send of the first
+// that may have run, and the connection of a later one may take long to come up.
+func (r *request) windowOver() float64 {
+	if r.rule.Effect == decide.Keyed {
+		for _, a := range r.tries {
+			if a.ran {
+				return a.at + r.rule.Window - 1
+			}
+		}
+	}
+	return math.Inf(1)
 }
 
 // list takes a list of servers.
@@ -600,7 +633,7 @@
 	if timeout != 0 {
 		left = min(left, timeout)
 	}
-	a := &attempt{r: r, n: len(r.tries), server: server, at: now}
+	a, by := &attempt{r: r, n: len(r.tries), server: server, at: now, ran: true}, r.windowOver()
 	ctx, stop := context.WithCancel(l.ctx)
 	a.stop = stop
 	r.tries, r.out = append(r.tries, a), r.out+1
@@ -624,7 +657,7 @@
 					l.post(func() { l.gone(sl) })
 					return false
 				}
-				return a.phase.CompareAndSwap(phaseOpening, phaseWriting)
+				return l.now() < by && a.phase.CompareAndSwap(phaseOpening, phaseWriting)
 			},
 			wrote:   func() { l.metrics.Dispatches.Add(1) },
 			through: func(got reply) *sink { passed = l.openSink(ctx, a, got); return passed },
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -63,15 +63,21 @@
 		t.Fatal(err)
 	}
 	old, fresh := l.newSource(cfg, func(list) {}), l.newSource(cfg, func(list) {})
+	// told has a discovery tell a list, and the loop take it after what comes between the two.
+	told := func(d *discovery, between func()) {
+		done := make(chan struct{})
+		go func() { defer close(done); d.tell(full(box("s-0000000b", "127.0.0.1:1"))) }()
+		event := next(t, l.events, "the list")
+		between()
+		event()
+		next(t, done, "the end of telling it")
+	}
 	l.follow(old)
-	old.tell(full(box("s-0000000b", "127.0.0.1:1")))
-	l.follow(fresh)
-	(<-l.events)()
+	told(old, func() { l.follow(fresh) })
 	if len(l.targets) != 0 {
 		t.Error("the old discovery is still heard")
 	}
-	fresh.tell(full(box("s-0000000b", "127.0.0.1:1")))
-	(<-l.events)()
+	told(fresh, func() {})
 	if len(l.targets) != 1 {
 		t.Error("the new discovery is not heard")
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,7 +103,10 @@
 
 	<-ctx.Done()
 	told := l.now()
-	l.post(func() { l.endBy(told + min(l.longest(), leastStop) + afterStop) })
+	last := min(l.longest(), leastStop) + afterStop
+	l.post(func() { l.endBy(told + last) })
+	noMore, cancel := context.WithTimeout(context.Background(), ms(last))
+	defer cancel()
 	if r.peers.count() == 0 { // else the other process takes them off the same queue
 		time.Sleep(comeAfterStop)
 		s.acceptLast()
@@ -111,7 +114,7 @@
 	s.ln.Close()
 	end, cancel := context.WithTimeout(context.Background(), ms(max(leastStop, l.longest())))
 	defer cancel()
-	s.drain(end)
+	s.drain(noMore, end)
 	return nil
 }
 
@@ -247,11 +250,17 @@
 	var d *discovery
 	ask := cfg.settings.Config.AskList
 	heard := func(do func()) {
+		done := make(chan struct{})
 		l.post(func() {
 			if l.disc == d {
 				do()
 			}
+			close(done)
 		})
+		select {
+		case <-done:
+		case <-l.done:
+		}
 	}
 	d = newDiscovery(cfg.Discovery, ask, cfg.settings.Config.Routers,
 		func(got list) {
@@ -264,7 +273,7 @@
 					l.list(kind, got)
 				}
 			})
-			tell(got)
+			tell(got) // now that a state handed over has it: before, a successor might get it in neither way
 		},
 		func() {
 			if ask {
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -161,7 +161,7 @@
 	}
 	if !on.begin() {
 		p.done(false)
-		return ends(decide.Canceled)
+		return ends(decide.Ignored) // nothing of its last piece was written
 	}
 	u.uploading.Add(-1) // from here on it is an attempt like any other
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -241,7 +241,7 @@
 // away meanwhile: a client that sends on can't say that it leaves once there is no room for what it sends.
 func awaitEnd(c net.Conn, unwanted *int) (end bool) {
 	onSocket(c, func(raw syscall.RawConn) {
-		raw.Read(func(fd uintptr) bool { //nolint:errcheck // what ends the wait is known by its owner
+		err := raw.Read(func(fd uintptr) bool {
 			for *unwanted > 0 {
 				var b [maxLine]byte
 				n, err := syscall.Read(int(fd), b[:])
@@ -253,6 +253,9 @@
 			end = endedAt(int(fd))
 			return end
 		})
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			end = true // this side has closed it
+		}
 	})
 	return end
 }
@@ -414,7 +417,7 @@
 		return a
 	case !on.begin():
 		u.back(t, conn)
-		a.status = decide.Canceled
+		a.status = decide.Ignored // nothing of it was written
 		return a
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
