Have three tests of crossings await what they looked for too early under load

Cause, in the tests: a write gives its bytes back after it, so the count is awaited now; and a reader that had not parked took the rest of a command before the end of its time was set, for which the test looked without end. A listener whose connections' second read comes to that end forces the order now. A command after the last one taken is sent once the reader has ended.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -133,9 +134,7 @@
 				if len(s.seen)+len(o.seen) > 0 {
 					t.Errorf("sent on: %q", append(drained(s.seen), drained(o.seen)...))
 				}
-				if n := l.queued.used.Load(); n != 0 {
-					t.Errorf("%d bytes of answers are still counted", n)
-				}
+				until(t, l, "no bytes of answers counted", func() bool { return l.queued.used.Load() == 0 }) // a write gives them back after it
 			})
 		}
 	}
@@ -356,36 +355,65 @@
 	}
 }
 
+// cutOff is a listener whose connections' second read comes to the end of its time once it is let go.
+type cutOff struct {
+	net.Listener
+	at  chan<- *cutOffConn
+	let gate
+}
+
+type cutOffConn struct {
+	*net.TCPConn
+	from  cutOff
+	reads atomic.Int32
+}
+
+func (l cutOff) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &cutOffConn{TCPConn: c.(*net.TCPConn), from: l}, nil
+}
+
+func (c *cutOffConn) Read(b []byte) (int, error) {
+	if c.reads.Add(1) == 2 {
+		c.from.at <- c
+		<-c.from.let.ch
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.TCPConn.Read(b)
+}
+
 // A command of which the last part has come when its connection has to give way is taken.
 func TestCommandThatCrossesItsConnectionsEndIsTaken(t *testing.T) {
 	s := startFake(t, hit)
-	l, clients, addr := partsOf(t, 192, 40, box("s-0000000b", s.addr), originAt(s.addr))
-	c := dial(t, addr)
+	l, _, _ := partsOf(t, 192, 40, box("s-0000000b", s.addr), originAt(s.addr))
+	at, let := make(chan *cutOffConn, 10), newGate(t)
+	clients := newClients(l, cutOff{listenLocal(t), at, let}, 10)
+	clients.wg.Go(clients.accept)
+	c := dial(t, clients.ln.Addr().String())
 	c.send(key(1, "a", 60000)[:9])
-	var conn *clientConn
-	until(t, l, "the first part", func() bool {
-		clients.mu.Lock()
-		defer clients.mu.Unlock()
-		for conn = range clients.conns {
-			conn.mu.Lock()
-			defer conn.mu.Unlock()
-			return conn.reading && !waiting(conn.Conn)
-		}
-		return false
-	})
-	conn.mu.Lock() // as drop does, with the rest coming meanwhile
-	conn.closing = true
-	conn.SetReadDeadline(past)
+	nc := next(t, at, "a read behind the first part")
+	clients.mu.Lock()
+	for conn := range clients.conns {
+		conn.mu.Lock() // as drop does, with the rest coming meanwhile
+		conn.closing, conn.by = true, time.Now().Add(time.Hour)
+		conn.mu.Unlock()
+	}
+	clients.mu.Unlock()
 	c.send(key(1, "a", 60000)[9:] + "\r\n")
-	for !waiting(conn.Conn) {
+	for !waiting(nc) {
 	}
-	conn.mu.Unlock()
+	let.let()
 	if got := c.line(); got != "VA 5 Oa hello" {
 		t.Errorf("got %q", got)
 	}
 	if got := c.line(); got != "EOF" {
 		t.Errorf("then %q", got)
 	}
+	c.Close()
+	clients.ends(t)
 }
 
 // Where an answer can't be written, what stands behind it ends too: requests that are open, and answers that are counted.
@@ -838,16 +866,17 @@
 	c.send(key(2, "b", 60000) + "\r\n")
 	until(t, l, "what comes while it drains", func() bool { return len(l.open) == 2 })
 	cancel()
-	for !clients.over.Load() {
-	}
-	var conn *clientConn
-	clients.mu.Lock() // takeNoMore is over
-	for conn = range clients.conns {
-	}
-	clients.mu.Unlock()
+	until(t, l, "the end of its reading", func() bool {
+		clients.mu.Lock()
+		defer clients.mu.Unlock()
+		for conn := range clients.conns {
+			conn.mu.Lock()
+			defer conn.mu.Unlock()
+			return conn.watching
+		}
+		return false
+	})
 	c.send(key(3, "c", 60000) + "\r\n")
-	for !waiting(conn.Conn) {
-	}
 	look(l, func() { l.endBy(l.now()) })
 	for _, want := range []string{"SERVER_ERROR", "SERVER_ERROR", "EOF"} {
 		if got := c.line(); !strings.HasPrefix(got, want) {
