Set up the router with a request at admission's door once for both of its tests

Need: the second test wrote the first one's setup again. Neither asserts less; TestRequestAtTheDoorOutlivesItsClass still fails with its mend taken out.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -653,25 +653,37 @@
 	}
 }
 
-// The same behind the door of admission, on a connection that drains.
-func TestRequestThatWaitsAtTheDoorIsNotSentOnForAClientThatLeft(t *testing.T) {
-	answer := newGate(t)
-	s := startFake(t, func(line string) string { <-answer.ch; return hit(line) })
+// atTheDoor starts a router with admission and one place behind it. The first client's request has that place and gets its
+// answer once that is let go; the second one's, b, waits at the door. settings are those of the router, to be changed.
+func atTheDoor(t *testing.T) (r *running, s *fake, answer gate, first, second *client, settings *Config) {
+	t.Helper()
+	answer = newGate(t)
+	s = startFake(t, func(line string) string { <-answer.ch; return hit(line) })
+	t.Cleanup(answer.let) // before the fake waits for what it has started
 	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(s.addr)))
-	cfg := testConfig(t, d.Listener.Addr().String(), list{})
-	cfg.settings.Config.Probes = false
+	cfg := longLived(testConfig(t, d.Listener.Addr().String(), list{}))
 	rules := admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 1e6, MaxAfterMS: 1500,
 		Start: 1, Least: 1, Most: 1, RetryShare: 1, RetryBurst: 10}
 	cfg.Admission = &Admission{rules, admit.Identify{{By: "fact"}}}
-	r := start(t, cfg)
+	cfg.settings.Config.Probes = false
+	for i := range cfg.settings.Config.Classes {
+		cfg.settings.Config.Classes[i].Aim = 500 // the door expects a request to take so long
+	}
+	r = start(t, cfg)
 	for c := dial(t, r.addr); c.ask("mn") != "MN"; {
 	}
-	l := r.router.l
-	first, second := dial(t, r.addr), dial(t, r.addr)
-	first.send(key(1, "a", 2000) + "\r\n")
+	first, second = dial(t, r.addr), dial(t, r.addr)
+	first.send(key(1, "a", 60000) + "\r\n")
 	next(t, s.seen, "the first, which takes the one place")
-	second.send(key(2, "b", 2000) + "\r\n")
-	until(t, l, "the second at the door", func() bool { return l.admission.a.State(0).Waiting == 1 })
+	second.send(key(2, "b", 60000) + "\r\n")
+	until(t, r.router.l, "the second at the door", func() bool { return r.router.l.admission.a.State(0).Waiting == 1 })
+	return r, s, answer, first, second, cfg
+}
+
+// The same behind the door of admission, on a connection that drains.
+func TestRequestThatWaitsAtTheDoorIsNotSentOnForAClientThatLeft(t *testing.T) {
+	r, s, answer, first, second, _ := atTheDoor(t)
+	l := r.router.l
 	r.router.s.startDrain()
 	second.Close()
 	until(t, l, "the end of the second", func() bool { return l.open["b"] == nil })
@@ -938,31 +950,11 @@
 
 // A request that waits at the door keeps the rules that it came under, though its class is dropped meanwhile.
 func TestRequestAtTheDoorOutlivesItsClass(t *testing.T) {
-	answer := newGate(t)
-	s := startFake(t, func(line string) string { <-answer.ch; return hit(line) })
-	t.Cleanup(answer.let) // before the fake waits for what it has started
-	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(s.addr)))
-	cfg := longLived(testConfig(t, d.Listener.Addr().String(), list{}))
-	rules := admit.Config{OthersWeight: 1, Flows: 8, Buckets: 2, TurnMS: 10000, Queue: 2, Promises: 8, MaxWaitMS: 1e6, MaxAfterMS: 1500,
-		Start: 1, Least: 1, Most: 1, RetryShare: 1, RetryBurst: 10}
-	cfg.Admission = &Admission{rules, admit.Identify{{By: "fact"}}}
+	r, _, answer, first, second, cfg := atTheDoor(t)
+	l := r.router.l
 	dropped := longLived(retuned(t, cfg, `"name":"read"`, `"name":"fetch"`))
 	dropped.Admission = cfg.Admission
-	for _, c := range []*Config{cfg, dropped} {
-		c.settings.Config.Probes = false
-		for i := range c.settings.Config.Classes {
-			c.settings.Config.Classes[i].Aim = 500 // the door expects a request to take so long
-		}
-	}
-	r := start(t, cfg)
-	for c := dial(t, r.addr); c.ask("mn") != "MN"; {
-	}
-	l := r.router.l
-	first, second := dial(t, r.addr), dial(t, r.addr)
-	first.send(key(1, "a", 60000) + "\r\n")
-	next(t, s.seen, "the first, which takes the one place")
-	second.send(key(2, "b", 60000) + "\r\n")
-	until(t, l, "the second at the door", func() bool { return l.admission.a.State(0).Waiting == 1 })
+	dropped.settings.Config.Probes = false
 	r.updates <- dropped
 	until(t, l, "the new settings", func() bool { return l.rules.Load().classes["fetch"] != nil })
 	answer.let()
