--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -10,12 +10,9 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"dockhinge.example/dockhinge/internal/metrics"
-
-	"golang.org/x/sys/unix"
 )
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
@@ -120,13 +117,10 @@
 	for {
 		c, err := s.ln.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) && queued(s.ln) { // the end of the time comes before the queue, however full
-			s.ln.(deadliner).SetDeadline(time.Now().Add(lastAccept)) //nolint:errcheck // closed, and then Accept tells
-			c, err = s.ln.Accept()
+			s.ln.(deadliner).SetDeadline(time.Now().Add(lastAccepts)) //nolint:errcheck // closed, and then Accept tells
+			continue
 		}
 		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && queued(s.ln) {
-				continue
-			}
 			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
@@ -142,24 +136,9 @@
 // lastAccepts is how long connections that stand in the listener's queue are taken for once no new one is expected.
 const lastAccepts = 10 * time.Millisecond
 
-// lastAccept is how long one of them is waited for: another process may have taken it off the same queue.
-const lastAccept = 100 * time.Millisecond
-
 // deadliner is what waits until a time at most.
 type deadliner interface{ SetDeadline(time.Time) error }
 
-// queued reports whether a connection stands in a listener's queue.
-func queued(ln net.Listener) (stands bool) {
-	onSocket(ln, func(raw syscall.RawConn) {
-		raw.Control(func(fd uintptr) { //nolint:errcheck // closed: none stands there
-			of := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-			n, err := unix.Poll(of, 0)
-			stands = err == nil && n > 0 && of[0].Revents&unix.POLLIN != 0
-		})
-	})
-	return stands
-}
-
 // acceptLast has accept end once the listener's queue is empty: closing the listener would reset what stands there.
 func (s *clients) acceptLast() {
 	if ln, ok := s.ln.(deadliner); ok && ln.SetDeadline(time.Now().Add(lastAccepts)) == nil {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -270,9 +270,24 @@
 	case err != nil || n == 0:
 		return true
 	}
-	of := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err = unix.Poll(of, 0)
-	return err == nil && n > 0 && of[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return polled(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// queued reports whether a connection stands in a listener's queue.
+func queued(ln net.Listener) (stands bool) {
+	onSocket(ln, func(raw syscall.RawConn) {
+		raw.Control(func(fd uintptr) { stands = polled(int(fd), unix.POLLIN)&unix.POLLIN != 0 }) //nolint:errcheck // closed: none stands there
+	})
+	return stands
+}
+
+// polled asks a socket for events without waiting for them.
+func polled(fd int, events int16) int16 {
+	of := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	if n, err := unix.Poll(of, 0); err != nil || n == 0 {
+		return 0
+	}
+	return of[0].Revents
 }
 
 // onSocket calls do with the socket of a connection or a listener, if it has one.
