--- a/cmd/dockhinge-lab/duty.go
+++ b/cmd/dockhinge-lab/duty.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -16,6 +18,8 @@
 
 func dutyCommand() *cobra.Command {
 	var kit, site, since, why, journal string
+	var others []string
+	var seed int64
 	var full, only bool
 	cmd := &cobra.Command{Use: "duty --kit DIR --site FILE --why TEXT", Short: "Play what the standing test asks of this change, and say what fell",
 		Args: cobra.NoArgs,
@@ -28,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			due, began, held := duty.Plan(changed, full), time.Now(), true
+			due, began, held := duty.Plan(changed, duty.Options{Full: full, Seed: cmp.Or(seed, time.Now().Unix()), Others: others}), time.Now(), true
 			if len(due) == 0 {
 				fmt.Println("nothing that the router is built from has changed")
 				return nil
@@ -77,6 +81,8 @@
 	f.StringVar(&why, "why", "", "what changed, one sentence under 120 characters")
 	f.StringVar(&since, "since", "HEAD~1", "what the change is compared with")
 	f.StringVar(&journal, "journal", "journal", "where the programs leave their figures")
+	f.StringSliceVar(&others, "other", ownSites(), "site files of other deployments, which see the quick days and the narrow moments too")
+	f.Int64Var(&seed, "seed", 0, "of the narrow moments; 0 = other days each time")
 	f.BoolVar(&full, "full", false, "the standing test in full, with soak: up to an hour")
 	f.BoolVar(&only, "list", false, "say what is due, and run nothing")
 	for _, name := range []string{"kit", "site", "why"} {
@@ -85,6 +91,12 @@
 	return cmd
 }
 
+// ownSites are the deployments that the repository itself holds.
+func ownSites() []string {
+	sites, _ := filepath.Glob("deploy/sites/*.toml") // it fails only where the pattern is malformed
+	return sites
+}
+
 // changedSince lists the files that differ from a revision, those not committed yet too.
 func changedSince(ctx context.Context, rev string) ([]string, error) {
 	var all []string
--- a/decide/operate.go
+++ b/decide/operate.go
@@ -88,7 +88,7 @@
 
 // One discovery serves all routers in turn: with few of them it has time for each every second, with many it has not.
 const (
-	askEvery = 1000 // ms between two calls of a router that is refused, at least,
+	askEvery = 1000 // ms between two calls of a router that is refused, at least, where news may take that long,
 	askSlot  = 250  // and for each router that there is
 	askPart  = 0.6  // of the time after which news counts as told: all routers together must be able to ask within it
 )
@@ -103,7 +103,11 @@
 
 // backOff is how long to wait after a refused call: longer after each one in a row, and spread, as all were refused.
 func (b *Balancer) backOff() float64 {
-	mean := max(askEvery, b.askTime()) * min(2, 1+float64(b.refused)/4)
+	least := float64(askEvery)
+	if b.cfg.MustAsk > 0 {
+		least = min(least, askPart*b.cfg.MustAsk)
+	}
+	mean := max(least, b.askTime()) * min(2, 1+float64(b.refused)/4)
 	b.refused++
 	return mean * (0.5 + b.rng.Float64())
 }
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -46,7 +46,8 @@
 	room     places    // one for each connection that may be open
 	readers  sync.Pool // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
-	asked    atomic.Int64 // connections that have asked
+	asked    atomic.Int64  // connections that have asked
+	accepted chan struct{} // closed when no more are taken
 	wg       sync.WaitGroup
 
 	mu    sync.Mutex
@@ -61,33 +62,60 @@
 	r       *bufio.Reader
 	taking  atomic.Bool // a large value is coming
 	counted atomic.Bool // among those that have asked
+	left    atomic.Bool // the client has gone: what waits is not sent on
 
-	mu      sync.Mutex
-	changed sync.Cond     // the queue got shorter
-	queue   []*slot       // whose answers are not being written yet
-	writing int           // answers that are
-	broken  bool          // nothing can be written any more,
-	dead    chan struct{} // which closes this
-	asked   bool          // a command has come
-	reading bool          // another has begun
-	closing bool          // ends as soon as nothing waits for its answer
-	since   time.Time     // idle since, while nothing is open
+	mu       sync.Mutex
+	queue    []*slot       // whose answers are not being written yet
+	writing  int           // answers that are
+	broken   bool          // nothing can be written any more,
+	dead     chan struct{} // which closes this
+	asked    bool          // a command has come
+	reading  bool          // another has begun,
+	by       time.Time     // and has to be whole by then
+	watching bool          // the reader waits for the client to leave: the end of its time wakes it
+	closing  bool          // ends as soon as nothing waits for its answer
+	since    time.Time     // idle since, while nothing is open
+}
+
+// past is a time for reading that is up.
+var past = time.Unix(1, 0)
+
+// Read is how commands are read. One that is being read when the connection is to give way is not cut off where the rest
+// of it is there already: its client can't tell that it was not taken.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.crossed() {
+		return c.Conn.Read(b)
+	}
+	return n, err
+}
+
+// crossed tells whether the end of the connection has crossed a command that is being read, which then has its time again.
+func (c *clientConn) crossed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing || !c.reading || !time.Now().Before(c.by) || !waiting(c.Conn) {
+		return false
+	}
+	c.SetReadDeadline(c.by)
+	return true
 }
 
 // open counts the commands that are not answered. The caller holds mu.
 func (c *clientConn) open() int { return len(c.queue) + c.writing }
 
 func newClients(l *loop, ln net.Listener, limit int) *clients {
-	return &clients{l: l, ln: ln, room: places{limit: limit, whole: limit, freed: make(chan struct{}, 1)}, conns: map[*clientConn]struct{}{},
+	return &clients{l: l, ln: ln, accepted: make(chan struct{}), room: places{limit: limit, whole: limit, freed: make(chan struct{}, 1)}, conns: map[*clientConn]struct{}{},
 		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLine) }}}
 }
 
-// accept takes connections until the listener is closed.
+// accept takes connections until the listener is closed or its time is up.
 func (s *clients) accept() {
+	defer close(s.accepted)
 	for {
 		c, err := s.ln.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return
 			}
 			slog.Warn("accepting", "error", err)
@@ -99,6 +127,19 @@
 	}
 }
 
+// lastAccepts is how long connections that stand in the listener's queue are taken for once no new one is expected.
+const lastAccepts = 10 * time.Millisecond
+
+// acceptLast has accept end once the listener's queue is empty: closing the listener would reset what stands there.
+func (s *clients) acceptLast() {
+	if ln, ok := s.ln.(interface{ SetDeadline(time.Time) error }); ok && ln.SetDeadline(time.Now().Add(lastAccepts)) == nil {
+		select {
+		case <-s.accepted:
+		case <-time.After(comeAfterStop): // each place is taken by a request
+		}
+	}
+}
+
 // place takes a place for a connection. When all are taken, the connection that has been idle for longest gives way;
 // where each has a request open, the next one waits.
 func (s *clients) place() {
@@ -192,10 +233,10 @@
 
 func (s *clients) serve(nc net.Conn) {
 	r := s.readers.Get().(*bufio.Reader)
-	r.Reset(nc)
 	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now(), dead: make(chan struct{})}
-	c.changed.L = &c.mu
-	nc.SetReadDeadline(time.Now().Add(firstTime))
+	r.Reset(c)
+	c.by = c.since.Add(firstTime)
+	nc.SetReadDeadline(c.by)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -227,12 +268,13 @@
 	return since, c.open() == 0 && !c.closing && !c.taking.Load()
 }
 
-// drain ends the connection once nothing waits for its answer and no command is coming.
+// drain ends the connection once nothing waits for its answer and no command is coming. Until then it is read on: what a
+// client sends on a connection that is open is taken, and its leaving is seen.
 func (c *clientConn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing = true; !c.reading {
-		c.SetReadDeadline(time.Unix(1, 0))
+	if c.closing = true; !c.reading && c.open() == 0 {
+		c.SetReadDeadline(past)
 	}
 }
 
@@ -242,7 +284,7 @@
 	defer c.mu.Unlock()
 	if c.open() == 0 && !c.taking.Load() {
 		c.closing = true
-		c.SetReadDeadline(time.Unix(1, 0))
+		c.SetReadDeadline(past)
 	}
 }
 
@@ -251,32 +293,56 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading = true; !first || c.closing {
-		c.SetReadDeadline(time.Now().Add(commandTime))
+		c.by = time.Now().Add(commandTime)
+		c.SetReadDeadline(c.by)
 	}
 }
 
-// await sets the time for the next command: none while requests are open, as then the client's leaving is waited for.
-// It tells whether one is to be read.
-func (c *clientConn) await() bool {
+// await waits until there is room for the next command and sets the time for it: none while requests are open, as then
+// the client's leaving is waited for.
+func (c *clientConn) await() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.reading, c.asked = false, true
-	for c.open() >= maxPipelined && !c.broken {
-		c.changed.Wait()
+	c.mu.Unlock()
+	if c.watch(func() bool { return c.open() < maxPipelined }, 0) {
+		return io.EOF
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
 	case c.broken:
-		return false
-	case c.closing: // what has come already is answered
-		return c.r.Buffered() > 0
+		return net.ErrClosed
 	case c.open() > 0:
 		c.SetReadDeadline(time.Time{})
+	case c.closing: // what has come already is answered
+		c.SetReadDeadline(past)
 	default:
 		c.SetReadDeadline(time.Now().Add(idleTime))
 	}
-	return true
+	return nil
+}
+
+// watch waits until done holds or nothing can be written any more, and tells whether the client has left instead. Up to so many bytes of
+// input are thrown away meanwhile, the rest is not read: the client's end is seen behind it. done is asked with mu held.
+func (c *clientConn) watch(done func() bool, unwanted int) (left bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !done() && !c.broken {
+		c.watching = true
+		c.SetReadDeadline(time.Time{})
+		c.mu.Unlock()
+		left := awaitEnd(c.Conn, &unwanted)
+		c.mu.Lock()
+		if c.watching = false; left {
+			return true
+		}
+	}
+	return false
 }
 
+// gone tells whether the client has left, as far as that can be known by now.
+func (c *clientConn) gone() bool { return c.left.Load() || ended(c.Conn) }
+
 // read reads commands until the client leaves, is turned away for what it sent, or the connection's time is up.
 func (c *clientConn) read() (turnedAway bool) {
 	unknown := 0
@@ -326,8 +392,8 @@
 		if first {
 			c.s.crowd(c)
 		}
-		if !c.await() {
-			return c.unread(os.ErrDeadlineExceeded)
+		if err := c.await(); err != nil {
+			return c.unread(err)
 		}
 	}
 }
@@ -357,9 +423,15 @@
 
 // unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
 func (c *clientConn) unread(err error) (turnedAway bool) {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.leave()
 	}
+	return false
+}
+
+// leave gives up what waits for its answer, as nobody takes it any more.
+func (c *clientConn) leave() {
+	c.left.Store(true) // before the loop is told: an attempt that is about to be written sees it
 	c.mu.Lock()
 	open := c.queue
 	c.queue = nil
@@ -373,7 +445,6 @@
 	for _, sl := range open {
 		c.s.l.post(func() { c.s.l.gone(sl) })
 	}
-	return false
 }
 
 // breakOff tells that nothing can be written any more. The caller holds mu.
@@ -384,17 +455,22 @@
 	}
 }
 
-// finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
-// destroy answers on their way: a client that was turned away sees the end of the answers first, and is read on for a
-// bounded time.
+// finish waits until all answers are out, or the client has left, and closes the connection. A close with input unread
+// would reset it, and might destroy answers on their way: a client that was turned away, or whose next command has crossed
+// the end, sees the end of the answers first, and is read on for a bounded time.
 func (c *clientConn) finish(turnedAway bool) {
-	c.mu.Lock()
-	for c.open() > 0 && !c.broken {
-		c.changed.Wait()
+	unwanted := 0
+	if turnedAway {
+		unwanted = lingerBytes
 	}
+	left := c.watch(func() bool { return c.open() == 0 }, unwanted)
+	c.mu.Lock()
 	broken := c.broken
 	c.mu.Unlock()
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && turnedAway && !broken && half.CloseWrite() == nil {
+	if left || broken {
+		c.leave()
+	} else if half, ok := c.Conn.(interface{ CloseWrite() error }); ok &&
+		(turnedAway || c.r.Buffered() > 0 || waiting(c.Conn)) && half.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerTime))
 		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLine)) //nolint:errcheck // it is unwanted
 	}
@@ -467,7 +543,6 @@
 func (c *clientConn) written(err error) (out net.Buffers, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.changed.Broadcast()
 	if err != nil && !c.broken {
 		c.breakOff()
 		c.Close() // which ends the reader too; it tells the loop
@@ -478,9 +553,16 @@
 	}
 	if out, size = c.batch(); c.open() == 0 {
 		c.queue = nil // and the answers that its array holds
-		if c.since = time.Now(); !c.closing {
-			c.SetReadDeadline(c.since.Add(idleTime))
-		}
+		c.since = time.Now()
+	}
+	switch {
+	case c.watching: // it may be what is waited for
+		c.SetReadDeadline(past)
+	case c.open() > 0 || c.reading && c.closing: // a command that has begun has its own time
+	case c.closing:
+		c.SetReadDeadline(past)
+	default:
+		c.SetReadDeadline(c.since.Add(idleTime))
 	}
 	return out, size
 }
@@ -495,12 +577,7 @@
 
 // drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
 func (s *clients) drain(ctx context.Context) {
-	s.draining.Store(true)
-	s.mu.Lock()
-	for c := range s.conns {
-		c.drain()
-	}
-	s.mu.Unlock()
+	s.startDrain()
 	closed := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -517,3 +594,13 @@
 		<-closed
 	}
 }
+
+// startDrain has every connection closed once it has nothing to answer.
+func (s *clients) startDrain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.drain()
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -58,6 +58,7 @@
 	agreed     map[string]bool // and by what the fleet agrees on; both bounded by maxNames
 	memory     int64           // bytes that the router may take
 	ready      atomic.Bool     // a list is held
+	stopBy     float64         // when all that is open has its answer, as the process is told to end; 0 = it is not
 	trace      *trace.Trace
 	board      *probing.Board     // what other routers' probes told; nil = each probes by itself
 	admission  *admission         // nil = every request goes to the Balancer
@@ -291,17 +292,16 @@
 	now := l.now()
 	// No client waits longer than its class allows: nor does the record of one that says so.
 	left := max(0, min(cmd.wait, rule.Deadline)-(now-read))
+	if l.stopBy > 0 {
+		left = max(0, min(left, l.stopBy-grace-now))
+	}
 	r := &request{id: l.lastID, cmd: cmd, came: now, until: now + left, slot: s, rule: rule, most: rules.most, two: rules.copies}
 	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
 	if l.trace.On() {
 		l.trace.Event(now, "ask", "r=%d class=%s key=%x retry=%t left=%.0f", r.id, cmd.class, keyID(cmd.key), cmd.retry, left)
 	}
-	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
-		slog.Warn("no answer by its deadline", "request", r.cmd.id)
-		l.Fail(r.id)
-		l.b.Gone(l.now(), r.id)
-	})
+	r.due = l.after(left+grace, func() { l.overdue(r) })
 	if l.admission != nil {
 		l.admission.arrive(r, left)
 		return
@@ -309,6 +309,24 @@
 	l.decide(now, r)
 }
 
+// overdue answers a request for which the Balancer owes an answer even at its deadline: the client still gets one in time.
+func (l *loop) overdue(r *request) {
+	slog.Warn("no answer by its deadline", "request", r.cmd.id)
+	l.Fail(r.id)
+	l.b.Gone(l.now(), r.id)
+}
+
+// endBy has all that is open, and all that comes, answered by then: the process ends, and what it has not answered is lost.
+func (l *loop) endBy(at float64) {
+	l.stopBy = at
+	for _, r := range l.reqs {
+		if !r.over && r.due.at > at {
+			l.timers.stop(r.due)
+			r.due = l.after(at-l.now(), func() { l.overdue(r) })
+		}
+	}
+}
+
 // decide hands a request to the Balancer.
 func (l *loop) decide(now float64, r *request) {
 	cmd := &r.cmd
@@ -316,7 +334,8 @@
 		Left: max(0, r.until-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
 }
 
-// gone tells that the client of a request has left.
+// gone tells that the client of a request has left. What is not written yet never is. What is written is given up where the
+// settings allow it, which the Balancer knows.
 func (l *loop) gone(s *slot) {
 	r := s.req
 	if r == nil || r.over {
@@ -324,8 +343,23 @@
 	}
 	l.finish(r, nil, leftEarly)
 	l.b.Gone(l.now(), r.id)
-	for _, a := range r.tries { // where the Balancer cancels nothing, nobody waits all the same
-		a.cancel(l)
+	for _, a := range r.tries {
+		if a.phase.CompareAndSwap(phaseOpening, phaseOff) {
+			a.cancel(l)
+		}
+	}
+}
+
+// callOff ends the attempts at a server that are not written yet, as nothing new may go there: another may take them. An
+// attempt whose connection takes as long to come up as a drain's grace would else be sent after it.
+func (l *loop) callOff(server uint32) {
+	for _, r := range l.reqs {
+		for _, a := range r.tries {
+			if a.server == server && !a.over && a.phase.CompareAndSwap(phaseOpening, phaseOff) {
+				a.stop()
+				l.later = append(l.later, func() { l.outcome(a, ends(decide.Ignored)) })
+			}
+		}
 	}
 }
 
@@ -469,8 +503,10 @@
 		}
 		switch {
 		case d.State == decide.Gone:
+			l.callOff(d.ID)
 			l.drop(d.ID)
 		case t == nil || t.addr != e.Addr:
+			l.callOff(d.ID)
 			l.drop(d.ID)
 			l.targets[d.ID] = l.up.add(e.Addr, e.Kind == l.originKind)
 			l.targets[d.ID].started = d.Started
@@ -478,10 +514,14 @@
 			t.started = d.Started
 			l.up.closeIdle(t)
 		}
+		if d.State == decide.Draining {
+			l.callOff(d.ID)
+		}
 	}
 	if kind == decide.Full || kind == decide.Remembered {
 		for id := range l.targets {
 			if !named[id] {
+				l.callOff(id)
 				l.drop(id)
 			}
 		}
@@ -515,6 +555,7 @@
 func (l *loop) replaced(by decide.Entry, addr string) (gone []decide.Entry) {
 	for old, t := range l.targets {
 		if t.addr == addr && by.Started > t.started {
+			l.callOff(old)
 			l.drop(old)
 			gone = append(gone, decide.Entry{ID: old, State: decide.Gone})
 		}
@@ -572,11 +613,19 @@
 	if l.trace.On() {
 		l.trace.Event(now, "send", "r=%d n=%d s=%08x origin=%t started=%.0f key=%x", r.id, a.n, server, t.origin, t.started, keyID(r.cmd.key))
 	}
+	sl := r.slot
 	l.work.Go(func() {
 		defer stop()
 		var passed *sink
 		on := hooks{
-			begin:   func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) },
+			once: r.rule.Effect != decide.Repeatable,
+			begin: func() bool {
+				if sl.c.gone() { // the loop may not have heard of it yet
+					l.post(func() { l.gone(sl) })
+					return false
+				}
+				return a.phase.CompareAndSwap(phaseOpening, phaseWriting)
+			},
 			wrote:   func() { l.metrics.Dispatches.Add(1) },
 			through: func(got reply) *sink { passed = l.openSink(ctx, a, got); return passed },
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,8 +19,11 @@
 // comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
 const comeAfterStop = 500 * time.Millisecond
 
-// leastStop is what the longest deadline counts for at least, in milliseconds, once the router is told to stop.
-const leastStop = 3000.0
+// Once the router is told to stop, SIGKILL comes no earlier than the longest deadline and 0.7 s after that.
+const (
+	leastStop = 3000.0 // the deadline counts for this much at least, in milliseconds, or for this much at most: the pages can be read both ways
+	afterStop = 500.0  // what is open then has its answer that much later, and so before SIGKILL in either reading
+)
 
 // Router is one real router.
 type Router struct {
@@ -99,20 +102,27 @@
 	slog.Info("listening", "name", cfg.Name, "address", s.ln.Addr().String())
 
 	<-ctx.Done()
+	told := l.now()
+	l.post(func() { l.endBy(told + min(l.longest(), leastStop) + afterStop) })
 	if r.peers.count() == 0 { // else the other process takes them off the same queue
 		time.Sleep(comeAfterStop)
+		s.acceptLast()
 	}
 	s.ln.Close()
-	longest := leastStop // no client waits longer, and SIGKILL comes later than that
-	for _, k := range l.rules.Load().classes {
-		longest = max(longest, k.Deadline)
-	}
-	end, cancel := context.WithTimeout(context.Background(), ms(longest))
+	end, cancel := context.WithTimeout(context.Background(), ms(max(leastStop, l.longest())))
 	defer cancel()
 	s.drain(end)
 	return nil
 }
 
+// longest is the longest deadline of a class. It may be called from any goroutine.
+func (l *loop) longest() (longest float64) {
+	for _, k := range l.rules.Load().classes {
+		longest = max(longest, k.Deadline)
+	}
+	return longest
+}
+
 // The calls of operators, as the second address knows them. They may come from any goroutine, until Run returns.
 
 var errNotDone = errors.New("the router was too busy to do it in time")
@@ -170,6 +180,7 @@
 			mine[o.ID] = true
 		}
 		l.b.Disable(l.now(), id)
+		l.callOff(id)
 	} else {
 		delete(mine, o.ID)
 		if !other[o.ID] { // what is out by both is in once both have let go
--- a/internal/router/through.go
+++ b/internal/router/through.go
@@ -108,8 +108,7 @@
 		c.mu.Lock()
 		c.breakOff()
 		c.mu.Unlock()
-		c.changed.Broadcast()
-		c.Close()
+		c.Close() // which wakes the reader
 		return
 	}
 	out, size := c.written(err)
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -74,7 +74,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serverMoves)
 	defer cancel()
-	conn, err := l.up.take(ctx, p.t)
+	conn, err := l.up.take(ctx, p.t, true)
 	if err != nil {
 		return p, nil // it has not run, which the module is told once the request is there
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -17,6 +18,8 @@
 
 	"dockhinge.example/dockhinge/decide"
 	"dockhinge.example/dockhinge/internal/trace"
+
+	"golang.org/x/sys/unix"
 )
 
 // target is a cache server or the origin, at one address.
@@ -109,7 +112,9 @@
 	defer u.mu.Unlock()
 	u.dialer.Timeout = connectTimeout
 	// A request written to a connection that the server has just closed ends as a reset: be well ahead of it.
-	u.maxIdle = connIdle - min(connIdle/4, time.Second)
+	if u.maxIdle = connIdle - min(connIdle/4, time.Second); connIdle <= 0 { // not told: they are kept until the server closes them
+		u.maxIdle = math.MaxInt64
+	}
 }
 
 // share leaves this process an equal part of the sockets, while several processes are one router.
@@ -222,18 +227,84 @@
 	return n, err
 }
 
+// ended reports whether the other side of a connection has closed it or is gone, also where input stands before the end.
+func ended(c net.Conn) (end bool) {
+	onSocket(c, func(raw syscall.RawConn) {
+		if raw.Control(func(fd uintptr) { end = endedAt(int(fd)) }) != nil {
+			end = true // this side has closed it
+		}
+	})
+	return end
+}
+
+// awaitEnd waits until ended holds, which it tells, or the time for reading is up. Up to so many bytes of input are thrown
+// away meanwhile: a client that sends on can't say that it leaves once there is no room for what it sends.
+func awaitEnd(c net.Conn, unwanted *int) (end bool) {
+	onSocket(c, func(raw syscall.RawConn) {
+		raw.Read(func(fd uintptr) bool { //nolint:errcheck // what ends the wait is known by its owner
+			for *unwanted > 0 {
+				var b [maxLine]byte
+				n, err := syscall.Read(int(fd), b[:])
+				if err != nil || n <= 0 {
+					break
+				}
+				*unwanted -= n
+			}
+			end = endedAt(int(fd))
+			return end
+		})
+	})
+	return end
+}
+
+// endedAt is ended for a socket. What stands before the end hides it from a look at the input, but not from a poll.
+func endedAt(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		return false
+	case err != nil || n == 0:
+		return true
+	}
+	of := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err = unix.Poll(of, 0)
+	return err == nil && n > 0 && of[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// onSocket calls do with the socket of a connection, if it has one.
+func onSocket(c net.Conn, do func(raw syscall.RawConn)) {
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			do(raw)
+		}
+	}
+}
+
 // originRest is how long a connection to the origin rests after an answer. Answers in HTTP carry no id: a second copy
 // of the last one that comes a moment later must be there before the next request is, and not be taken for its answer.
 const originRest = 20 * time.Millisecond
 
-// take returns a connection to t, a kept one where there is one.
-func (u *upstreams) take(ctx context.Context, t *target) (*upstreamConn, error) {
+// take returns a connection to t, a kept one where there is one. For what can't be repeated it is the one that was used
+// last: a server may close sooner than it is meant to, and what is written just then is lost.
+func (u *upstreams) take(ctx context.Context, t *target, once bool) (*upstreamConn, error) {
 	u.mu.Lock()
-	for len(t.idle) > 0 && (!t.origin || time.Since(t.idle[0].since) >= originRest) {
-		// The one that has been idle for longest, so that a peak's connections stay in use: taking the latest let the
+	for {
+		rested := len(t.idle)
+		for rested > 0 && t.origin && time.Since(t.idle[rested-1].since) < originRest {
+			rested--
+		}
+		if rested == 0 {
+			break
+		}
+		// Else the one that has been idle for longest, so that a peak's connections stay in use: taking the latest let the
 		// others run out, and twice as many handshakes, each work for the server, had to be made.
-		c := t.idle[0]
-		t.idle = slices.Delete(t.idle, 0, 1)
+		i := 0
+		if once {
+			i = rested - 1
+		}
+		c := t.idle[i]
+		t.idle = slices.Delete(t.idle, i, i+1)
 		if time.Since(c.since) < u.maxIdle && c.quiet() {
 			u.mu.Unlock()
 			return c, nil
@@ -258,7 +329,7 @@
 		u.mu.Unlock()
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	uc := &upstreamConn{Conn: c}
+	uc := &upstreamConn{Conn: c, since: time.Now()}
 	uc.r = bufio.NewReaderSize(uc, maxLine)
 	return uc, nil
 }
@@ -293,8 +364,25 @@
 	c.Close()
 }
 
+// back returns a connection that was taken and not used. Its server counts it as idle since it was: so does this.
+func (u *upstreams) back(t *target, c *upstreamConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t.gone || !c.quiet() {
+		u.open--
+		c.Close()
+		return
+	}
+	i := 0
+	for i < len(t.idle) && t.idle[i].since.Before(c.since) {
+		i++
+	}
+	t.idle = slices.Insert(t.idle, i, c)
+}
+
 // hooks are what the owner of an attempt has a say in.
 type hooks struct {
+	once    bool                  // what is sent can't be sent again
 	begin   func() bool           // asked once, before the first byte: false calls the attempt off
 	wrote   func()                // told of the last one
 	through func(got reply) *sink // asked for the client of a value that is to be passed through; nil = there is none
@@ -316,7 +404,7 @@
 		}
 		read = func(r *bufio.Reader, c *command) (reply, error) { return readOriginReply(r, c, &u.unsized) }
 	}
-	conn, err := u.take(ctx, t)
+	conn, err := u.take(ctx, t, on.once)
 	switch {
 	case errors.Is(err, errNoSocket):
 		a.status = decide.Ignored
@@ -325,7 +413,7 @@
 		a.status = decide.ConnectError
 		return a
 	case !on.begin():
-		u.put(t, conn, true)
+		u.back(t, conn)
 		a.status = decide.Canceled
 		return a
 	}
@@ -370,7 +458,7 @@
 // probe asks a target for its load.
 func (u *upstreams) probe(ctx context.Context, t *target) (decide.Status, decide.Load) {
 	l := decide.NoLoad
-	conn, err := u.take(ctx, t)
+	conn, err := u.take(ctx, t, false)
 	if err != nil {
 		return decide.ConnectError, l
 	}
