Tell each attempt the time that is left when its first byte is written

Wrong lines: originRequest and uploadHead passed the facts with the client's first d; upstreams.attempt wrote its bytes before it had waited for a connection; nothing knew of the time to SIGKILL. Change: internal/router/timeout_hint.go words the facts of every attempt, asked when the first byte is about to be written, with the least of the client's time, the attempt's own and the time by which a process that is told to end answers all. Less than 1 ms left: nothing is sent. The head of a large write goes out before the value is whole, which is when the client's time begins, so what it tells (at most the class's deadline) is left then.

--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -58,7 +58,7 @@
 	agreed     map[string]bool // and by what the fleet agrees on; both bounded by maxNames
 	memory     int64           // bytes that the router may take
 	ready      atomic.Bool     // a list is held
-	stopBy     float64         // when all that is open has its answer, as the process is told to end; 0 = it is not
+	answerBy   instant         // when all that is open has to have its answer, as the process is told to end
 	trace      *trace.Trace
 	board      *probing.Board     // what other routers' probes told; nil = each probes by itself
 	admission  *admission         // nil = every request goes to the Balancer
@@ -295,9 +295,7 @@
 	now := l.now()
 	// No client waits longer than its class allows: nor does the record of one that says so.
 	left := max(0, min(cmd.wait, rule.Deadline)-(now-read))
-	if l.stopBy > 0 {
-		left = max(0, min(left, l.stopBy-grace-now))
-	}
+	left = max(0, min(left, l.answerBy.load()-grace-now))
 	r := &request{id: l.lastID, cmd: cmd, came: now, until: now + left, slot: s, rule: rule, most: rules.most, two: rules.copies}
 	l.metrics.Concurrent.Add(1)
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
@@ -321,7 +319,7 @@
 
 // endBy has all that is open, and all that comes, answered by then: the process ends, and what it has not answered is lost.
 func (l *loop) endBy(at float64) {
-	l.stopBy = at
+	l.answerBy.set(at)
 	for _, r := range l.reqs {
 		if !r.over && r.due.at > at {
 			l.timers.stop(r.due)
@@ -629,7 +627,7 @@
 		return
 	}
 	now := l.now()
-	left := r.until - now
+	left := min(r.until, l.answerBy.load()) - now
 	if timeout != 0 {
 		left = min(left, timeout)
 	}
@@ -652,12 +650,12 @@
 		var passed *sink
 		on := hooks{
 			once: r.rule.Effect != decide.Repeatable,
-			begin: func() bool {
+			begin: func() timeoutHint {
 				if sl.c.gone() { // the loop may not have heard of it yet
 					l.post(func() { l.gone(sl) })
-					return false
+					return 0
 				}
-				return l.now() < by && a.phase.CompareAndSwap(phaseOpening, phaseWriting)
+				return l.startWriting(a, now+left, by)
 			},
 			wrote:   func() { l.metrics.Dispatches.Add(1) },
 			through: func(got reply) *sink { passed = l.openSink(ctx, a, got); return passed },
@@ -666,7 +664,7 @@
 		if r.cmd.up != nil {
 			got = l.up.finish(ctx, server, &r.cmd, on)
 		} else {
-			got = l.up.attempt(ctx, t, &r.cmd, left, on)
+			got = l.up.attempt(ctx, t, &r.cmd, on)
 		}
 		if mutant.Is("slower") { // likewise
 			time.Sleep(ms((l.now() - now) / 10))
--- a/internal/router/meta.go
+++ b/internal/router/meta.go
@@ -198,8 +198,8 @@
 	return n, nil
 }
 
-// append writes the command as a cache server gets it: as it came, but for the time that the router will wait.
-func (c *command) append(b []byte, wait float64) []byte {
+// append writes the command as a cache server gets it: as it came, but for the timeout hint.
+func (c *command) append(b []byte, hint timeoutHint) []byte {
 	b = append(append(append(b, c.verb...), ' '), c.key...)
 	if c.verb == "ms" {
 		b = strconv.AppendInt(append(b, ' '), int64(len(c.value)), 10)
@@ -207,17 +207,7 @@
 		b = append(b, " v"...)
 	}
 	b = append(append(append(b, " O"...), c.id...), " P"...)
-	for i, f := range strings.Split(c.facts, ",") {
-		if i > 0 {
-			b = append(b, ',')
-		}
-		if strings.HasPrefix(f, "d=") {
-			b = strconv.AppendInt(append(b, "d="...), int64(max(1, wait)), 10)
-		} else {
-			b = append(b, f...)
-		}
-	}
-	b = append(b, "\r\n"...)
+	b = append(append(b, c.factsWith(hint)...), "\r\n"...)
 	if c.verb == "ms" {
 		b = append(append(b, c.value...), "\r\n"...)
 	}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -21,10 +21,10 @@
 )
 
 // originRequest writes c in the origin's HTTP.
-func originRequest(addr string, c *command) ([]byte, error) {
+func originRequest(addr string, c *command, hint timeoutHint) ([]byte, error) {
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/" + c.key},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Host: addr,
-		Header: http.Header{"X-Correlation-Id": {c.id}, "X-Facts": {c.facts}, "User-Agent": {""}}}
+		Header: http.Header{"X-Correlation-Id": {c.id}, "X-Facts": {c.factsWith(hint)}, "User-Agent": {""}}}
 	if c.verb == "ms" {
 		r.Method, r.ContentLength, r.Body = http.MethodPut, int64(len(c.value)), io.NopCloser(bytes.NewReader(c.value))
 	}
@@ -144,6 +144,11 @@
 	}
 }
 
+// readOrigin reads the origin's answer to c, within the bound on values of unknown length.
+func (u *upstreams) readOrigin(r *bufio.Reader, c *command) (reply, error) {
+	return readOriginReply(r, c, &u.unsized)
+}
+
 // readOriginReply reads the origin's answer to c.
 func readOriginReply(r *bufio.Reader, c *command, room *budget) (reply, error) {
 	a := reply{load: decide.NoLoad}
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -78,16 +77,21 @@
 	if err != nil {
 		return p, nil // it has not run, which the module is told once the request is there
 	}
+	hint := l.uploadHint(cmd)
+	if hint == 0 {
+		l.up.back(p.t, conn)
+		return p, nil // likewise
+	}
 	p.conn = conn
-	p.write(uploadHead(p.t.addr, cmd))
+	p.write(uploadHead(p.t.addr, cmd, hint))
 	return p, nil
 }
 
 // uploadHead is the head of a write in the origin's HTTP.
-func uploadHead(addr string, c *command) []byte {
+func uploadHead(addr string, c *command, hint timeoutHint) []byte {
 	path := (&url.URL{Path: "/" + c.key}).RequestURI()
 	return fmt.Appendf(nil, "PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\nX-Correlation-Id: %s\r\nX-Facts: %s\r\n\r\n",
-		path, addr, c.length, c.id, c.facts)
+		path, addr, c.length, c.id, c.factsWith(hint))
 }
 
 // write passes a part on. A server that does not take it is left; the client is still read to the end of its value.
@@ -159,7 +163,7 @@
 		p.done(false)
 		return ends(decide.ConnectError)
 	}
-	if !on.begin() {
+	if on.begin() == 0 {
 		p.done(false)
 		return ends(decide.Ignored) // nothing of its last piece was written
 	}
@@ -170,5 +174,5 @@
 		u.put(p.t, p.conn, false)
 		return ends(decide.ConnectError)
 	}
-	return u.receive(p.t, p.conn, c, stop, func(r *bufio.Reader, c *command) (reply, error) { return readOriginReply(r, c, &u.unsized) }, on)
+	return u.receive(p.t, p.conn, c, stop, u.readOrigin, on)
 }
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -401,7 +401,7 @@
 // hooks are what the owner of an attempt has a say in.
 type hooks struct {
 	once    bool                  // what is sent can't be sent again
-	begin   func() bool           // asked once, before the first byte: false calls the attempt off
+	begin   func() timeoutHint    // asked once, before the first byte, what to tell the server: 0 calls the attempt off
 	wrote   func()                // told of the last one
 	through func(got reply) *sink // asked for the client of a value that is to be passed through; nil = there is none
 }
@@ -411,36 +411,32 @@
 
 // attempt writes c to t once, never twice, and says how that ended. The end of ctx gives the attempt up by closing
 // its connection.
-func (u *upstreams) attempt(ctx context.Context, t *target, c *command, wait float64, on hooks) reply {
-	a := reply{load: decide.NoLoad}
-	wire, read := c.append(nil, wait), readReply
-	if t.origin {
-		var err error
-		if wire, err = originRequest(t.addr, c); err != nil {
-			a.status = decide.Ignored // it can't be said in HTTP, and was not sent
-			return a
-		}
-		read = func(r *bufio.Reader, c *command) (reply, error) { return readOriginReply(r, c, &u.unsized) }
-	}
+func (u *upstreams) attempt(ctx context.Context, t *target, c *command, on hooks) reply {
 	conn, err := u.take(ctx, t, on.once)
 	switch {
 	case errors.Is(err, errNoSocket):
-		a.status = decide.Ignored
-		return a
+		return ends(decide.Ignored)
 	case err != nil:
-		a.status = decide.ConnectError
-		return a
-	case !on.begin():
+		return ends(decide.ConnectError)
+	}
+	hint := on.begin()
+	if hint == 0 {
 		u.back(t, conn)
-		a.status = decide.Ignored // nothing of it was written
-		return a
+		return ends(decide.Ignored) // nothing of it was written
+	}
+	wire, read := c.append(nil, hint), readReply
+	if t.origin {
+		if wire, err = originRequest(t.addr, c, hint); err != nil { // it can't be said in HTTP
+			u.back(t, conn)
+			return ends(decide.Ignored)
+		}
+		read = u.readOrigin
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	if _, err := conn.Write(wire); err != nil { // the last byte is not out, so nothing can have run
 		stop()
 		u.put(t, conn, false)
-		a.status = decide.ConnectError
-		return a
+		return ends(decide.ConnectError)
 	}
 	return u.receive(t, conn, c, stop, read, on)
 }
