Ask discovery again within the time after which a change counts as told

By the lines before (askTime, backOff) 300 routers of a site that must ask each 10 s waited 3 to 18 s after a refusal, and the call after that could be a watch of up to 61 s that swallowed what it should tell. Change: waits between calls are 4 s at most, spread over a third to all of it as before, for 1 to 5,100 routers; the first watch after a failure waits 1 s. With its slack of 1 s that is 6 s in sum. Small fleets wait as they did.

--- a/decide/operate.go
+++ b/decide/operate.go
@@ -91,14 +91,17 @@
 	askEvery = 1000 // ms between two calls of a router that is refused, at least, where news may take that long,
 	askSlot  = 250  // and for each router that there is
 	askPart  = 0.6  // of the time after which news counts as told: all routers together must be able to ask within it
+	// A change counts as told 6 s after discovery has it, whatever calls have failed meanwhile. A call may take 2 s.
+	MaxBackOffMillis = 4000 // between two calls of a router that is refused, at most
 )
 
 // askTime is the time over which the calls of all routers are spread.
 func (b *Balancer) askTime() float64 {
-	if t := askSlot * float64(b.cfg.Routers-1); b.cfg.MustAsk <= 0 || t < askPart*b.cfg.MustAsk {
-		return t
+	t := min(askSlot*float64(b.cfg.Routers-1), MaxBackOffMillis)
+	if b.cfg.MustAsk > 0 {
+		t = min(t, askPart*b.cfg.MustAsk)
 	}
-	return askPart * b.cfg.MustAsk
+	return t
 }
 
 // backOff is how long to wait after a refused call: longer after each one in a row, and spread, as all were refused.
@@ -109,7 +112,7 @@
 	}
 	mean := max(least, b.askTime()) * min(2, 1+float64(b.refused)/4)
 	b.refused++
-	return mean * (0.5 + b.rng.Float64())
+	return min(1.5*mean, MaxBackOffMillis) * (1 + 2*b.rng.Float64()) / 3
 }
 
 // firstCall is how long to wait after a start: in a release most routers start at once.
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -608,6 +608,54 @@
 	}
 }
 
+// The first call after a failure waits for changes for a short time only, so that a discovery that still says nothing is
+// found out. Back-off, wait and slack together stay under the time after which a change counts as told.
+func TestFirstWatchAfterAFailureIsShort(t *testing.T) {
+	const toldWithin = 6 * time.Second
+	if sum := decide.MaxBackOffMillis*time.Millisecond + sharedPace.first + sharedPace.slack; sum > toldWithin {
+		t.Errorf("asked: news comes %v after a failure at most", sum)
+	}
+	if sharedPace.pause > decide.MaxBackOffMillis*time.Millisecond {
+		t.Errorf("asked: the pause of %v is longer than the back-off that it runs beside", sharedPace.pause)
+	}
+	if sum := agentPace.pause + agentPace.first + agentPace.slack; sum > toldWithin {
+		t.Errorf("pushed: news comes %v after a failure at most", sum)
+	}
+	waits := make(chan string, 10)
+	var calls atomic.Int32
+	hold := newGate(t)
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		waits <- r.URL.Query().Get("wait_ms")
+		switch calls.Add(1) {
+		case 1:
+			io.WriteString(w, `{"version":1,"full":true,"servers":[]}`)
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			io.WriteString(w, `{"version":2,"full":false,"servers":[]}`)
+		default:
+			<-hold.ch
+		}
+	}))
+	t.Cleanup(d.Close)
+	t.Cleanup(hold.let)
+	ctx, stop := context.WithCancel(t.Context())
+	var disc *discovery
+	disc = newDiscovery(d.Listener.Addr().String(), true, 350, func(list) {}, func() { disc.watch() })
+	disc.pace.pause = 2
+	ended := make(chan struct{})
+	go func() { defer close(ended); disc.run(ctx) }()
+	disc.watch()
+	long, short := fmt.Sprint(disc.pace.wait.Milliseconds()), fmt.Sprint(disc.pace.first.Milliseconds())
+	for i, want := range []string{"", long, short, long} {
+		if got := next(t, waits, "call"); got != want {
+			t.Errorf("call %d waits %q ms, want %q", i, got, want)
+		}
+	}
+	stop()
+	<-ended
+}
+
 // A call that was asked for before a failure is not made up for after it: the module asks again, spread, when it knows.
 func TestCallAskedForBeforeAFailureIsNotMade(t *testing.T) {
 	var calls atomic.Int32
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -79,6 +79,7 @@
 type discovery struct {
 	url    string
 	client *http.Client
+	failed bool  // the last call
 	holds  bool  // a list is held,
 	from   int64 // of this version: else the whole one is asked for
 	onAsk  bool  // watches only once asked, and tells of failures
@@ -92,7 +93,8 @@
 // its wait is over: only then is it found to be dead, with all the news that it has swallowed.
 type pace struct {
 	list  time.Duration // for the whole list
-	wait  time.Duration // of one call of a watch
+	wait  time.Duration // of one call of a watch,
+	first time.Duration // of the first one after a failure, which may meet a discovery that still says nothing
 	slack time.Duration // after it
 	again time.Duration // at most between a failure and the next call, where the one before went well,
 	pause time.Duration // and where it did not: half of it at least, spread
@@ -101,9 +103,9 @@
 var (
 	// The agent on the router's own machine answers at once and at no cost. What it has told, even into a connection
 	// that ends, must be acted on within 500 ms; what it gets when it is back counts as told at once, so it is asked often.
-	agentPace = pace{list: 250 * time.Millisecond, wait: 2 * time.Second, slack: 250 * time.Millisecond, again: 50 * time.Millisecond, pause: 100 * time.Millisecond}
+	agentPace = pace{list: 250 * time.Millisecond, wait: 2 * time.Second, first: 2 * time.Second, slack: 250 * time.Millisecond, again: 50 * time.Millisecond, pause: 100 * time.Millisecond}
 	// One discovery for all works through calls in turn: they are few, wait long, and come spread when it is back.
-	sharedPace = pace{list: 2 * time.Second, wait: 10 * time.Second, slack: time.Second, again: 500 * time.Millisecond, pause: time.Second}
+	sharedPace = pace{list: 2 * time.Second, wait: 10 * time.Second, first: time.Second, slack: time.Second, again: 500 * time.Millisecond, pause: time.Second}
 )
 
 // among is the pace where that many routers call one discovery: each end of a wait is a call more, from each of them.
@@ -196,9 +198,14 @@
 	if !d.holds {
 		l, err = d.call(ctx, d.url, d.pace.list)
 	} else { // one call, not two
-		l, err = d.watched(ctx, d.from)
+		wait := d.pace.wait
+		if d.failed {
+			wait = d.pace.first
+		}
+		l, err = d.watched(ctx, d.from, wait)
 	}
 	for err == nil && ctx.Err() == nil { // else another discovery is heard by now
+		d.failed = false
 		if heard = true; d.onAsk {
 			d.holds, d.from = true, l.Version
 		}
@@ -210,23 +217,24 @@
 			}
 		}
 		asked = time.Now()
-		l, err = d.watched(ctx, l.Version)
+		l, err = d.watched(ctx, l.Version, d.pace.wait)
 	}
+	d.failed = true
 	return heard, err
 }
 
-// watched makes the call of a watch.
-func (d *discovery) watched(ctx context.Context, version int64) (list, error) {
-	l, err := d.call(ctx, d.after(version), d.pace.wait+d.pace.slack)
+// watched makes the call of a watch that waits so long for changes.
+func (d *discovery) watched(ctx context.Context, version int64, wait time.Duration) (list, error) {
+	l, err := d.call(ctx, d.after(version, wait), wait+d.pace.slack)
 	if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
 		err = errors.Join(errSilent, err)
 	}
 	return l, err
 }
 
-// after is the call of a watch.
-func (d *discovery) after(version int64) string {
-	return fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, version, d.pace.wait.Milliseconds())
+// after is the address of a watch's call.
+func (d *discovery) after(version int64, wait time.Duration) string {
+	return fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, version, wait.Milliseconds())
 }
 
 func (d *discovery) call(ctx context.Context, url string, within time.Duration) (list, error) {
