Have the test of descriptors fail where the router runs out of them

Change: the clients come again when they are closed on, and the router's log may not tell of a descriptor that was not to be had.

--- a/cmd/dockhinge/descriptors_test.go
+++ b/cmd/dockhinge/descriptors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -102,6 +103,36 @@
 	return map[string]any{"id": id, "addr": addr, "zone": "a", "kind": kind, "cell": 0, "state": "active", "weight": 1.0, "started_ms": 0}
 }
 
+// crowd has that many clients connect, say nothing, and come again when their connection is closed, until the test ends.
+func crowd(t *testing.T, address string, clients int) {
+	ctx, stop := context.WithCancel(context.Background())
+	var idle, connected sync.WaitGroup
+	t.Cleanup(func() { stop(); idle.Wait() })
+	for range clients {
+		connected.Add(1)
+		idle.Go(func() {
+			first := sync.OnceFunc(connected.Done)
+			defer first()
+			for ctx.Err() == nil {
+				conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+				if err != nil {
+					continue
+				}
+				first()
+				closeAtEnd := context.AfterFunc(ctx, func() { conn.Close() })
+				io.Copy(io.Discard, conn) //nolint:errcheck // until the router or the test closes it
+				closeAtEnd()
+				conn.Close()
+				select {
+				case <-time.After(100 * time.Millisecond): // else the machine is busy with nothing but this
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	connected.Wait()
+}
+
 // Idle clients take as many descriptors as a router gives to clients, and no more: discovery that returns, health checks and
 // cache servers have theirs, at the limit that the platform sets on the process.
 func TestIdleClientsLeaveDescriptorsToDiscovery(t *testing.T) {
@@ -165,13 +196,7 @@
 		}
 		return errors.Join(errors.New("no line of the log says so"), err)
 	})
-	for range 2 * sockets { // more than the process may have descriptors
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-	}
+	crowd(t, address, sockets+sockets/4)
 
 	returned := listen(t, discovery.Addr().String())
 	list := map[string]any{"version": 2, "full": true, "servers": []any{endpoint("s-0000000c", server, "box"), endpoint("s-00000063", server, "origin")}}
@@ -219,4 +244,7 @@
 		}
 		return nil
 	})
+	if said, err := os.ReadFile(log); err != nil || strings.Contains(string(said), unix.EMFILE.Error()) {
+		t.Errorf("the router ran out of descriptors (reading its log: %v)", err)
+	}
 }
