--- a/lab/scenario/agreement.go
+++ b/lab/scenario/agreement.go
@@ -55,7 +55,7 @@
 	"damage":        "c", "wipe": "c", "disk-full": "c", "restart-all": "", // of a coordinator's disk while it is dead
 }
 
-// Agreement reads a scenario of this kind that was read from path.
+// ParseAgreement reads a scenario of this kind that was read from path.
 func ParseAgreement(path string, text []byte) (Agreement, error) {
 	f := Agreement{Seed: 1, DurationS: 20, HealS: 15, Coordinators: 5, Holders: 8, Leases: 3, TTLS: 2, ClockRate: 0.01, SnapshotEach: 200, EveryS: 0.7}
 	if err := diag.DecodeTOML(path, text, &f); err != nil {
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -171,8 +171,9 @@
 }
 
 const (
-	coldFor    = 8800.0 // ms after its start for which a server is counted as cold
-	ColdWindow = 2000.0 // ms
+	coldFor = 8800.0 // ms after its start for which a server is counted as cold
+	// ColdWindow is the length of the windows in which the attempts at a cold server are counted, in milliseconds.
+	ColdWindow = 2000.0
 	justNow    = 1000.0 // ms after an origin's answer within which another fetch of the key is counted as the same
 )
 
