Split fair admission into files with one job and name its parts in the field's words

Change: arrive, ended, queue, fairqueue, limiter, costs, promise, returns, config, reconfigure, flow, state and carry have a file each. limiter, costModel, promiseTable, returnStats and rejectionMemory are types of their own within Admission; what a request is known by at the door is an arrival. Internal names: reject, retryAfter, evictFor, hasCapacity, virtualTime, finishTag, activeWeight, toleratedPressure; the constants have names with units. Exported names, settings keys, JSON fields and figures stay. Tests adapt to the renames only.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -136,7 +136,7 @@
 	s := newShop(t, c)
 	for s.now < 4000 {
 		s.ask("a", Request{Key: uint64(s.next)})
-		s.ask("b", Request{Key: uint64(s.next), Size: bytesCost}) // twice the cost of a's
+		s.ask("b", Request{Key: uint64(s.next), Size: sizeUnitBytes}) // twice the cost of a's
 		s.step()
 	}
 	a, b := float64(s.served["a"]), 2*float64(s.served["b"])
@@ -216,28 +216,28 @@
 	waiting, promises := 0, 0
 	for i := range uint32(300_000) {
 		a.Arrive(float64(i)/1000, Request{ID: i + 1, Tenant: "x" + fmt.Sprint(i*2654435761), Class: int(i % 2), Key: uint64(i), Left: 1000})
-		waiting, promises = max(waiting, a.waiting), max(promises, len(a.pfind))
+		waiting, promises = max(waiting, a.waiting), max(promises, len(a.promises.byIdentity))
 	}
-	if len(a.exact) != 16 || waiting != 20 || promises != 10 || len(a.byID) > 20+16 || len(a.nodes) != 20+16 {
-		t.Errorf("%d flows, %d waiting, %d promises, %d records of %d", len(a.exact), waiting, promises, len(a.byID), len(a.nodes))
+	if len(a.exact) != 16 || waiting != 20 || promises != 10 || len(a.byID) > 20+16 || len(a.records) != 20+16 {
+		t.Errorf("%d flows, %d waiting, %d promises, %d records of %d", len(a.exact), waiting, promises, len(a.byID), len(a.records))
 	}
 	if len(d.refused) < 290_000 {
 		t.Errorf("%d refused", len(d.refused))
 	}
 	c = config()
-	c.Flows, c.Promises, c.MaxAfterMS = mostCarried+10, mostCarried+10, 1e9
-	for i := range mostNamed + 1 {
+	c.Flows, c.Promises, c.MaxAfterMS = maxCarried+10, maxCarried+10, 1e9
+	for i := range maxNamedTenants + 1 {
 		c.Named = append(c.Named, Tenant{Name: fmt.Sprint("n", i), Weight: 1})
 	}
 	if err := c.Validate(); err == nil || !strings.Contains(err.Error(), "admission.tenant") {
 		t.Errorf("a tenant too many: %v", err)
 	}
-	c.Named = c.Named[:mostNamed]
+	c.Named = c.Named[:maxNamedTenants]
 	a, _ = begin(t, c)
-	for i := range uint32(4 * mostCarried) {
-		a.Arrive(0, Request{ID: i + 1, Tenant: fmt.Sprint("x", i%(mostCarried+10)), Key: uint64(i), Left: 1000})
+	for i := range uint32(4 * maxCarried) {
+		a.Arrive(0, Request{ID: i + 1, Tenant: fmt.Sprint("x", i%(maxCarried+10)), Key: uint64(i), Left: 1000})
 	}
-	if got := a.HandOver(0); len(got.Tenants) != mostCarried || len(got.Promises) != mostCarried {
+	if got := a.HandOver(0); len(got.Tenants) != maxCarried || len(got.Promises) != maxCarried {
 		t.Errorf("%d tenants and %d promises carried", len(got.Tenants), len(got.Promises))
 	}
 	if got := a.State(3).Tenants; len(got) != 4 || got[3].Tenant != "" {
@@ -299,8 +299,8 @@
 				}
 				balance(t, a)
 				if a.waiting > 0 { // work conservation: what is next does not fit
-					if c := a.nodes[a.next()].cost; a.fits(c) || len(a.byID) == a.waiting {
-						t.Fatalf("%d wait, the next for %v, and %v of %v are in work", a.waiting, c/a.mean, a.inUse, a.limit)
+					if c := a.records[a.next()].cost; a.hasCapacity(c) || len(a.byID) == a.waiting {
+						t.Fatalf("%d wait, the next for %v, and %v of %v are in work", a.waiting, c/a.costs.mean, a.limiter.inUse, a.limiter.limit)
 					}
 				}
 			}
@@ -334,7 +334,7 @@
 	waiting, inUse := 0, 0.0
 	backlog := map[int32]float64{}
 	for _, i := range a.byID {
-		if n := a.nodes[i]; n.queued {
+		if n := a.records[i]; n.isQueued {
 			waiting++
 			backlog[n.flow] += n.cost
 		} else {
@@ -342,17 +342,17 @@
 		}
 	}
 	promised := map[int32]float64{}
-	for _, p := range a.pfind {
-		promised[a.promises[p].flow] += a.promises[p].cost
+	for _, p := range a.promises.byIdentity {
+		promised[a.promises.entries[p].flow] += a.promises.entries[p].cost
 	}
 	top, in := 0.0, 0.0
 	for i := range a.flows {
 		f, n := &a.flows[i], int32(i)
-		if math.Abs(f.backlog-backlog[n]) > 1e-6 || math.Abs(f.promised-promised[n]) > 1e-6 || f.backlog > 0 != (f.waiting > 0) {
-			t.Fatalf("flow %d: backlog %v of %v, promised %v of %v", i, f.backlog, backlog[n], f.promised, promised[n])
+		if math.Abs(f.backlog-backlog[n]) > 1e-6 || math.Abs(f.promisedWork-promised[n]) > 1e-6 || f.backlog > 0 != (f.waiting > 0) {
+			t.Fatalf("flow %d: backlog %v of %v, promised %v of %v", i, f.backlog, backlog[n], f.promisedWork, promised[n])
 		}
-		if f.active() {
-			if f.inner {
+		if f.isActive() {
+			if f.isUnnamed {
 				in += f.weight
 			} else {
 				top += f.weight
@@ -362,10 +362,10 @@
 	if in > 0 {
 		top += a.cfg.OthersWeight
 	}
-	if waiting != a.waiting || waiting > a.cfg.Queue || math.Abs(inUse-a.inUse) > 1e-6 || math.Abs(top-a.top.weights) > 1e-6 || math.Abs(in-a.in.weights) > 1e-6 {
-		t.Fatalf("waiting %d of %d, in use %v of %v, weights %v of %v and %v of %v", a.waiting, waiting, a.inUse, inUse, a.top.weights, top, a.in.weights, in)
+	if waiting != a.waiting || waiting > a.cfg.Queue || math.Abs(inUse-a.limiter.inUse) > 1e-6 || math.Abs(top-a.top.activeWeight) > 1e-6 || math.Abs(in-a.unnamed.activeWeight) > 1e-6 {
+		t.Fatalf("waiting %d of %d, in use %v of %v, weights %v of %v and %v of %v", a.waiting, waiting, a.limiter.inUse, inUse, a.top.activeWeight, top, a.unnamed.activeWeight, in)
 	}
-	if len(a.spare)+len(a.byID) != len(a.nodes) || len(a.pspare)+len(a.pfind) != len(a.promises) {
+	if len(a.freeRecords)+len(a.byID) != len(a.records) || len(a.promises.free)+len(a.promises.byIdentity) != len(a.promises.entries) {
 		t.Fatal("a record is lost")
 	}
 }
--- a/internal/admit/heap.go
+++ b/internal/admit/heap.go
@@ -4,76 +4,84 @@
 // each stands, so that one can be moved or taken out, and allocates nothing once it has its size: container/heap would
 // put each number into an interface.
 type heap struct {
-	at   []int32 // records, in heap order
-	pos  []int32 // by record: its place + 1; 0 = not there
-	keys []float64
+	items     []int32 // records, in heap order
+	positions []int32 // by record: its index in items + 1; 0 = not there
+	keys      []float64
 }
 
 func newHeap(size int) heap {
-	return heap{at: make([]int32, 0, size), pos: make([]int32, size), keys: make([]float64, size)}
+	return heap{items: make([]int32, 0, size), positions: make([]int32, size), keys: make([]float64, size)}
 }
 
-func (h *heap) len() int          { return len(h.at) }
-func (h *heap) has(i int32) bool  { return h.pos[i] > 0 }
-func (h *heap) least() int32      { return h.at[0] }
-func (h *heap) leastKey() float64 { return h.keys[h.at[0]] }
+func (h *heap) len() int         { return len(h.items) }
+func (h *heap) has(i int32) bool { return h.positions[i] > 0 }
+func (h *heap) first() int32     { return h.items[0] }
+
+func (h *heap) firstKey() float64 { return h.keys[h.items[0]] }
 
 // set puts a record in, or moves it.
 func (h *heap) set(i int32, key float64) {
 	h.keys[i] = key
-	if h.pos[i] == 0 {
-		h.at = append(h.at, i)
-		h.pos[i] = int32(len(h.at))
+	if h.positions[i] == 0 {
+		h.items = append(h.items, i)
+		h.positions[i] = int32(len(h.items))
 	}
-	h.up(int(h.pos[i]) - 1)
-	h.down(int(h.pos[i]) - 1)
+	h.up(int(h.positions[i]) - 1)
+	h.down(int(h.positions[i]) - 1)
 }
 
 // remove takes a record out, if it is there.
 func (h *heap) remove(i int32) {
-	p := int(h.pos[i]) - 1
-	if p < 0 {
+	position := int(h.positions[i]) - 1
+	if position < 0 {
 		return
 	}
-	last := len(h.at) - 1
-	h.swap(p, last)
-	h.at = h.at[:last]
-	h.pos[i] = 0
-	if p < last {
-		h.up(p)
-		h.down(p)
+	last := len(h.items) - 1
+	h.swap(position, last)
+	h.items = h.items[:last]
+	h.positions[i] = 0
+	if position < last {
+		h.up(position)
+		h.down(position)
 	}
 }
 
-func (h *heap) before(a, b int32) bool {
+// less orders two records by their keys, and by their numbers where the keys are equal, so that the order is the same
+// everywhere.
+func (h *heap) less(a, b int32) bool {
 	if h.keys[a] != h.keys[b] {
 		return h.keys[a] < h.keys[b]
 	}
-	return a < b // the same order everywhere
+	return a < b
 }
 
 func (h *heap) swap(a, b int) {
-	h.at[a], h.at[b] = h.at[b], h.at[a]
-	h.pos[h.at[a]], h.pos[h.at[b]] = int32(a+1), int32(b+1)
+	h.items[a], h.items[b] = h.items[b], h.items[a]
+	h.positions[h.items[a]] = int32(a + 1)
+	h.positions[h.items[b]] = int32(b + 1)
 }
 
-func (h *heap) up(p int) {
-	for p > 0 && h.before(h.at[p], h.at[(p-1)/2]) {
-		h.swap(p, (p-1)/2)
-		p = (p - 1) / 2
+func (h *heap) up(position int) {
+	for position > 0 {
+		parent := (position - 1) / 2
+		if !h.less(h.items[position], h.items[parent]) {
+			return
+		}
+		h.swap(position, parent)
+		position = parent
 	}
 }
 
-func (h *heap) down(p int) {
+func (h *heap) down(position int) {
 	for {
-		c := 2*p + 1
-		if c+1 < len(h.at) && h.before(h.at[c+1], h.at[c]) {
-			c++
+		child := 2*position + 1
+		if child+1 < len(h.items) && h.less(h.items[child+1], h.items[child]) {
+			child++
 		}
-		if c >= len(h.at) || !h.before(h.at[c], h.at[p]) {
+		if child >= len(h.items) || !h.less(h.items[child], h.items[position]) {
 			return
 		}
-		h.swap(p, c)
-		p = c
+		h.swap(position, child)
+		position = child
 	}
 }
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,253 @@
+package admit
+
+import "math"
+
+// record is a request that waits or is in work.
+type record struct {
+	id         uint32
+	flow       int32
+	class      int32
+	next, prev int32
+	cost       float64
+	size       int
+	identity   uint64  // of tenant, key and class
+	slots      float64 // in work: what it takes of the limit
+	list       uint8
+	isQueued   bool
+	isRetry    bool // its client has tried before
+
+	hadFreeShare bool    // its tenant's share was free when it came
+	retryAfter   float64 // it has come back as it was told, after so many ms; 0 = it was told nothing
+	rejectedAt   float64 // when it was told
+}
+
+// newRecord takes a record for a request.
+func (a *Admission) newRecord(in *arrival) int32 {
+	last := len(a.freeRecords) - 1
+	i := a.freeRecords[last]
+	a.freeRecords = a.freeRecords[:last]
+	list := uint8(otherList)
+	switch {
+	case in.isGuaranteed:
+		list = guaranteedList
+		a.flows[in.flow].guaranteedTokens--
+	case a.cfg.Classes[in.request.Class].First:
+		list = firstList
+	}
+	a.records[i] = record{
+		id:           in.request.ID,
+		flow:         in.flow,
+		class:        int32(in.request.Class),
+		next:         noIndex,
+		prev:         noIndex,
+		cost:         in.cost,
+		size:         in.request.Size,
+		identity:     in.identity,
+		list:         list,
+		isRetry:      in.isRetry || in.isDue(),
+		hadFreeShare: in.hasFreeShare,
+		retryAfter:   in.retryAfter,
+		rejectedAt:   in.rejectedAt,
+	}
+	a.byID[in.request.ID] = i
+	a.flows[in.flow].open++
+	return i
+}
+
+// release gives a record back.
+func (a *Admission) release(i int32) {
+	r := &a.records[i]
+	delete(a.byID, r.id)
+	a.freeRecords = append(a.freeRecords, i)
+	a.flows[r.flow].open--
+	a.retire(r.flow)
+}
+
+// enqueue has a request wait, until a time at the latest. One that was told to come at this time goes ahead of the others
+// of its tenant.
+func (a *Admission) enqueue(i int32, expiresAt float64, isAhead bool) {
+	r := &a.records[i]
+	f := &a.flows[r.flow]
+	wasActive := f.isActive()
+	a.linkRecord(i, isAhead)
+	f.waiting++
+	f.backlog += r.cost
+	a.waiting++
+	a.expiry.set(i, expiresAt)
+	a.updateWeights(r.flow, wasActive)
+	if r.list == guaranteedList {
+		a.guaranteedBacklog += r.cost
+		if !a.guaranteed.has(r.flow) {
+			a.guaranteed.set(r.flow, a.now)
+		}
+	}
+	if f.waiting == 1 {
+		a.markReady(r.flow)
+	}
+	a.queueOf(f).longest.set(r.flow, -f.backlog/f.weight)
+}
+
+// linkRecord puts a record at an end of its flow's list.
+func (a *Admission) linkRecord(i int32, isAhead bool) {
+	r := &a.records[i]
+	f := &a.flows[r.flow]
+	head, tail := &f.head[r.list], &f.tail[r.list]
+	r.isQueued = true
+	switch {
+	case *tail == noIndex:
+		*head = i
+		*tail = i
+	case isAhead:
+		r.next = *head
+		a.records[r.next].prev = i
+		*head = i
+	default:
+		r.prev = *tail
+		a.records[r.prev].next = i
+		*tail = i
+	}
+}
+
+// dequeue takes a waiting request off its flow's list.
+func (a *Admission) dequeue(i int32) {
+	r := &a.records[i]
+	f := &a.flows[r.flow]
+	wasActive := f.isActive()
+	a.unlinkRecord(i)
+	f.waiting--
+	a.waiting--
+	if r.list == guaranteedList {
+		a.releaseGuaranteed(r)
+	}
+	f.backlog -= r.cost
+	if f.waiting == 0 {
+		f.backlog = 0
+		a.unmarkReady(r.flow)
+		a.queueOf(f).longest.remove(r.flow)
+	} else {
+		a.queueOf(f).longest.set(r.flow, -f.backlog/f.weight)
+	}
+	a.expiry.remove(i)
+	a.updateWeights(r.flow, wasActive)
+}
+
+// unlinkRecord takes a record off its flow's list.
+func (a *Admission) unlinkRecord(i int32) {
+	r := &a.records[i]
+	f := &a.flows[r.flow]
+	if r.prev != noIndex {
+		a.records[r.prev].next = r.next
+	} else {
+		f.head[r.list] = r.next
+	}
+	if r.next != noIndex {
+		a.records[r.next].prev = r.prev
+	} else {
+		f.tail[r.list] = r.prev
+	}
+	r.next = noIndex
+	r.prev = noIndex
+	r.isQueued = false
+}
+
+// releaseGuaranteed books that a request within its tenant's guaranteed rate waits no longer.
+func (a *Admission) releaseGuaranteed(r *record) {
+	a.guaranteedBacklog -= r.cost
+	if a.flows[r.flow].head[guaranteedList] == noIndex {
+		a.guaranteed.remove(r.flow)
+	}
+	if a.guaranteed.len() == 0 { // no rounding is left over
+		a.guaranteedBacklog = 0
+	}
+}
+
+// drop ends a waiting request that is not admitted.
+func (a *Admission) drop(i int32) {
+	a.dequeue(i)
+	a.release(i)
+}
+
+// dropAndReject ends a waiting request and tells its client when to come back.
+func (a *Admission) dropAndReject(i int32) {
+	r := a.records[i]
+	a.drop(i)
+	a.reject(r.id, r.flow, r.cost, r.identity)
+}
+
+// expireWaiting rejects the requests that have waited for as long as they may.
+func (a *Admission) expireWaiting() {
+	for a.expiry.len() > 0 && a.expiry.firstKey() <= a.now {
+		a.dropAndReject(a.expiry.first())
+	}
+}
+
+// evictFor rejects the newest request of the flow with the longest wait for its share, to make room in a full queue. It
+// tells whether there was one: a flow can't evict itself, and what is guaranteed is never evicted.
+func (a *Admission) evictFor(flowIndex int32) bool {
+	longest := a.longestWaiting()
+	if longest == noIndex || longest == flowIndex {
+		return false
+	}
+	f := &a.flows[longest]
+	newest := f.tail[otherList]
+	if newest == noIndex {
+		newest = f.tail[firstList]
+	}
+	if newest == noIndex {
+		return false
+	}
+	a.dropAndReject(newest)
+	return true
+}
+
+// longestWaiting is the flow with the longest wait for its share, or noIndex.
+func (a *Admission) longestWaiting() int32 {
+	longest := noIndex
+	greatest := 0.0
+	for _, queue := range [...]*fairQueue{&a.top, &a.unnamed} {
+		if queue.longest.len() == 0 {
+			continue
+		}
+		i := queue.longest.first()
+		if wait := a.flows[i].backlog / a.share(i); wait > greatest {
+			longest = i
+			greatest = wait
+		}
+	}
+	return longest
+}
+
+// admitWaiting lets waiting requests in while there is capacity.
+func (a *Admission) admitWaiting() {
+	for a.waiting > 0 {
+		i := a.next()
+		if !a.hasCapacity(a.records[i].cost) {
+			return
+		}
+		a.dequeue(i)
+		a.admit(i)
+	}
+}
+
+// hasCapacity tells whether the limit on concurrency has room for a request.
+func (a *Admission) hasCapacity(cost float64) bool {
+	return a.limiter.inUse+a.limiter.slots(cost, a.costs.mean) <= a.limiter.limit
+}
+
+// admit lets a request in and charges its flow.
+func (a *Admission) admit(i int32) {
+	r := &a.records[i]
+	f := &a.flows[r.flow]
+	a.charge(r.flow, r.cost)
+	r.slots = a.limiter.slots(r.cost, a.costs.mean)
+	a.limiter.acquire(r.slots)
+	a.costs.admitted(r.cost)
+	f.recentWork = f.recentWork*math.Exp((f.recentWorkAt-a.now)/rateTimeConstantMillis) + r.cost
+	f.recentWorkAt = a.now
+	f.count.Admitted++
+	f.count.Work += r.cost
+	if r.retryAfter > 0 {
+		a.returns.admitted(a.now-r.rejectedAt, r.retryAfter, r.hadFreeShare)
+	}
+	a.host.Admit(r.id)
+}
--- a/internal/admit/rules_test.go
+++ b/internal/admit/rules_test.go
@@ -75,8 +75,8 @@
 		t.Fatal(err)
 	}
 	play(6500)
-	for i := range int32(mostNamed) {
-		if f := &s.a.flows[i]; f.tenant() == "b" && f.used && f.idle() {
+	for i := range int32(maxNamedTenants) {
+		if f := &s.a.flows[i]; f.tenant() == "b" && f.used && f.isIdle() {
 			t.Error("the place of a tenant that is named no longer is kept")
 		}
 	}
@@ -111,22 +111,22 @@
 	if err := b.TakeOver(5e6, got); err != nil { // another clock
 		t.Fatal(err)
 	}
-	if len(b.pfind) != len(s.a.pfind) || len(b.pfind) == 0 || b.limit != s.a.limit || len(b.State(100).Tenants) != 4 {
-		t.Fatalf("%d promises of %d, limit %v of %v, %+v", len(b.pfind), len(s.a.pfind), b.limit, s.a.limit, b.State(100))
+	if len(b.promises.byIdentity) != len(s.a.promises.byIdentity) || len(b.promises.byIdentity) == 0 || b.limiter.limit != s.a.limiter.limit || len(b.State(100).Tenants) != 4 {
+		t.Fatalf("%d promises of %d, limit %v of %v, %+v", len(b.promises.byIdentity), len(s.a.promises.byIdentity), b.limiter.limit, s.a.limiter.limit, b.State(100))
 	}
-	for who, p := range s.a.pfind { // due at the same time from now
-		if was, is := s.a.promises[p].at-s.now, b.promises[b.pfind[who]].at-5e6; math.Abs(max(0, was)-is) > 1e-6 {
+	for who, p := range s.a.promises.byIdentity { // due at the same time from now
+		if was, is := s.a.promises.entries[p].dueAt-s.now, b.promises.entries[b.promises.byIdentity[who]].dueAt-5e6; math.Abs(max(0, was)-is) > 1e-6 {
 			t.Fatalf("due in %v, was %v", is, was)
 		}
 	}
-	for _, bad := range []Carried{{}, {Limit: math.NaN(), MeanMS: 1}, {Limit: 1, MeanMS: -1}, {Limit: 1, MeanMS: 1, Promises: make([]CarriedPromise, mostCarried+1)}} {
-		if n, _ := begin(t, c); n.TakeOver(0, bad) == nil || n.limit != c.Start {
+	for _, bad := range []Carried{{}, {Limit: math.NaN(), MeanMS: 1}, {Limit: 1, MeanMS: -1}, {Limit: 1, MeanMS: 1, Promises: make([]CarriedPromise, maxCarried+1)}} {
+		if n, _ := begin(t, c); n.TakeOver(0, bad) == nil || n.limiter.limit != c.Start {
 			t.Errorf("taken: %+v", bad)
 		}
 	}
 	b.Share(5e6, 0.5)
-	if b.limit != max(c.Least, s.a.limit/2) {
-		t.Errorf("limit %v of %v for one of two processes", b.limit, s.a.limit)
+	if b.limiter.limit != max(c.Least, s.a.limiter.limit/2) {
+		t.Errorf("limit %v of %v for one of two processes", b.limiter.limit, s.a.limiter.limit)
 	}
 }
 
@@ -142,7 +142,7 @@
 	}
 	carry := 0.0
 	for s.now < 20000 {
-		s.ask("large", Request{Class: 1, Key: uint64(s.next), Size: 64 * bytesCost})
+		s.ask("large", Request{Class: 1, Key: uint64(s.next), Size: 64 * sizeUnitBytes})
 		for carry += 0.4; carry >= 1; carry-- { // half of what there is
 			s.ask("small", Request{Key: uint64(s.next)})
 		}
@@ -281,7 +281,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := config()
 		weights := rapid.SliceOfN(rapid.Float64Range(0.2, 5), 2, 6).Draw(t, "weights")
-		total, sizes := 0.0, rapid.SliceOfN(rapid.IntRange(0, 4*bytesCost), 1, 7).Draw(t, "sizes")
+		total, sizes := 0.0, rapid.SliceOfN(rapid.IntRange(0, 4*sizeUnitBytes), 1, 7).Draw(t, "sizes")
 		for i, w := range weights {
 			c.Named = append(c.Named, Tenant{Name: fmt.Sprint("n", i), Weight: w})
 			total += w
@@ -299,7 +299,7 @@
 			for i := range weights {
 				id++
 				size := sizes[(int(now)+i)%len(sizes)]
-				of[id], work[id] = i, 1+float64(size)/bytesCost
+				of[id], work[id] = i, 1+float64(size)/sizeUnitBytes
 				a.Arrive(now, Request{ID: id, Tenant: fmt.Sprint("n", i), Key: uint64(id), Left: 1e5, Size: size})
 			}
 			for _, i := range slices.Clone(d.admitted) {
