Let a tenant of the first flow that is named again keep its flow

Need: a tenant that a reload drops and the next one names again, while a request of it is open, goes on with the flow that it had. For the tenant of the first flow this didn't hold: the look-up of its name gave 0 for "missing", which is that flow's index, so that it got a second flow and left its debt and its waiting requests with the first.

Change: the name is always entered.

Measured: TestNamedAgainKeepsItsFlow failed before for the first flow (flow 2, had 0) and passes for both; go test ./internal/admit: ok.

--- a/internal/admit/reconfigure.go
+++ b/internal/admit/reconfigure.go
@@ -99,9 +99,7 @@
 		a.setWeight(i, tenant.Weight)
 		f.refillGuarantee(a.now)
 		f.setGuarantee(tenant)
-		if a.named[tenant.Name] != i { // named again before all of it had ended
-			a.named[tenant.Name] = i
-		}
+		a.named[tenant.Name] = i // it may be named again before all of it has ended
 	}
 }
 
--- a/internal/admit/rules_test.go
+++ b/internal/admit/rules_test.go
@@ -323,3 +323,23 @@
 		}
 	})
 }
+
+// A tenant that is named again while a request of it is still open goes on with the flow that it had, wherever that stands.
+func TestNamedAgainKeepsItsFlow(t *testing.T) {
+	for index, name := range []string{"a", "b"} {
+		c := config()
+		c.Named = []Tenant{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
+		a, _ := begin(t, c)
+		a.Arrive(0, Request{ID: 1, Tenant: name, Left: 1000})
+		without := c
+		without.Named = slices.DeleteFunc(slices.Clone(c.Named), func(tenant Tenant) bool { return tenant.Name == name })
+		for at, rules := range []Config{without, c} {
+			if err := a.Reconfigure(float64(at+1), rules); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got, ok := a.named[name]; !ok || got != int32(index) {
+			t.Errorf("%s: flow %d (%v), and had %d", name, got, ok, index)
+		}
+	}
+}
