Split the router's loop, pools and clients into files with one job, in the field's words

Need: loop.go held 798 lines, client.go 644, upstream.go 522, with names that need a page to read (letGo, giveUp, callOff, leftEarly, gone, two, most, until, later, urgent, byHand, told). Change: requests, attempts, rules, membership, timers, host, pool, socket, probe, clients, places and answers have a file each; 45 identifiers are renamed to deadline, attempts, maxAttempts, allowsHedge, cancelUnsent, cancelSent, clientDisconnected, deferred, priorityEvents and the like; Send is in two (the decision on the loop, the attempt on its goroutine); the two bounds of what waits for the loop are named. Measured: longest file of internal/router before 798 lines, after 387 (meta.go); go test -race ./internal/router passes (58.7 s beside other load).

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -109,7 +109,7 @@
 	case doorWaits:
 		ad.a.Gone(now, r.id)
 	case doorIn:
-		ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.began, Attempts: len(r.tries), Work: r.work, Size: size})
+		ad.a.Ended(now, admit.End{ID: r.id, Served: served, Refused: refused, Latency: now - r.admittedAt, Attempts: len(r.attempts), Work: r.attemptMillis, Size: size})
 	default:
 		return
 	}
@@ -137,9 +137,9 @@
 	if r == nil {
 		return
 	}
-	r.door, r.began = doorIn, ad.l.now()
-	ad.l.later = append(ad.l.later, func() {
-		if !r.over {
+	r.door, r.admittedAt = doorIn, ad.l.now()
+	ad.l.deferred = append(ad.l.deferred, func() {
+		if !r.isDone {
 			ad.l.decide(ad.l.now(), r)
 		}
 	})
@@ -149,7 +149,7 @@
 func (ad *admission) Refuse(id uint32, after float64) {
 	if r := ad.l.reqs[id]; r != nil {
 		r.door = doorOut
-		if ad.l.rules.Load().tells {
+		if ad.l.rules.Load().tellsRetryAfter {
 			ad.l.Refuse(id, math.Ceil(after))
 		} else {
 			ad.l.Refuse(id, 0)
--- a/internal/router/agreement.go
+++ b/internal/router/agreement.go
@@ -96,7 +96,7 @@
 				fresh[id] = l.now() + min(float64(x.Left.Milliseconds()), mostSuspectMS)
 			}
 		}
-		if l.told = fresh; !l.feeding {
+		if l.ejectedByPeers = fresh; !l.refreshing {
 			l.feed()
 		}
 		return nil
@@ -108,9 +108,9 @@
 
 // feed has the Balancer avoid what others found bad, as by probes that failed, which is the only way in which it is told so.
 func (l *loop) feed() {
-	for id, until := range l.told {
+	for id, until := range l.ejectedByPeers {
 		if until <= l.now() {
-			delete(l.told, id)
+			delete(l.ejectedByPeers, id)
 			continue
 		}
 		if !l.b.Ejected(id) {
@@ -124,7 +124,7 @@
 		}
 		l.b.Probed(l.now(), id, decide.ConnectError, decide.NoLoad) // it puts off its trial
 	}
-	if l.feeding = len(l.told) > 0; l.feeding {
+	if l.refreshing = len(l.ejectedByPeers) > 0; l.refreshing {
 		l.after(feedEvery, l.feed)
 	}
 }
@@ -134,7 +134,7 @@
 
 // firsthand books that this router has found out by itself how a server is that it knew of by others.
 func (l *loop) firsthand(server uint32, st decide.Status) {
-	if _, told := l.told[server]; l.hearsay[server] && !told && (st == decide.TimedOut || st == decide.ConnectError || st == decide.Reset || st == decide.Failed) {
+	if _, told := l.ejectedByPeers[server]; l.hearsay[server] && !told && (st == decide.TimedOut || st == decide.ConnectError || st == decide.Reset || st == decide.Failed) {
 		delete(l.hearsay, server)
 	}
 }
@@ -157,7 +157,7 @@
 // heldOut names the servers that are left out by the fleet's word.
 func (l *loop) heldOut(ctx context.Context) (names []string) {
 	_ = l.do(ctx, func() error { // where the loop has ended, nothing is left out
-		names = slices.Collect(maps.Keys(l.agreed))
+		names = slices.Collect(maps.Keys(l.disabledByFleet))
 		return nil
 	})
 	return names
@@ -173,14 +173,14 @@
 			}
 		}
 		for _, r := range l.reqs {
-			for _, a := range r.tries {
-				if at[a.server] && !a.over {
+			for _, a := range r.attempts {
+				if at[a.server] && !a.isDone {
 					n++
 				}
 			}
 		}
-		for _, r := range l.open {
-			if r.over && len(r.tries) > 0 && at[r.tries[len(r.tries)-1].server] { // passed through
+		for _, r := range l.unanswered {
+			if r.isDone && len(r.attempts) > 0 && at[r.attempts[len(r.attempts)-1].server] { // passed through
 				n++
 			}
 		}
--- a/internal/router/agreement_test.go
+++ b/internal/router/agreement_test.go
@@ -57,7 +57,7 @@
 		t.Errorf("%d timers after the word came 40 times, %d before", n, before)
 	}
 	for told := 1; told > 0; { // its time is over by itself
-		if err := r.l.do(t.Context(), func() error { told = len(r.l.told); return nil }); err != nil {
+		if err := r.l.do(t.Context(), func() error { told = len(r.l.ejectedByPeers); return nil }); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -15,55 +13,15 @@
 	"dockhinge.example/dockhinge/internal/metrics"
 )
 
-// Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
-const (
-	maxPipelined = 16                      // commands of a connection that wait for their answer
-	maxUnknown   = 4                       // commands of a connection that the router does not know
-	firstTime    = 2700 * time.Millisecond // for the first command to come whole
-	commandTime  = 2700 * time.Millisecond // for a later one to come whole once it has begun
-	idleTime     = 3 * time.Second         // for the next one to begin
-	rest         = 100 * time.Millisecond  // a connection that has just been answered is kept for
-	answerTime   = 5 * time.Second         // for a client to take its answers
-	lingerTime   = 500 * time.Millisecond  // for a client that was turned away to close
-	lingerBytes  = 256 << 10               // of its input that are read meanwhile
-	askSoon      = 200 * time.Millisecond  // a connection that has asked nothing after that
-	asksNothing  = time.Second             // counts as idle for that much longer
-)
-
-// slot is the place of a command's answer among those of its connection.
-type slot struct {
-	c     *clientConn
-	req   *request      // the loop's
-	turn  chan struct{} // closed when a value that is passed through may be written; nil = the answer is text
-	text  []byte        // guarded by c.mu, as the others
-	ready bool
-}
-
-// clients serves the connections of clients.
-type clients struct {
-	l        *loop
-	ln       net.Listener
-	room     places    // one for each connection that may be open
-	readers  sync.Pool // of *bufio.Reader: bad clients come and go by hundreds
-	draining atomic.Bool
-	over     atomic.Bool   // no further command is taken
-	asked    atomic.Int64  // connections that have asked
-	accepted chan struct{} // closed when no more are taken
-	wg       sync.WaitGroup
-
-	mu    sync.Mutex
-	conns map[*clientConn]struct{}
-}
-
 // clientConn is a client's connection. One goroutine reads commands; while there are answers to write, another writes
 // them in the order of the commands.
 type clientConn struct {
 	net.Conn
-	s       *clients
-	r       *bufio.Reader
-	taking  atomic.Bool // a large value is coming
-	counted atomic.Bool // among those that have asked
-	left    atomic.Bool // the client has gone: what waits is not sent on
+	s               *clients
+	r               *bufio.Reader
+	taking          atomic.Bool // a large value is coming
+	counted         atomic.Bool // among those that have asked
+	hasDisconnected atomic.Bool // the client has gone: what waits is not sent on
 
 	mu       sync.Mutex
 	queue    []*slot       // whose answers are not being written yet
@@ -86,14 +44,14 @@
 // of it is there already: its client can't tell that it was not taken.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.crossed() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForLateInput() {
 		return c.Conn.Read(b)
 	}
 	return n, err
 }
 
-// crossed tells whether the end of the connection has crossed a command that is being read, which then has its time again.
-func (c *clientConn) crossed() bool {
+// extendForLateInput tells whether the end of the connection has extendForLateInput a command that is being read, which then has its time again.
+func (c *clientConn) extendForLateInput() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing || !c.reading || !time.Now().Before(c.by) || !waiting(c.Conn) {
@@ -106,167 +64,6 @@
 // open counts the commands that are not answered. The caller holds mu.
 func (c *clientConn) open() int { return len(c.queue) + c.writing }
 
-func newClients(l *loop, ln net.Listener, limit int) *clients {
-	return &clients{l: l, ln: ln, accepted: make(chan struct{}), room: places{limit: limit, whole: limit, freed: make(chan struct{}, 1)}, conns: map[*clientConn]struct{}{},
-		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLine) }}}
-}
-
-// accept takes connections until the listener is closed or its time is up.
-func (s *clients) accept() {
-	defer close(s.accepted)
-	for {
-		c, err := s.ln.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) && queued(s.ln) { // the end of the time comes before the queue, however full
-			s.ln.(deadliner).SetDeadline(time.Now().Add(lastAccepts)) //nolint:errcheck // closed, and then Accept tells
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				return
-			}
-			slog.Warn("accepting", "error", err)
-			time.Sleep(100 * time.Millisecond) // as with no descriptor left: not in a tight loop
-			continue
-		}
-		s.place()
-		s.serve(c)
-	}
-}
-
-// lastAccepts is how long connections that stand in the listener's queue are taken for once no new one is expected.
-const lastAccepts = 10 * time.Millisecond
-
-// deadliner is what waits until a time at most.
-type deadliner interface{ SetDeadline(time.Time) error }
-
-// acceptLast has accept end once the listener's queue is empty: closing the listener would reset what stands there.
-func (s *clients) acceptLast() {
-	if ln, ok := s.ln.(deadliner); ok && ln.SetDeadline(time.Now().Add(lastAccepts)) == nil {
-		select {
-		case <-s.accepted:
-		case <-time.After(comeAfterStop): // each place is taken by a request
-		}
-	}
-}
-
-// place takes a place for a connection. When all are taken, the connection that has been idle for longest gives way;
-// where each has a request open, the next one waits.
-func (s *clients) place() {
-	for !s.room.take() {
-		s.evict(false)
-		select {
-		case <-s.room.freed:
-		case <-time.After(10 * time.Millisecond): // it may have got a request just then
-		}
-	}
-}
-
-// share leaves this process an equal part of the places, while several processes are one router.
-func (s *clients) share(processes int) {
-	for range s.room.share(processes) {
-		s.evict(false)
-	}
-}
-
-// places bounds the connections that are open.
-type places struct {
-	mu           sync.Mutex
-	used         int
-	limit, whole int
-	freed        chan struct{} // of capacity 1
-}
-
-func (p *places) take() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.used >= p.limit {
-		return false
-	}
-	p.used++
-	return true
-}
-
-func (p *places) give() {
-	p.mu.Lock()
-	p.used--
-	p.mu.Unlock()
-	select {
-	case p.freed <- struct{}{}:
-	default:
-	}
-}
-
-// share sets the limit and returns how many are over it.
-func (p *places) share(processes int) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limit = p.whole / processes
-	return max(0, p.used-p.limit)
-}
-
-func (p *places) half() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return int64(p.limit / 2)
-}
-
-// evict ends the connection that has been idle for longest. With asked set, only those that have asked and since rested
-// for a moment count.
-func (s *clients) evict(asked bool) {
-	var oldest *clientConn
-	var since time.Time
-	s.mu.Lock()
-	for c := range s.conns {
-		at, idle := c.idle()
-		if asked && (!c.counted.Load() || time.Since(at) < rest) {
-			continue
-		}
-		if idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
-		}
-	}
-	s.mu.Unlock()
-	if oldest != nil {
-		oldest.drop()
-	}
-}
-
-// crowd counts a connection that has asked for the first time. Where many ask once and keep their connection, its end by
-// time comes too late: they would hold all that clients may have, and the next requests had none.
-func (s *clients) crowd(c *clientConn) {
-	c.counted.Store(true)
-	if s.asked.Add(1) > s.room.half() {
-		s.evict(true)
-	}
-}
-
-func (s *clients) serve(nc net.Conn) {
-	r := s.readers.Get().(*bufio.Reader)
-	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now(), dead: make(chan struct{})}
-	r.Reset(c)
-	c.by = c.since.Add(firstTime)
-	nc.SetReadDeadline(c.by)
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	s.mu.Unlock()
-	s.wg.Go(func() {
-		turnedAway := c.read()
-		c.finish(turnedAway)
-		if c.counted.Load() {
-			s.asked.Add(-1)
-		}
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		r.Reset(nil)
-		s.readers.Put(r)
-		s.room.give()
-	})
-	if s.draining.Load() {
-		c.drain()
-	}
-}
-
 // idle tells since when the connection has had no request open.
 func (c *clientConn) idle() (since time.Time, idle bool) {
 	c.mu.Lock()
@@ -351,8 +148,8 @@
 	return false
 }
 
-// gone tells whether the client has left, as far as that can be known by now.
-func (c *clientConn) gone() bool { return c.left.Load() || ended(c.Conn) }
+// disconnected tells whether the client has left, as far as that can be known by now.
+func (c *clientConn) disconnected() bool { return c.hasDisconnected.Load() || ended(c.Conn) }
 
 // read reads commands until the client leaves, is turned away for what it sent, or the connection's time is up.
 func (c *clientConn) read() (turnedAway bool) {
@@ -386,7 +183,7 @@
 			return true
 		case refuse: // many large writes at once must not cost the router its life
 			c.s.l.metrics.Class(cmd.class).Ended(metrics.Overload)
-			sl.answer(refused(c.s.l.rules.Load().away))
+			sl.answer(refused(c.s.l.rules.Load().retryAfterMillis))
 		case cmd.verb == "mg" || cmd.verb == "ms":
 			c.s.l.post(func() { c.s.l.arrive(cmd, read, sl) })
 		case cmd.verb == "mn":
@@ -416,7 +213,7 @@
 	if cmd.length <= maxWhole {
 		v, err := readValue(c.r, cmd.length, refuse)
 		if cmd.value = v; err != nil && !refuse {
-			l.letGo(cmd)
+			l.releaseValue(cmd)
 		}
 		return refuse, err
 	}
@@ -427,7 +224,7 @@
 	}
 	err := c.readLarge(cmd.length, cmd.up)
 	if !full && (refuse || err != nil) {
-		l.letGo(cmd)
+		l.releaseValue(cmd)
 	}
 	return refuse, err
 }
@@ -435,26 +232,26 @@
 // unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
 func (c *clientConn) unread(err error) (turnedAway bool) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.leave()
+		c.abandonAnswers()
 	}
 	return false
 }
 
-// leave gives up what waits for its answer, as nobody takes it any more.
-func (c *clientConn) leave() {
-	c.left.Store(true) // before the loop is told: an attempt that is about to be written sees it
+// abandonAnswers gives up what waits for its answer, as nobody takes it any more.
+func (c *clientConn) abandonAnswers() {
+	c.hasDisconnected.Store(true) // before the loop is told: an attempt that is about to be written sees it
 	c.mu.Lock()
 	open := c.queue
 	c.queue = nil
 	c.breakOff()
 	for _, sl := range open {
 		if sl.ready {
-			c.s.l.queued.give(len(sl.text))
+			c.s.l.answerBytes.give(len(sl.text))
 		}
 	}
 	c.mu.Unlock()
 	for _, sl := range open {
-		c.s.l.post(func() { c.s.l.gone(sl) })
+		c.s.l.post(func() { c.s.l.clientDisconnected(sl) })
 	}
 }
 
@@ -483,7 +280,7 @@
 		until = time.Now().Add(lingerTime)
 	}
 	if left || broken {
-		c.leave()
+		c.abandonAnswers()
 	} else if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && time.Now().Before(until) && half.CloseWrite() == nil {
 		c.SetReadDeadline(until)
 		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLine)) //nolint:errcheck // it is unwanted
@@ -493,152 +290,3 @@
 
 // onlyReader hides the methods by which a copy would do without the buffer it is given.
 type onlyReader struct{ io.Reader }
-
-// push makes a place for the answer to a command that has come.
-func (c *clientConn) push() *slot {
-	sl := &slot{c: c}
-	c.mu.Lock()
-	c.queue = append(c.queue, sl)
-	c.mu.Unlock()
-	return sl
-}
-
-// answer gives the answer to a command. It does not block.
-func (sl *slot) answer(text []byte) {
-	c := sl.c
-	c.s.l.queued.add(len(text))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if sl.text, sl.ready = text, true; c.broken {
-		c.s.l.queued.give(len(text))
-		return
-	}
-	c.begun()
-}
-
-// begun has answers written if some are there and none is being written. The caller holds mu.
-func (c *clientConn) begun() {
-	if c.writing == 0 && c.queue[0].ready {
-		if out, size := c.batch(); len(out) > 0 {
-			c.s.wg.Go(func() { c.write(out, size) })
-		}
-	}
-}
-
-// batch takes the answers that are there off the queue, in the order of the commands. Where a value that is passed
-// through comes next, it returns none: the writing is then up to the value's sink. The caller holds mu.
-func (c *clientConn) batch() (out net.Buffers, size int) {
-	c.writing = 0
-	for len(c.queue) > 0 && c.queue[0].ready {
-		if turn := c.queue[0].turn; turn != nil {
-			if len(out) == 0 {
-				c.queue, c.writing = c.queue[1:], 1
-				close(turn)
-			}
-			return out, size
-		}
-		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
-		c.queue, c.writing = c.queue[1:], c.writing+1
-	}
-	return out, size
-}
-
-// write writes answers until none is there.
-func (c *clientConn) write(out net.Buffers, size int) {
-	for len(out) > 0 {
-		c.SetWriteDeadline(time.Now().Add(answerTime))
-		_, err := out.WriteTo(c.Conn)
-		c.s.l.queued.give(size)
-		out, size = c.written(err)
-	}
-}
-
-// written books what has been written and returns what is next.
-func (c *clientConn) written(err error) (out net.Buffers, size int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil && !c.broken {
-		c.breakOff()
-		c.Close() // which ends the reader too; it tells the loop
-	}
-	if c.broken {
-		c.writing = 0
-		return nil, 0
-	}
-	c.answered = time.Now()
-	if out, size = c.batch(); c.open() == 0 {
-		c.queue = nil // and the answers that its array holds
-		c.since = c.answered
-	}
-	switch {
-	case c.watching: // it may be what is waited for
-		c.SetReadDeadline(past)
-	case c.open() > 0 || c.reading && c.closing: // a command that has begun has its own time
-	case c.closing:
-		c.SetReadDeadline(past)
-	default:
-		c.SetReadDeadline(c.since.Add(idleTime))
-	}
-	return out, size
-}
-
-// readiness answers mn: the router is used from MN on, so it must be able to serve.
-func (s *clients) readiness() []byte {
-	if s.l.ready.Load() && !s.draining.Load() {
-		return []byte("MN\r\n")
-	}
-	return []byte("SERVER_ERROR not ready\r\n")
-}
-
-// drain has every connection closed once it has nothing to answer, and returns when all are, or end is over. Some always
-// have something open, as their clients send on: no further command is taken once noMore is over.
-func (s *clients) drain(noMore, end context.Context) {
-	s.startDrain()
-	closed := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(closed)
-	}()
-	select {
-	case <-closed:
-		return
-	case <-noMore.Done():
-		s.takeNoMore()
-	case <-end.Done():
-	}
-	select {
-	case <-closed:
-	case <-end.Done():
-		s.mu.Lock()
-		for c := range s.conns {
-			c.Close()
-		}
-		s.mu.Unlock()
-		<-closed
-	}
-}
-
-// takeNoMore ends the reading of every connection: a client sends what is not read elsewhere. What has come whole of a command
-// that has begun is still taken, and so is a large value that is coming.
-func (s *clients) takeNoMore() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.over.Store(true)
-	for c := range s.conns {
-		c.mu.Lock()
-		if !c.taking.Load() {
-			c.SetReadDeadline(past)
-		}
-		c.mu.Unlock()
-	}
-}
-
-// startDrain has every connection closed once it has nothing to answer.
-func (s *clients) startDrain() {
-	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.drain()
-	}
-}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -57,9 +57,9 @@
 				own++
 			}
 		}
-		if len(l.reqs)+len(l.open) > 0 || own > 0 || len(l.timers) > 150 || l.held.used.Load() != 0 || l.queued.used.Load() != 0 {
-			t.Errorf("%d requests, %d ids, %d timers (%d far away), %d and %d bytes", len(l.reqs), len(l.open), len(l.timers), own,
-				l.held.used.Load(), l.queued.used.Load())
+		if len(l.reqs)+len(l.unanswered) > 0 || own > 0 || len(l.timers) > 150 || l.valueBytes.used.Load() != 0 || l.answerBytes.used.Load() != 0 {
+			t.Errorf("%d requests, %d ids, %d timers (%d far away), %d and %d bytes", len(l.reqs), len(l.unanswered), len(l.timers), own,
+				l.valueBytes.used.Load(), l.answerBytes.used.Load())
 		}
 	})
 }
@@ -212,7 +212,7 @@
 		first = append(first, c)
 	}
 	for full := false; !full; {
-		look(l, func() { full = l.held.used.Load() == l.held.limit.Load() })
+		look(l, func() { full = l.valueBytes.used.Load() == l.valueBytes.limit.Load() })
 	}
 	c := dial(t, addr)
 	write(c, 99)
@@ -232,7 +232,7 @@
 // Answers that a client does not take are bounded too: what comes beyond is refused before it is asked for.
 func TestUntakenAnswersAreBounded(t *testing.T) {
 	l, addr := parts(t, 16, 10, originAt("127.0.0.1:1"))
-	l.queued.add(int(l.queued.limit.Load()))
+	l.answerBytes.add(int(l.answerBytes.limit.Load()))
 	c := dial(t, addr)
 	if got := c.ask(read("a1", 2000)); got != "SERVER_ERROR busy" {
 		t.Errorf("got %q", got)
--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -78,35 +78,35 @@
 				for i := range maxPipelined + 4 { // the last ones stay unread
 					c.send(key(1, fmt.Sprint("w", i), 60000) + "\r\n")
 				}
-				until(t, l, "a full pipeline", func() bool { return len(l.open) == maxPipelined+1 })
+				until(t, l, "a full pipeline", func() bool { return len(l.unanswered) == maxPipelined+1 })
 			}},
 			{"in a full pipeline with more behind it than is read", func(t *testing.T, l *loop, s *clients, c *client) {
 				for i := range maxPipelined {
 					c.send(key(1, fmt.Sprint("w", i), 60000) + "\r\n")
 				}
-				until(t, l, "a full pipeline", func() bool { return len(l.open) == maxPipelined+1 })
+				until(t, l, "a full pipeline", func() bool { return len(l.unanswered) == maxPipelined+1 })
 				c.send(strings.Repeat("mn\r\n", 2*maxLine/4))
 			}},
 			{"turned away", func(t *testing.T, l *loop, s *clients, c *client) {
 				c.send(key(1, "w0", 60000) + "\r\nmg what\r\nand more")
-				until(t, l, "the answer behind it", func() bool { return l.queued.used.Load() > 0 })
+				until(t, l, "the answer behind it", func() bool { return l.answerBytes.used.Load() > 0 })
 			}},
 			{"turned away with much to send", func(t *testing.T, l *loop, s *clients, c *client) {
 				c.send(key(1, "w0", 60000) + "\r\nmg what\r\n" + strings.Repeat("more", lingerBytes/8))
-				until(t, l, "the answer behind it", func() bool { return l.queued.used.Load() > 0 })
+				until(t, l, "the answer behind it", func() bool { return l.answerBytes.used.Load() > 0 })
 			}},
 			{"half a command behind it", func(t *testing.T, l *loop, s *clients, c *client) {
 				c.send(key(1, "w0", 60000) + "\r\nmg 00")
-				until(t, l, "its arrival", func() bool { return len(l.open) == 2 })
+				until(t, l, "its arrival", func() bool { return len(l.unanswered) == 2 })
 			}},
 			{"draining", func(t *testing.T, l *loop, s *clients, c *client) {
 				c.send(key(1, "w0", 60000) + "\r\n")
-				until(t, l, "its arrival", func() bool { return len(l.open) == 2 })
+				until(t, l, "its arrival", func() bool { return len(l.unanswered) == 2 })
 				s.startDrain()
 			}},
 			{"draining with input unread", func(t *testing.T, l *loop, s *clients, c *client) {
 				c.send(key(1, "w0", 60000) + "\r\n")
-				until(t, l, "its arrival", func() bool { return len(l.open) == 2 })
+				until(t, l, "its arrival", func() bool { return len(l.unanswered) == 2 })
 				s.startDrain()
 				c.send("mg 00")
 			}},
@@ -123,9 +123,9 @@
 				next(t, o.seen, "its fetch")
 				waits := dial(t, addr)
 				c.send(t, l, clients, waits)
-				until(t, l, "the request that waits", func() bool { return l.open["w0"] != nil })
+				until(t, l, "the request that waits", func() bool { return l.unanswered["w0"] != nil })
 				waits.goes(how)
-				until(t, l, "the end of what waited", func() bool { return len(l.open) == 1 })
+				until(t, l, "the end of what waited", func() bool { return len(l.unanswered) == 1 })
 				fetch.let()
 				if got := first.line(); got != "VA 5 Of fresh" {
 					t.Errorf("the one that fetched got %q", got)
@@ -134,7 +134,7 @@
 				if len(s.seen)+len(o.seen) > 0 {
 					t.Errorf("sent on: %q", append(drained(s.seen), drained(o.seen)...))
 				}
-				until(t, l, "no bytes of answers counted", func() bool { return l.queued.used.Load() == 0 }) // a write gives them back after it
+				until(t, l, "no bytes of answers counted", func() bool { return l.answerBytes.used.Load() == 0 }) // a write gives them back after it
 			})
 		}
 	}
@@ -195,7 +195,7 @@
 					held.let()
 				} else {
 					c.goes(how)
-					until(t, l, "the end of the request", func() bool { return len(l.open) == 0 })
+					until(t, l, "the end of the request", func() bool { return len(l.unanswered) == 0 })
 					up.let()
 				}
 				until(t, l, "the end of all", func() bool { return len(l.reqs) == 0 })
@@ -270,7 +270,7 @@
 			c.send(key(1, "w0", 60000) + "\r\n")
 			next(t, dialing, "a dial")
 			look(l, func() { news(l, e, originAt(o.addr)) })
-			until(t, l, "the attempt called off", func() bool { r := l.open["w0"]; return r == nil || r.tries[0].over })
+			until(t, l, "the attempt called off", func() bool { r := l.unanswered["w0"]; return r == nil || r.attempts[0].isDone })
 			up.let()
 			c.line() // whatever the module makes of it
 			until(t, l, "the end of all", func() bool { return len(l.reqs) == 0 })
@@ -294,7 +294,7 @@
 	clients.startDrain()
 	time.Sleep(20 * time.Millisecond) // it isn't there yet when the connection begins to drain
 	c.send(key(2, "b", 60000) + "\r\n")
-	until(t, l, "the command behind it", func() bool { return l.open["b"] != nil })
+	until(t, l, "the command behind it", func() bool { return l.unanswered["b"] != nil })
 	c.send("mg 00")
 	fetch.let()
 	for _, want := range []string{"VA 5 Oa fresh", "VA 5 Ob fresh", "EOF"} {
@@ -314,12 +314,12 @@
 	for i, command := range []string{key(1, "r", 60000) + "\r\n", bill("b", 60000) + "\r\n", "ms 7f3a9c21e0b4d655 3 Ok Pc=put,t=t,d=60000,k=7\r\nabc\r\n"} {
 		c := dial(t, addr)
 		c.send(command)
-		until(t, l, "its arrival", func() bool { return len(l.open) == i+1 })
+		until(t, l, "its arrival", func() bool { return len(l.unanswered) == i+1 })
 		open = append(open, c)
 	}
 	busy := dial(t, addr)
 	busy.send(key(2, "c", 60000) + "\r\n")
-	until(t, l, "its arrival", func() bool { return len(l.open) == len(open)+1 })
+	until(t, l, "its arrival", func() bool { return len(l.unanswered) == len(open)+1 })
 	clients.startDrain()
 	look(l, func() { l.endBy(l.now() + 100) })
 	busy.send(key(3, "d", 60000) + "\r\n")
@@ -329,7 +329,7 @@
 		}
 	}
 	clients.ends(t)
-	until(t, l, "the end of all", func() bool { return len(l.open) == 0 })
+	until(t, l, "the end of all", func() bool { return len(l.unanswered) == 0 })
 }
 
 // Connections that stand in the listener's queue when no more are taken are served all the same.
@@ -437,7 +437,7 @@
 		next(t, o.seen, "a fetch")
 	}
 	c.send(strings.Repeat("mn\r\n", maxPipelined-2))
-	until(t, l, "answers behind both", func() bool { return l.queued.used.Load() >= int64(len("MN\r\n"))*(maxPipelined-2) })
+	until(t, l, "answers behind both", func() bool { return l.answerBytes.used.Load() >= int64(len("MN\r\n"))*(maxPipelined-2) })
 	var conn *clientConn
 	clients.mu.Lock()
 	for conn = range clients.conns {
@@ -445,7 +445,7 @@
 	clients.mu.Unlock()
 	conn.Conn.(*net.TCPConn).CloseWrite() // no write succeeds from now on, and the reader, which waits for room, isn't told
 	first.let()
-	until(t, l, "the end of both, and no bytes counted", func() bool { return l.queued.used.Load() == 0 && len(l.open) == 0 })
+	until(t, l, "the end of both, and no bytes counted", func() bool { return l.answerBytes.used.Load() == 0 && len(l.unanswered) == 0 })
 	second.let()
 	clients.ends(t)
 }
@@ -734,7 +734,7 @@
 	l := r.router.l
 	r.router.s.startDrain()
 	second.Close()
-	until(t, l, "the end of the second", func() bool { return l.open["b"] == nil })
+	until(t, l, "the end of the second", func() bool { return l.unanswered["b"] == nil })
 	answer.let()
 	if got := first.line(); got != "VA 5 Oa hello" {
 		t.Errorf("the first got %q", got)
@@ -760,7 +760,7 @@
 	stays.send(key(1, "a", 60000) + "\r\n")
 	next(t, o.seen, "the fetch")
 	leaves.send(key(1, "b", 60000) + "\r\n")
-	until(t, l, "the one that waits", func() bool { return l.open["b"] != nil })
+	until(t, l, "the one that waits", func() bool { return l.unanswered["b"] != nil })
 	young, end := succeeded(t, old, longLived(testConfig(t, "127.0.0.1:1", list{})))
 	defer end()
 	for !young.router.Ready() || old.router.peers.count() == 0 {
@@ -769,7 +769,7 @@
 	for !old.router.s.draining.Load() {
 	}
 	leaves.goes("reset")
-	until(t, l, "its end", func() bool { return l.open["b"] == nil })
+	until(t, l, "its end", func() bool { return l.unanswered["b"] == nil })
 	fetch.let()
 	if got := stays.line(); got != "VA 5 Oa fresh" {
 		t.Errorf("the one that stays got %q", got)
@@ -851,15 +851,15 @@
 				t.Fatal("no attempt")
 			}
 			look(l, func() {
-				if r := l.open["w0"]; how == "cancel" {
+				if r := l.unanswered["w0"]; how == "cancel" {
 					l.Cancel(r.id, 0)
 				} else {
-					l.timeOut(r.tries[0])
+					l.timeOut(r.attempts[0])
 				}
 			})
 			next(t, closing, "the close of the first one's connection")
 			look(l, func() {
-				if r := l.open["w0"]; r == nil || len(r.tries) != 1 || r.out != 1 {
+				if r := l.unanswered["w0"]; r == nil || len(r.attempts) != 1 || r.attemptsOut != 1 {
 					t.Errorf("went on before it was closed: %+v", r)
 				}
 			})
@@ -898,7 +898,7 @@
 			}
 			l.up.holdDials(dialing, up)
 			var began float64
-			look(l, func() { began = l.open["w0"].tries[0].at })
+			look(l, func() { began = l.unanswered["w0"].attempts[0].startedAt })
 			cut.let() // it may have run
 			next(t, dialing, "the dial of a repeat")
 			if late {
@@ -921,12 +921,12 @@
 	l, clients, addr := partsOf(t, 192, 40, box("s-0000000b", silent.addr), originAt(silent.addr))
 	c := dial(t, addr)
 	c.send(key(1, "a", 60000) + "\r\n")
-	until(t, l, "its arrival", func() bool { return len(l.open) == 1 })
+	until(t, l, "its arrival", func() bool { return len(l.unanswered) == 1 })
 	noMore, cancel := context.WithCancel(t.Context())
 	drained := make(chan struct{})
 	go func() { defer close(drained); clients.drain(noMore, t.Context()) }()
 	c.send(key(2, "b", 60000) + "\r\n")
-	until(t, l, "what comes while it drains", func() bool { return len(l.open) == 2 })
+	until(t, l, "what comes while it drains", func() bool { return len(l.unanswered) == 2 })
 	cancel()
 	until(t, l, "the end of its reading", func() bool {
 		clients.mu.Lock()
@@ -948,7 +948,7 @@
 	c.Close()
 	clients.ln.Close()
 	next(t, drained, "the end of all connections")
-	until(t, l, "the end of all", func() bool { return len(l.open) == 0 })
+	until(t, l, "the end of all", func() bool { return len(l.unanswered) == 0 })
 }
 
 // shut is a connection that tells how it is shut.
@@ -1033,7 +1033,7 @@
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
-		for len(l.urgent) == 0 { // the state, which goes first
+		for len(l.priorityEvents) == 0 { // the state, which goes first
 		}
 		held.let()
 	}()
--- /dev/null
+++ b/internal/router/host.go
@@ -0,0 +1,77 @@
+package router
+
+// The methods of decide.Host beside Send and Cancel: what the Balancer asks of the network.
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/metrics"
+)
+
+// Refuse answers that trying again is harmless.
+func (l *loop) Refuse(id uint32, wait float64) {
+	if r := l.reqs[id]; r != nil {
+		l.finish(r, refused(wait), metrics.Overload)
+	}
+}
+
+// Fail answers with no promise.
+func (l *loop) Fail(id uint32) {
+	if r := l.reqs[id]; r != nil {
+		l.finish(r, failed(), metrics.Error)
+	}
+}
+
+// probeTimeout is how long a probe is waited for, in milliseconds.
+const probeTimeout = 500
+
+// Probe asks a server for its load.
+func (l *loop) Probe(server uint32) {
+	t := l.targets[server]
+	if t == nil {
+		l.deferred = append(l.deferred, func() { l.b.Probed(l.now(), server, decide.ConnectError, decide.NoLoad) })
+		return
+	}
+	if l.board != nil {
+		if load, ok := l.board.Look(l.now(), server); ok { // another router has asked it
+			l.trace.Event(l.now(), "probe-told", "s=%08x qps=%.1f util=%.3f", server, load.QPS, load.Util)
+			l.deferred = append(l.deferred, func() { l.b.Probed(l.now(), server, decide.OK, load) })
+			return
+		}
+	}
+	l.work.Go(func() {
+		ctx, stop := context.WithTimeout(l.ctx, probeTimeout*time.Millisecond)
+		defer stop()
+		st, load := l.up.probe(ctx, t)
+		l.trace.Event(l.now(), "probe", "s=%08x status=%d qps=%.1f util=%.3f", server, st, load.QPS, load.Util)
+		l.post(func() { l.b.Probed(l.now(), server, st, load) })
+	})
+}
+
+// Close closes the idle connections to a server.
+func (l *loop) Close(server uint32) {
+	if t := l.targets[server]; t != nil {
+		l.up.closeIdle(t)
+	}
+}
+
+// Timer calls the Balancer's Timer after that many milliseconds.
+func (l *loop) Timer(after float64, token uint64) {
+	l.after(after, func() { l.b.Timer(l.now(), token) })
+}
+
+// Watch asks discovery for changes from now on.
+func (l *loop) Watch() {
+	if l.disc != nil {
+		l.disc.watch()
+	}
+}
+
+// Tell sends nothing: the module has nothing to tell other routers.
+func (l *loop) Tell([]byte) {}
+
+// Log writes a line of the module's.
+func (l *loop) Log(text string) { slog.Info("module", "text", text) }
--- a/internal/router/pair.go
+++ b/internal/router/pair.go
@@ -122,7 +122,7 @@
 	err := r.l.do(ctx, func() error {
 		r.peers.add(k, false)
 		h = handed{Module: r.l.b.HandOver(r.l.now()), List: r.l.known(), Names: r.l.names.copied(),
-			ByHand: slices.Collect(maps.Keys(r.l.byHand)), Agreed: slices.Collect(maps.Keys(r.l.agreed))}
+			ByHand: slices.Collect(maps.Keys(r.l.disabledByOperator)), Agreed: slices.Collect(maps.Keys(r.l.disabledByFleet))}
 		if r.l.admission != nil {
 			door := r.l.admission.a.HandOver(r.l.now())
 			h.Door = &door
@@ -161,10 +161,10 @@
 		}
 		l.names, known = h.Names, h.List
 		for _, name := range h.ByHand[:min(len(h.ByHand), maxNames)] {
-			l.byHand[name] = true
+			l.disabledByOperator[name] = true
 		}
 		for _, name := range h.Agreed[:min(len(h.Agreed), maxNames)] {
-			l.agreed[name] = true
+			l.disabledByFleet[name] = true
 		}
 		l.floor.raise(known.Version)
 	}
--- a/internal/router/pair_test.go
+++ b/internal/router/pair_test.go
@@ -100,7 +100,7 @@
 		t.Errorf("an id that the old one's discovery listed: %v", err)
 	}
 	// Limits are split while both live, and whole again once one is gone.
-	if got := old.router.l.held.limit.Load(); got != 192<<20/16/2 {
+	if got := old.router.l.valueBytes.limit.Load(); got != 192<<20/16/2 {
 		t.Errorf("memory of the old one: %d", got)
 	}
 	old.stop()
@@ -108,7 +108,7 @@
 		t.Error(err)
 	}
 	end()
-	for young.router.peers.count() > 0 || young.router.l.held.limit.Load() != 192<<20/16 {
+	for young.router.peers.count() > 0 || young.router.l.valueBytes.limit.Load() != 192<<20/16 {
 	}
 	c3 := dial(t, young.addr)
 	for _, c := range []*client{c2, c3} { // one of them may have been the old one's
--- /dev/null
+++ b/internal/router/probe.go
@@ -0,0 +1,61 @@
+package router
+
+// Load probes.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"dockhinge.example/dockhinge/decide"
+)
+
+// probe asks a target for its load.
+func (u *upstreams) probe(ctx context.Context, t *target) (decide.Status, decide.Load) {
+	l := decide.NoLoad
+	conn, err := u.take(ctx, t, false)
+	if err != nil {
+		return decide.ConnectError, l
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	ask, read := "stats load\r\n", readStats
+	if t.origin {
+		ask, read = "GET /load HTTP/1.1\r\nHost: "+t.addr+"\r\n\r\n", readOriginLoad
+	}
+	if _, err = io.WriteString(conn, ask); err == nil {
+		err = conn.begun()
+	}
+	if err == nil {
+		l, err = read(conn.r)
+	}
+	reuse := stop()
+	u.put(t, conn, reuse && err == nil && conn.clean())
+	switch {
+	case err == nil:
+		return decide.OK, l
+	case !reuse:
+		return decide.TimedOut, l
+	}
+	return decide.Reset, l
+}
+
+func readStats(r *bufio.Reader) (decide.Load, error) {
+	var fields []string
+	for range 64 {
+		line, err := readLine(r)
+		if err != nil {
+			return decide.NoLoad, err
+		}
+		if string(line) == "END" {
+			return readLoad(strings.Join(fields, ",")), nil
+		}
+		var name, value string
+		if n, _ := fmt.Sscanf(string(line), "STAT %s %s", &name, &value); n != 2 {
+			return decide.NoLoad, malformed("statistics line %q", line)
+		}
+		fields = append(fields, name+"="+value)
+	}
+	return decide.NoLoad, malformed("statistics without an end")
+}
--- /dev/null
+++ b/internal/router/requests.go
@@ -0,0 +1,202 @@
+package router
+
+// Requests: from their arrival to the one final answer, which finish alone gives.
+
+import (
+	"log/slog"
+	"strings"
+
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/internal/metrics"
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+// request is a request from its arrival until it is answered and its attempts are back.
+type request struct {
+	id            uint32
+	cmd           command
+	deadline      float64
+	slot          *slot
+	deadlineTimer *timer // the last moment for an answer
+	isDone        bool   // has its final answer, or its client has disconnected
+	attempts      []*attempt
+	rule          *rule   // the rule, maxAttempts and allowsHedge are as the settings were on arrival
+	maxAttempts   int     // all together
+	allowsHedge   bool    // two may be out at once
+	door          int     // its place in admission
+	arrivedAt     float64 // on the loop's clock, as the other times
+	admittedAt    float64
+	attemptMillis float64 // that its attempts have taken
+	attemptsOut   int     // without an outcome so far
+}
+
+// grace after a client's deadline within which the answer to a time-out at the deadline comes.
+const grace = 15
+
+// room takes the bytes that a request's value needs, and tells whether there are any. It may be called from any
+// goroutine.
+func (l *loop) room(cmd *command) bool {
+	if cmd.kept = cmd.length; cmd.length > maxWhole {
+		cmd.kept = lastPiece
+	}
+	return l.answerBytes.used.Load() < l.answerBytes.limit.Load() && l.valueBytes.take(cmd.kept)
+}
+
+// releaseValue gives up what is held of a request's value. It may be called from any goroutine.
+func (l *loop) releaseValue(cmd *command) {
+	l.valueBytes.give(cmd.kept)
+	cmd.up.close()
+}
+
+// arrive takes a request of a client that was read at the given time.
+func (l *loop) arrive(cmd command, read float64, s *slot) {
+	if l.unanswered[cmd.id] != nil { // cache servers would take the one for the other
+		l.releaseValue(&cmd)
+		s.answer([]byte("CLIENT_ERROR the id of an open request\r\n"))
+		return
+	}
+	rules := l.rules.Load()
+	rule := rules.classes[cmd.class]
+	if rule == nil || rule.Effect == decide.Keyed && cmd.idem == "" { // the settings have just changed
+		l.releaseValue(&cmd)
+		s.answer([]byte("CLIENT_ERROR the class has changed\r\n"))
+		return
+	}
+	for l.lastID++; l.reqs[l.lastID] != nil; l.lastID++ { // ids are reused after 2^32 requests
+	}
+	now := l.now()
+	// No client waits longer than its class allows: nor does the record of one that says so.
+	left := max(0, min(cmd.wait, rule.Deadline)-(now-read))
+	left = max(0, min(left, l.answerBy.load()-grace-now))
+	r := &request{id: l.lastID, cmd: cmd, arrivedAt: now, deadline: now + left, slot: s, rule: rule, maxAttempts: rules.maxAttempts, allowsHedge: rules.allowsHedges}
+	l.metrics.Concurrent.Add(1)
+	l.reqs[r.id], l.unanswered[cmd.id], s.req = r, r, r
+	if l.trace.On() {
+		l.trace.Event(now, "ask", "r=%d class=%s key=%x retry=%t left=%.0f", r.id, cmd.class, keyID(cmd.key), cmd.retry, left)
+	}
+	r.deadlineTimer = l.after(left+grace, func() { l.overdue(r) })
+	if l.admission != nil {
+		l.admission.arrive(r, left)
+		return
+	}
+	l.decide(now, r)
+}
+
+// overdue answers a request for which the Balancer owes an answer even at its deadline: the client still gets one in time.
+func (l *loop) overdue(r *request) {
+	slog.Warn("no answer by its deadline", "request", r.cmd.id)
+	l.Fail(r.id)
+	l.b.Gone(l.now(), r.id)
+}
+
+// endBy has all that is open, and all that comes, answered by then: the process ends, and what it has not answered is lost.
+func (l *loop) endBy(at float64) {
+	l.answerBy.set(at)
+	for _, r := range l.reqs {
+		if !r.isDone && r.deadlineTimer.at > at {
+			l.timers.stop(r.deadlineTimer)
+			r.deadlineTimer = l.after(at-l.now(), func() { l.overdue(r) })
+		}
+	}
+}
+
+// decide hands a request to the Balancer.
+func (l *loop) decide(now float64, r *request) {
+	cmd := &r.cmd
+	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
+		Left: max(0, r.deadline-now), Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms",
+		Under: &r.rule.Class, Most: r.maxAttempts}) // it may have waited at the door for longer than the settings have held
+}
+
+// clientDisconnected ends a request whose client has closed or reset its connection. What is not written yet never is. What is
+// written is cancelled where the settings allow it, which the Balancer knows.
+func (l *loop) clientDisconnected(s *slot) {
+	r := s.req
+	if r == nil || r.isDone {
+		return
+	}
+	l.finish(r, nil, endDisconnected)
+	l.b.Gone(l.now(), r.id)
+	for _, a := range r.attempts {
+		if a.cancelUnsent() {
+			l.deferred = append(l.deferred, func() { l.outcome(a, ends(decide.Canceled)) })
+		}
+	}
+}
+
+// endDisconnected is the end of a request whose client has disconnected: it counts as none.
+const endDisconnected metrics.End = -1
+
+// finish ends a request: the only place where one is answered, so none is answered twice.
+func (l *loop) finish(r *request, answer []byte, how metrics.End) {
+	if r.isDone {
+		return
+	}
+	r.isDone = true
+	l.metrics.Concurrent.Add(-1)
+	if how != endDisconnected {
+		r.rule.count.Ended(how)
+	}
+	if how == metrics.Success && l.speed != nil {
+		l.speed[rollout.SpeedBucket((l.now()-r.arrivedAt)/r.rule.Aim)].Add(1)
+	}
+	if l.trace.On() {
+		l.traceEnd(r, how)
+	}
+	l.admission.over(r, how == metrics.Success, how == metrics.Overload, len(answer))
+	r.slot.answer(answer)
+	r.slot.req, r.slot = nil, nil
+	l.timers.stop(r.deadlineTimer)
+	delete(l.unanswered, r.cmd.id)
+	l.forget(r)
+}
+
+// pass ends the decisions on a request whose value is passed through from now on: the server has done its work, and no
+// deadline applies any more. It returns the slot for the value, or nil where nobody waits for it.
+func (l *loop) pass(a *attempt, got reply) *slot {
+	r := a.request
+	if a.isDone || a.isCancelled || r.isDone {
+		return nil
+	}
+	a.isDone, r.isDone = true, true
+	l.timers.stop(a.timeoutTimer)
+	l.timers.stop(r.deadlineTimer)
+	r.attemptsOut--
+	sl := r.slot
+	r.slot.req, r.slot = nil, nil
+	now := l.now()
+	r.attemptMillis += now - a.startedAt
+	l.admission.over(r, true, false, got.length)
+	l.forget(r)
+	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.index, Server: a.server, Status: decide.OK, Latency: now - a.startedAt,
+		Final: true, Note: got.note, Load: got.load})
+	return sl
+}
+
+// passed books the end of a request whose value was passed through.
+func (l *loop) passed(a *attempt, whole bool) {
+	l.metrics.Concurrent.Add(-1)
+	delete(l.unanswered, a.request.cmd.id)
+	if whole {
+		a.request.rule.count.Ended(metrics.Success)
+	} else {
+		a.request.rule.count.Ended(metrics.Error)
+	}
+}
+
+// forget drops the record of a request that is over and has no attempt out.
+func (l *loop) forget(r *request) {
+	if r.isDone && r.attemptsOut == 0 && l.reqs[r.id] == r {
+		delete(l.reqs, r.id)
+		l.releaseValue(&r.cmd)
+	}
+}
+
+// traceEnd keeps how a request ended.
+func (l *loop) traceEnd(r *request, how metrics.End) {
+	why := "-"
+	if how == metrics.Overload || how == metrics.Error {
+		why = strings.ReplaceAll(l.b.Why(), " ", "-")
+	}
+	l.trace.Event(l.now(), "end", "r=%d how=%d why=%s left=%.0f tries=%d", r.id, how, why, r.deadline-l.now(), len(r.attempts))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,7 +78,7 @@
 	if r.before != nil {
 		held = r.before.List
 	}
-	l.first = r.begin
+	l.onStart = r.begin
 	wg.Go(func() { l.run(work) })
 	wg.Go(func() { up.sweep(work) })
 	if r.link != nil {
@@ -151,7 +151,7 @@
 func (l *loop) do(ctx context.Context, event func() error) error {
 	done := make(chan error, 1)
 	select {
-	case l.urgent <- func() { done <- event() }:
+	case l.priorityEvents <- func() { done <- event() }:
 	case <-ctx.Done():
 		return errNotDone
 	}
@@ -174,16 +174,16 @@
 	case !known:
 		return admin.ErrUnknown
 	}
-	mine, other, by := l.byHand, l.agreed, "hand"
+	mine, other, by := l.disabledByOperator, l.disabledByFleet, "hand"
 	if o.Agreed {
-		mine, other, by = l.agreed, l.byHand, "agreement"
+		mine, other, by = l.disabledByFleet, l.disabledByOperator, "agreement"
 	}
 	if o.Disabled {
 		if len(mine) < maxNames {
 			mine[o.ID] = true
 		}
 		l.b.Disable(l.now(), id)
-		l.callOff(id)
+		l.cancelUnsentTo(id)
 	} else {
 		delete(mine, o.ID)
 		if !other[o.ID] { // what is out by both is in once both have let go
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -509,7 +509,7 @@
 			c.send(bill("a1", 60000) + "\r\n") // the module itself gives up reads only
 			next(t, o.seen, "request")
 			c.Close()
-			until(t, r.router.l, "the end of the request", func() bool { return len(r.router.l.open) == 0 })
+			until(t, r.router.l, "the end of the request", func() bool { return len(r.router.l.unanswered) == 0 })
 			if !allowed {
 				if len(o.ended) > 0 {
 					t.Error("given up")
--- a/internal/router/through.go
+++ b/internal/router/through.go
@@ -36,7 +36,7 @@
 			return nil
 		}
 		sl.open()
-		return &sink{ctx: ctx, sl: sl, head: servedHead(&a.r.cmd, got.length)}
+		return &sink{ctx: ctx, sl: sl, head: servedHead(&a.request.cmd, got.length)}
 	case <-l.done:
 		return nil
 	}
--- a/internal/router/through_test.go
+++ b/internal/router/through_test.go
@@ -154,8 +154,8 @@
 			t.Errorf("the origin got %.100q and %d bytes", got, len(got))
 		}
 	}
-	if got := r.figures(t); got.Success["bill"] != 2 || got.Dispatches != 2 || r.router.l.held.used.Load() != 0 {
-		t.Errorf("got %+v, %d bytes held", got, r.router.l.held.used.Load())
+	if got := r.figures(t); got.Success["bill"] != 2 || got.Dispatches != 2 || r.router.l.valueBytes.used.Load() != 0 {
+		t.Errorf("got %+v, %d bytes held", got, r.router.l.valueBytes.used.Load())
 	}
 	if n := r.router.up.uploading.Load(); n != 0 {
 		t.Errorf("%d writes on their way", n)
@@ -210,7 +210,7 @@
 		}
 		c.Close()
 	}
-	for r.router.up.uploading.Load() != 0 || r.router.l.held.used.Load() != 0 {
+	for r.router.up.uploading.Load() != 0 || r.router.l.valueBytes.used.Load() != 0 {
 	}
 	if len(o.seen) != 0 || r.figures(t).Dispatches != 0 {
 		t.Error("a write that broke off has run")
--- a/internal/router/timeout_hint.go
+++ b/internal/router/timeout_hint.go
@@ -43,13 +43,17 @@
 }
 
 // startWriting moves an attempt on to being written, before its first byte, and returns the hint for it; 0 where nothing may
-// be written any more. deadline is the attempt's own.
-func (l *loop) startWriting(a *attempt, deadline, windowOver float64) timeoutHint {
+// be written any more: its client has disconnected, its time is up, or it was cancelled.
+func (l *loop) startWriting(a *attempt, client *slot, limits sendLimits) timeoutHint {
+	if client.c.disconnected() { // the loop may not have heard of it yet
+		l.post(func() { l.clientDisconnected(client) })
+		return 0
+	}
 	now := l.now()
-	if now >= windowOver {
+	if now >= limits.windowEnd {
 		return 0
 	}
-	hint := hintFor(min(deadline, l.answerBy.load()) - now)
+	hint := hintFor(min(limits.deadline, l.answerBy.load()) - now)
 	if hint == 0 || !a.phase.CompareAndSwap(phaseOpening, phaseWriting) {
 		return 0
 	}
--- a/internal/router/timeout_hint_test.go
+++ b/internal/router/timeout_hint_test.go
@@ -95,7 +95,7 @@
 			time.Sleep(held)
 			ended := time.Now()
 			if how == "time-out" {
-				look(l, func() { l.timeOut(l.open["w0"].tries[0]) })
+				look(l, func() { l.timeOut(l.unanswered["w0"].attempts[0]) })
 			}
 			cut.let()
 			atMost(t, seen(), longWait, had, ended)
