--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -594,7 +594,7 @@
 	for says, want := range map[string]string{
 		`{}`: "without version", `null`: "without version", `[]`: "cannot unmarshal", `{"version":2,"full":true}`: "without servers",
 		`{"version":2,"full":true,"servers":null}`: "without servers", `{"version":2,"full":false,"servers":[`: "unexpected",
-		`{"version":2,"full":true,"servers":[]}` + strings.Repeat(" ", maxList): "over 1048576 bytes",
+		`{"version":2,"full":true,"servers":[]}` + strings.Repeat(" ", maxList): "over 2097152 bytes",
 	} {
 		d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, says) }))
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -117,7 +117,7 @@
 const (
 	dialTimeout = time.Second
 	quickAnswer = 50 * time.Millisecond
-	maxList     = 1 << 20 // some thousands of servers
+	maxList     = 2 << 20 // an indented list of 2,500 servers takes 0.7 MB
 	maxHeaders  = 64 << 10
 )
 
--- /dev/null
+++ b/internal/router/size_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// largeFleet is a list of so many cache servers and the origin, with ids and addresses of the usual length.
+func largeFleet(servers int) list {
+	entries := []entry{originAt("127.0.0.1:1")}
+	for i := range servers {
+		e := box(fmt.Sprintf("s-%08x", 0x5be20000+i), fmt.Sprintf("10.%d.%d.%d:11211", 100+i>>16, 100+i>>8&0x7f, 100+i&0x7f))
+		e.Zone, e.Kind, e.Cell, e.Weight, e.Started = fmt.Sprintf("region-%02d-zone-%02d", i%13, i%47), "box", i%64, 1.25, 1796188180127
+		entries = append(entries, e)
+	}
+	return full(entries...)
+}
+
+// Nothing that a router is told or hands over is bounded below 2,500 servers: an indented list of them is read, and a
+// successor gets all of it.
+func TestListsOfALargeFleetFit(t *testing.T) {
+	const servers = 2500
+	want := largeFleet(servers)
+	indented, err := json.MarshalIndent(want, "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	compact, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hold := newGate(t)
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("wait_ms") != "" {
+			<-hold.ch
+			return
+		}
+		w.Write(indented)
+	}))
+	t.Cleanup(d.Close)
+	t.Cleanup(hold.let)
+	old := start(t, testConfig(t, d.Listener.Addr().String(), list{}))
+	until(t, old.router.l, "the list", func() bool { return len(old.router.l.targets) == servers+1 })
+	young, end := succeeded(t, old, testConfig(t, "127.0.0.1:1", list{}))
+	defer end()
+	until(t, young.router.l, "the successor's list", func() bool { return len(young.router.l.targets) == servers+1 })
+	var state handed
+	look(old.router.l, func() {
+		l := old.router.l
+		state = handed{Module: l.b.HandOver(l.now()), List: l.known(), Names: l.names.copied()}
+	})
+	text, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d servers: a list of %d bytes, indented %d of %d, a handed-over state of %d", servers, len(compact), len(indented), maxList, len(text))
+}
