Test that a command with the client's end right behind it is not sent on

Change: a test of a read and a write whose client closes at once while the loop is busy. No mend was needed.

--- a/internal/router/crossing_test.go
+++ b/internal/router/crossing_test.go
@@ -140,6 +140,38 @@
 	}
 }
 
+// A client that closes right behind a whole command has disconnected before the command is acted on: nothing is sent for it.
+func TestCommandWithTheClientsEndBehindItIsNotSentOn(t *testing.T) {
+	for _, command := range []string{key(1, "w0", 60000) + "\r\n", "ms 7f3a9c21e0b4d655 3 Ow0 Pc=put,t=t,d=60000,k=7\r\nabc\r\n"} {
+		t.Run(command[:2], func(t *testing.T) {
+			t.Parallel()
+			s, o := startFake(t, hit), startFake(t, originOK)
+			cfg := longLived(testConfig(t, "127.0.0.1:1", list{}))
+			cfg.settings.Config.Probes = false
+			l, clients, addr := partsUnder(t, cfg, 40, box("s-0000000b", s.addr), originAt(o.addr))
+			c := dial(t, addr)
+			busy := newGate(t)
+			until(t, l, "the list", func() bool { return len(l.targets) == 2 })
+			l.post(func() { <-busy.ch }) // the loop acts on the command once the end is there
+			c.send(command)
+			c.goes("close")
+			for ended := false; !ended; { // as the system knows it, or the router
+				clients.mu.Lock()
+				ended = true
+				for conn := range clients.conns {
+					ended = ended && conn.disconnected()
+				}
+				clients.mu.Unlock()
+			}
+			busy.let()
+			until(t, l, "the end of the command", func() bool { return l.lastID == 1 && len(l.reqs) == 0 })
+			if len(s.seen)+len(o.seen) > 0 {
+				t.Errorf("sent on: %q", append(drained(s.seen), drained(o.seen)...))
+			}
+		})
+	}
+}
+
 func drained(ch chan string) (all []string) {
 	for len(ch) > 0 {
 		all = append(all, <-ch)
