Hold what attempts tell servers of their timeout against what is left to the client

Stand-ins book the d= of the meta command's list and of the origin's X-Facts with the attempt. The referee breaks timeout-hint at over a fifth of at least ten further attempts, and counts first attempts for the result. What Judge collects is now history.go; its rules are as before. The right router of the fleet's tests told the origin the client's first deadline; it now tells what is left, and the mode stale-hint does as it did.

--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -119,6 +120,7 @@
 		if err != nil {
 			return
 		}
+		arrived := time.Now()
 		w := strings.Fields(line)
 		var body []byte
 		if w[0] == "ms" {
@@ -135,7 +137,7 @@
 				id = x[1:]
 			}
 		}
-		answer := f.ask(line, w, id, body)
+		answer := f.ask(line, w, id, body, arrived)
 		switch {
 		case f.mode == "no-answer" && n%5 == 4:
 			continue
@@ -151,7 +153,7 @@
 }
 
 // ask gets a request's answer: from a cache server, and from the origin where that lacks the key, or for a write.
-func (f *fake) ask(line string, w []string, id string, body []byte) string {
+func (f *fake) ask(line string, w []string, id string, body []byte, arrived time.Time) string {
 	cache, origin := f.targets()
 	if f.mode == "cold" {
 		for _, e := range cache {
@@ -173,6 +175,9 @@
 		}
 	}
 	facts := strings.TrimPrefix(w[len(w)-1], "P")
+	if f.mode != "stale-hint" {
+		facts = withRemaining(facts, arrived)
+	}
 	http := "GET /" + w[1] + " HTTP/1.1\r\nHost: o\r\n"
 	if body != nil {
 		http = fmt.Sprintf("PUT /%s HTTP/1.1\r\nHost: o\r\nContent-Length: %d\r\n", w[1], len(body)-2)
@@ -194,6 +199,18 @@
 	return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(got), id, got)
 }
 
+// withRemaining has a list of names and values tell what is left of the client's time by now.
+func withRemaining(facts string, arrived time.Time) string {
+	list := strings.Split(facts, ",")
+	for i, fact := range list {
+		if millis, ok := strings.CutPrefix(fact, "d="); ok {
+			atFirst, _ := strconv.ParseInt(millis, 10, 64) // the laboratory's clients tell numbers
+			list[i] = fmt.Sprintf("d=%d", max(0, atFirst-time.Since(arrived).Milliseconds()))
+		}
+	}
+	return strings.Join(list, ",")
+}
+
 // send writes to a cache server over a connection of its own, and reads one answer or leaves it open for a while.
 func send(addr, text string, read bool) string {
 	c, err := net.Dial("tcp", addr)
@@ -304,7 +321,8 @@
 		t.Fatal(err)
 	}
 	for mode, rule := range map[string]string{"right": "", "two-answers": "answer", "no-answer": "answer", "altered": "value", "copies": "copies",
-		"repeats": "effect", "refuses": "effect", "drained": "drain", "cold": "cold", "attempts": "attempts"} {
+		"repeats": "effect", "refuses": "effect", "drained": "drain", "cold": "cold", "attempts": "attempts",
+		"stale-hint": "timeout-hint"} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
 			res, err := Run(t.Context(), f, Options{Command: []string{"/usr/bin/env", "FAKE_ROUTER=" + mode, self}, Dir: t.TempDir()})
--- /dev/null
+++ b/lab/referee/history.go
@@ -0,0 +1,125 @@
+package referee
+
+import (
+	"math"
+	"slices"
+)
+
+// report takes a broken rule, when it was broken, and a text as fmt.Sprintf does.
+type report func(rule string, at float64, form string, v ...any)
+
+// span is a stretch of time, in milliseconds.
+type span struct{ from, to float64 }
+
+// routerServer is a server as one router sees it.
+type routerServer struct{ router, server string }
+
+// attempt is one sending of a request to a server.
+type attempt struct {
+	began, whole, over float64 // over: +Inf = still out
+	server             string
+	end                End
+	sum                uint64
+	hint               TimeoutHint
+}
+
+// request is what all parties saw of one request.
+type request struct {
+	sent     Event
+	has      bool // sent is there
+	answers  []Event
+	closed   *Event
+	left     *Event
+	attempts []*attempt
+}
+
+// deadline is the time until which the client waits for an answer.
+func (q *request) deadline() float64 { return q.sent.At + q.sent.Deadline }
+
+// history is a run's events, put together by request, router and server.
+type history struct {
+	requests []*request // in the order of their first event
+	byID     map[string]*request
+	killed   map[string][]float64 // by router
+	paused   map[string][]span    // by router
+	drains   map[routerServer][]span
+	ran      map[string][]Event // by request
+}
+
+// newHistory puts events together, which are in the order of time.
+func newHistory(events []Event) *history {
+	h := &history{byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
+		drains: map[routerServer][]span{}, ran: map[string][]Event{}}
+	for _, e := range events {
+		h.add(e)
+	}
+	return h
+}
+
+func (h *history) add(e Event) {
+	switch e.Kind {
+	case Sent, Answered, Extra, Closed, Left, Whole, Over:
+		h.request(e.Request).add(e)
+	case Ran:
+		h.ran[e.Request] = append(h.ran[e.Request], e)
+	case Killed:
+		h.killed[e.Router] = append(h.killed[e.Router], e.At)
+	case Paused:
+		h.paused[e.Router] = append(h.paused[e.Router], span{e.At, e.At + e.Deadline})
+	case Told:
+		k := routerServer{e.Router, e.Server}
+		h.drains[k] = drainSpans(h.drains[k], e)
+	}
+}
+
+// request is the one with that id, which is made where there is none.
+func (h *history) request(id string) *request {
+	q := h.byID[id]
+	if q == nil {
+		q = &request{}
+		h.byID[id], h.requests = q, append(h.requests, q)
+	}
+	return q
+}
+
+func (q *request) add(e Event) {
+	switch e.Kind {
+	case Sent:
+		q.sent, q.has = e, true
+	case Answered, Extra:
+		q.answers = append(q.answers, e)
+	case Closed:
+		q.closed = &e
+	case Left:
+		q.left = &e
+	case Whole:
+		q.attempts = append(q.attempts, &attempt{began: e.Began, whole: e.At, over: math.Inf(1), server: e.Server, hint: e.TimeoutHint})
+	case Over:
+		for _, a := range q.attempts {
+			if a.server == e.Server && math.IsInf(a.over, 1) {
+				a.over, a.end, a.sum = e.At, e.End, e.Sum
+				break
+			}
+		}
+	}
+}
+
+// drainSpans are the spans in which a server drains, with one more word of its state.
+func drainSpans(spans []span, e Event) []span {
+	isOpen := len(spans) > 0 && math.IsInf(spans[len(spans)-1].to, 1)
+	isDraining := e.State != "active"
+	switch {
+	case isDraining && !isOpen:
+		return append(spans, span{e.At, math.Inf(1)})
+	case !isDraining && isOpen:
+		spans[len(spans)-1].to = e.At
+	}
+	return spans
+}
+
+// wasPaused reports whether the request's router was stopped while it held the request, or when it got it: what a stopped process
+// holds, or gets meanwhile, it can't answer in time, and it hears of nothing.
+func (h *history) wasPaused(q *request, r Rules) bool {
+	until := q.deadline() + r.SlackMS
+	return slices.ContainsFunc(h.paused[q.sent.Router], func(x span) bool { return x.from <= until && x.to >= q.sent.At-r.SlackMS })
+}
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 )
@@ -20,7 +19,7 @@
 	Extra                // a client: an answer to what it has an answer for already (Request)
 	Closed               // a client: the router ended the connection before a whole answer (Request)
 	Left                 // a client: it waited past the deadline and the slack (Request)
-	Whole                // a server: an attempt's last byte has come (Request, Server, Began)
+	Whole                // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint)
 	Over                 // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
 	Ran                  // a server: an effect was carried out (Request, Server, Idem)
 	Started              // a server: its process started (Server)
@@ -67,6 +66,8 @@
 	Deadline float64 // milliseconds from At
 	Began    float64 // when the attempt's first byte came
 	Sum      uint64  // of the value
+
+	TimeoutHint TimeoutHint // Whole: what the attempt told its server
 }
 
 // Journal takes events from any goroutine, up to a bound.
@@ -127,140 +128,79 @@
 	GraceMS     float64                      // nothing new to a server this much later than the router was told that it drains
 	SlackMS     float64                      // of every limit in time, and of the order of what two parties saw
 	MaxAttempts int
+
+	MachineLateMS float64 // the longest time by which the machine was late; it is slack of the rules that name a slack of their own
 }
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value or attempts
+	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts or timeout-hint
 	At   float64 `json:"at_ms"`
 	Text string  `json:"text"`
 }
 
 func (b Breach) String() string { return fmt.Sprintf("%8.0f ms  %s: %s", b.At, b.Rule, b.Text) }
 
-type attempt struct {
-	began, whole, over float64 // over: +Inf = still out
-	server             string
-	end                End
-	sum                uint64
-}
-
-type request struct {
-	sent     Event
-	has      bool
-	answers  []Event
-	closed   *Event
-	left     *Event
-	attempts []*attempt
-}
-
 // Judge lists what broke a rule, in the order of time. The events are in that order too.
 func Judge(events []Event, r Rules) (broken []Breach) {
-	all := map[string]*request{}
-	var order []*request
-	of := func(e Event) *request {
-		q := all[e.Request]
-		if q == nil {
-			q = &request{}
-			all[e.Request], order = q, append(order, q)
-		}
-		return q
-	}
+	h := newHistory(events)
 	add := func(rule string, at float64, form string, v ...any) {
 		broken = append(broken, Breach{rule, at, fmt.Sprintf(form, v...)})
 	}
-	killed := map[string][]float64{}
-	paused := map[string][][2]float64{} // spells
-	type toldOf struct{ router, server string }
-	shut := map[toldOf][][2]float64{} // spells in which a server was told to drain, to a router
-	ran := map[string][]Event{}
 	for _, e := range events {
-		switch e.Kind {
-		case Sent:
-			q := of(e)
-			q.sent, q.has = e, true
-		case Answered, Extra:
-			q := of(e)
-			q.answers = append(q.answers, e)
-		case Closed:
-			of(e).closed = &e
-		case Left:
-			of(e).left = &e
-		case Whole:
-			q := of(e)
-			q.attempts = append(q.attempts, &attempt{began: e.Began, whole: e.At, over: math.Inf(1), server: e.Server})
-		case Over:
-			for _, a := range of(e).attempts {
-				if a.server == e.Server && math.IsInf(a.over, 1) {
-					a.over, a.end, a.sum = e.At, e.End, e.Sum
-					break
-				}
-			}
-		case Ran:
-			ran[e.Request] = append(ran[e.Request], e)
-		case Fell:
+		if e.Kind == Fell {
 			add("cold", e.At, "server %s was pushed over while it was cold", e.Server)
-		case Killed:
-			killed[e.Router] = append(killed[e.Router], e.At)
-		case Paused:
-			paused[e.Router] = append(paused[e.Router], [2]float64{e.At, e.At + e.Deadline})
-		case Told:
-			k := toldOf{e.Router, e.Server}
-			spells := shut[k]
-			open := len(spells) > 0 && math.IsInf(spells[len(spells)-1][1], 1)
-			if closed := e.State != "active"; closed && !open {
-				shut[k] = append(spells, [2]float64{e.At, math.Inf(1)})
-			} else if !closed && open {
-				spells[len(spells)-1][1] = e.At
-			}
 		}
 	}
-	for _, q := range order {
-		if !q.has {
-			if len(q.attempts) > 0 {
-				add("value", q.attempts[0].whole, "server %s was sent a request that no client sent", q.attempts[0].server)
-			}
-			continue
+	for _, q := range h.requests {
+		if q.has {
+			judgeRequest(h, q, r, add)
+		} else if len(q.attempts) > 0 {
+			add("value", q.attempts[0].whole, "server %s was sent a request that no client sent", q.attempts[0].server)
 		}
-		id, class := q.sent.Request, r.Classes[q.sent.Class]
-		until := q.sent.At + q.sent.Deadline + r.SlackMS
-		// What a stopped process holds, or gets meanwhile, it can't answer in time.
-		stood := slices.ContainsFunc(paused[q.sent.Router], func(x [2]float64) bool { return x[0] <= until && x[1] >= q.sent.At-r.SlackMS })
-		died := stood || slices.ContainsFunc(killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
-		switch {
-		case len(q.answers) > 1:
-			add("answer", q.answers[1].At, "request %s: %d final answers", id, len(q.answers))
-		case len(q.answers) == 1 && q.answers[0].At > until && !stood:
-			add("answer", q.answers[0].At, "request %s: answered %.0f ms after its deadline", id, q.answers[0].At-until+r.SlackMS)
-		case len(q.answers) == 0 && died: // what a killed router held is nobody's fault
-		case len(q.answers) == 0 && q.closed != nil && len(q.attempts) > 0 && q.closed.At < until && !spoilt(q):
-			add("answer", q.closed.At, "request %s: the router ended the connection without an answer", id)
-		case len(q.answers) == 0 && q.left != nil:
-			add("answer", until, "request %s: no final answer by its deadline", id)
-		}
-		for _, a := range q.answers[:min(1, len(q.answers))] {
-			judgeAnswer(q, a, class, add)
-		}
-		if len(q.attempts) > r.MaxAttempts && r.MaxAttempts > 0 {
-			add("attempts", q.attempts[r.MaxAttempts].whole, "request %s: %d attempts, %d at most", id, len(q.attempts), r.MaxAttempts)
+	}
+	judgeTimeoutHints(h, r, add)
+	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return broken
+}
+
+// judgeRequest holds one request's answers and attempts against the rules.
+func judgeRequest(h *history, q *request, r Rules, add report) {
+	id, class := q.sent.Request, r.Classes[q.sent.Class]
+	until := q.deadline() + r.SlackMS
+	stood := h.wasPaused(q, r)
+	died := stood || slices.ContainsFunc(h.killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
+	switch {
+	case len(q.answers) > 1:
+		add("answer", q.answers[1].At, "request %s: %d final answers", id, len(q.answers))
+	case len(q.answers) == 1 && q.answers[0].At > until && !stood:
+		add("answer", q.answers[0].At, "request %s: answered %.0f ms after its deadline", id, q.answers[0].At-until+r.SlackMS)
+	case len(q.answers) == 0 && died: // what a killed router held is nobody's fault
+	case len(q.answers) == 0 && q.closed != nil && len(q.attempts) > 0 && q.closed.At < until && !spoilt(q):
+		add("answer", q.closed.At, "request %s: the router ended the connection without an answer", id)
+	case len(q.answers) == 0 && q.left != nil:
+		add("answer", until, "request %s: no final answer by its deadline", id)
+	}
+	for _, a := range q.answers[:min(1, len(q.answers))] {
+		judgeAnswer(q, a, class, add)
+	}
+	if len(q.attempts) > r.MaxAttempts && r.MaxAttempts > 0 {
+		add("attempts", q.attempts[r.MaxAttempts].whole, "request %s: %d attempts, %d at most", id, len(q.attempts), r.MaxAttempts)
+	}
+	for i, a := range q.attempts {
+		for _, b := range q.attempts[:i] {
+			judgePair(id, b, a, class, r, add)
 		}
-		for i, a := range q.attempts {
-			for _, b := range q.attempts[:i] {
-				judgePair(id, b, a, class, r, add)
-			}
-			for _, s := range shut[toldOf{q.sent.Router, a.server}] {
-				if at := s[0] + r.GraceMS + r.SlackMS; a.began > at && a.began < s[1] && !stood {
-					add("drain", a.began, "request %s: sent to server %s %.0f ms after router %s was told that it drains",
-						id, a.server, a.began-s[0], q.sent.Router)
-				}
+		for _, s := range h.drains[routerServer{q.sent.Router, a.server}] {
+			if at := s.from + r.GraceMS + r.SlackMS; a.began > at && a.began < s.to && !stood {
+				add("drain", a.began, "request %s: sent to server %s %.0f ms after router %s was told that it drains",
+					id, a.server, a.began-s.from, q.sent.Router)
 			}
 		}
-		if n := len(ran[id]); class.Effect == Once && n > 1 {
-			add("effect", ran[id][1].At, "request %s of class %s was carried out %d times", id, q.sent.Class, n)
-		}
 	}
-	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
-	return broken
+	if n := len(h.ran[id]); class.Effect == Once && n > 1 {
+		add("effect", h.ran[id][1].At, "request %s of class %s was carried out %d times", id, q.sent.Class, n)
+	}
 }
 
 // spoilt reports whether a server broke off or erred while it answered: a value that can't be passed on whole has
@@ -270,7 +210,7 @@
 }
 
 // judgeAnswer holds an answer against what servers made, and a refusal against what may have run.
-func judgeAnswer(q *request, a Event, class Class, add func(string, float64, string, ...any)) {
+func judgeAnswer(q *request, a Event, class Class, add report) {
 	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.whole <= a.At && t.end != Missed && t.end != Turned })
 	switch {
 	case a.Answer == Served && !slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.end == Made && t.sum == a.Sum }):
@@ -281,7 +221,7 @@
 }
 
 // judgePair holds an attempt against one before it.
-func judgePair(id string, before, a *attempt, class Class, r Rules, add func(string, float64, string, ...any)) {
+func judgePair(id string, before, a *attempt, class Class, r Rules, add report) {
 	if before.over > a.whole+r.SlackMS {
 		add("copies", a.whole, "request %s: sent to server %s while an attempt was out at server %s", id, a.server, before.server)
 	}
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -1,7 +1,10 @@
 package referee
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -11,7 +14,7 @@
 	Group:   map[string]map[string]string{"zone": {"s1": "a", "s2": "a", "s3": "b"}},
 	GraceMS: 2000, SlackMS: 50, MaxAttempts: 3}
 
-// script reads events, one a line: TIME KIND WORDS.
+// script reads events, one a line: TIME KIND WORDS, and NAME=VALUE for further fields. It puts them in the order of time.
 func script(t *testing.T, text string) (events []Event) {
 	t.Helper()
 	ends := map[string]End{"made": Made, "missed": Missed, "turned": Turned, "erred": Erred, "dropped": Dropped}
@@ -52,11 +55,70 @@
 		default:
 			t.Fatalf("%q", line)
 		}
+		for _, x := range w[2:] {
+			if name, value, ok := strings.Cut(x, "="); ok {
+				setField(t, &e, name, value)
+			}
+		}
 		events = append(events, e)
 	}
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
+// setField sets a further field of an event, by its name in a script.
+func setField(t *testing.T, e *Event, name, value string) {
+	t.Helper()
+	number := func() float64 {
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	switch name {
+	case "request":
+		e.Request = value
+	case "router":
+		e.Router = value
+	case "hint":
+		e.TimeoutHint = TimeoutHint{Millis: number(), IsTold: true}
+	default:
+		t.Fatalf("field %q", name)
+	}
+}
+
+// repeat writes a script n times, with the number of each in place of {n}.
+func repeat(n int, text string) string {
+	var all strings.Builder
+	for i := range n {
+		all.WriteString(strings.ReplaceAll(text, "{n}", strconv.Itoa(i)) + "\n")
+	}
+	return all.String()
+}
+
+// ruleCase is a script and the rule that it breaks, "" for none.
+type ruleCase struct{ name, rule, text string }
+
+// checkCases judges scripts; each breaks its own rule and no other.
+func checkCases(t *testing.T, r Rules, cases []ruleCase) {
+	t.Helper()
+	for _, c := range cases {
+		broken := Judge(script(t, c.text), r)
+		if c.rule == "" && len(broken) > 0 {
+			t.Errorf("%s: %v", c.name, broken)
+		}
+		if c.rule != "" && len(broken) == 0 {
+			t.Errorf("%s: nothing was broken, want a breach of %s", c.name, c.rule)
+		}
+		for _, b := range broken {
+			if c.rule != "" && b.Rule != c.rule {
+				t.Errorf("%s: got %v, want breaches of %s alone", c.name, b, c.rule)
+			}
+		}
+	}
+}
+
 func TestRules(t *testing.T) {
 	for _, c := range []struct{ name, want, text string }{
 		{"served", "", "0 sent read\n 1 whole s1\n 9 over s1 made\n 10 answer served"},
@@ -113,3 +175,8 @@
 		t.Errorf("%d events, whole %t", len(ev), whole)
 	}
 }
+
+// rename gives the requests of a script another prefix.
+func rename(text, from, to string) string {
+	return strings.ReplaceAll(text, "request="+from, "request="+to)
+}
--- /dev/null
+++ b/lab/referee/timeout_hint_test.go
@@ -0,0 +1,53 @@
+package referee
+
+import (
+	"strings"
+	"testing"
+)
+
+// A request with a deadline of 1000 ms whose first attempt misses, and which is sent on to the origin at 400 ms.
+const missAndFetch = `0 sent read request=q{n}
+1 whole s1 hint=999 request=q{n}
+400 over s1 missed request=q{n}
+400 whole o %HINT request=q{n}
+450 over o made request=q{n}
+451 answer served request=q{n}`
+
+// fetchWithHint has the fetch tell the origin a hint, or none.
+func fetchWithHint(hint string) string {
+	if hint != "none" {
+		hint = "hint=" + hint
+	}
+	return strings.ReplaceAll(missAndFetch, "%HINT", hint)
+}
+
+func TestTimeoutHint(t *testing.T) {
+	honest, stale, justWithin := fetchWithHint("600"), fetchWithHint("999"), fetchWithHint("750")
+	checkCases(t, rules, []ruleCase{
+		{"what is left", "", repeat(20, honest)},
+		{"within the slack", "", repeat(20, justWithin)},
+		{"no hint at all", "", repeat(20, fetchWithHint("none"))},
+		{"a fifth is overstated", "", repeat(16, honest) + rename(repeat(4, stale), "q", "x")},
+		{"too few to judge", "", repeat(9, stale)},
+		{"over a fifth is overstated", "timeout-hint", repeat(15, honest) + rename(repeat(5, stale), "q", "x")},
+		{"the client's first deadline", "timeout-hint", repeat(20, stale)},
+	})
+	late := rules
+	late.MachineLateMS = 300
+	checkCases(t, late, []ruleCase{{"the machine was late", "", repeat(20, stale)}})
+}
+
+func TestTimeoutHintsOfFirstAttemptsAreOnlyCounted(t *testing.T) {
+	text := repeat(20, `0 sent read request=q{n}
+500 whole s1 hint=1000 request=q{n}
+510 over s1 made request=q{n}
+511 answer served request=q{n}`) + "\n" + rename(repeat(3, fetchWithHint("999")), "q", "x")
+	events := script(t, text)
+	if broken := Judge(events, rules); len(broken) > 0 {
+		t.Errorf("%v", broken)
+	}
+	want := TimeoutHintCounts{First: 23, FirstOverstated: 20, Further: 3, FurtherOverstated: 3}
+	if got := CountTimeoutHints(events, rules); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/lab/standin/codec.go
+++ b/lab/standin/codec.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/referee"
 )
 
 // request is a command as a server reads it.
@@ -22,6 +23,7 @@
 	class string
 	idem  string
 	size  int // bytes of the value that came with it
+	hint  referee.TimeoutHint
 }
 
 // answer is what a server has to say to a request.
@@ -73,6 +75,12 @@
 	return m
 }
 
+// timeoutHint is how long the router says that it will wait; what is no number tells nothing.
+func timeoutHint(named map[string]string) referee.TimeoutHint {
+	millis, err := strconv.ParseFloat(named["d"], 64)
+	return referee.TimeoutHint{Millis: millis, IsTold: err == nil}
+}
+
 func load(r *model.Report) string {
 	return fmt.Sprintf("qps=%.2f,util=%.4f,x0=%.4f", r.QPS, r.Util, r.Hits)
 }
@@ -112,7 +120,7 @@
 			q.id = f[1:]
 		case 'P':
 			named := facts(f[1:])
-			q.class, q.idem = named["c"], named["k"]
+			q.class, q.idem, q.hint = named["c"], named["k"], timeoutHint(named)
 		}
 	}
 	if w[0] == "ms" {
@@ -178,7 +186,7 @@
 	}
 	named := facts(h.Header.Get("X-Facts"))
 	q := request{kind: "get", id: h.Header.Get("X-Correlation-Id"), key: strings.TrimPrefix(h.URL.Path, "/"),
-		class: named["c"], idem: named["k"], size: int(n)}
+		class: named["c"], idem: named["k"], hint: timeoutHint(named), size: int(n)}
 	switch {
 	case h.Method == http.MethodPut:
 		q.kind = "set"
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -441,7 +441,8 @@
 			}
 			close(sl.ready)
 		default:
-			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began})
+			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began,
+				TimeoutHint: sl.req.hint})
 			work, size := s.o.Work(sl.req.id, sl.req.key, sl.req.class)
 			if sl.req.kind == "set" {
 				size = sl.req.size
