Have clients of the laboratory disconnect, and judge what is sent for them afterwards

The laboratory's clients never left before their time was up, and the referee had no rule for it.

The referee breaks lost for attempts after the close (also after the close of a client whose time was up) and disconnected for requests that waited. The fleet's fake router looks for the close before it fetches; its mode deaf does not.

--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -137,7 +138,8 @@
 				id = x[1:]
 			}
 		}
-		answer := f.ask(line, w, id, body, arrived)
+		isConnected := func() bool { return f.mode == "deaf" || !clientDisconnected(c, r) }
+		answer := f.ask(line, w, id, body, arrived, isConnected)
 		switch {
 		case f.mode == "no-answer" && n%5 == 4:
 			continue
@@ -153,7 +155,7 @@
 }
 
 // ask gets a request's answer: from a cache server, and from the origin where that lacks the key, or for a write.
-func (f *fake) ask(line string, w []string, id string, body []byte, arrived time.Time) string {
+func (f *fake) ask(line string, w []string, id string, body []byte, arrived time.Time, isConnected func() bool) string {
 	cache, origin := f.targets()
 	if f.mode == "cold" {
 		for _, e := range cache {
@@ -184,6 +186,9 @@
 		body = body[:len(body)-2]
 	}
 	http += "X-Correlation-Id: " + id + "\r\nX-Facts: " + facts + "\r\n\r\n" + string(body)
+	if !isConnected() {
+		return ""
+	}
 	got := fetch(origin.Addr, http)
 	if f.mode == "repeats" && strings.Contains(facts, "c=tag") {
 		got = fetch(origin.Addr, http)
@@ -199,6 +204,14 @@
 	return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(got), id, got)
 }
 
+// clientDisconnected reports whether the client has closed its connection, as far as is known by now.
+func clientDisconnected(c net.Conn, r *bufio.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := r.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // withRemaining has a list of names and values tell what is left of the client's time by now.
 func withRemaining(facts string, arrived time.Time) string {
 	list := strings.Split(facts, ",")
@@ -298,6 +311,8 @@
 keys = 300
 retries = 0
 try_share = 1.0
+disconnect_share = 0.15
+disconnect_ms = [20.0, 80.0]
 [[fault]]
 at_s = 0.3
 what = "crash"
@@ -322,7 +337,7 @@
 	}
 	for mode, rule := range map[string]string{"right": "", "two-answers": "answer", "no-answer": "answer", "altered": "value", "copies": "copies",
 		"repeats": "effect", "refuses": "effect", "drained": "drain", "cold": "cold", "attempts": "attempts",
-		"stale-hint": "timeout-hint"} {
+		"stale-hint": "timeout-hint", "deaf": "lost"} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
 			res, err := Run(t.Context(), f, Options{Command: []string{"/usr/bin/env", "FAKE_ROUTER=" + mode, self}, Dir: t.TempDir()})
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -38,7 +38,7 @@
 	return pids
 }
 
-// Four short scenarios with the real router, in one of which all routers are killed: the verdict is on counts and rules, never on times.
+// Five short scenarios with the real router, in one of which all routers are killed: the verdict is on counts and rules, never on times.
 func TestRealRouterKeepsTheRules(t *testing.T) {
 	command := realRouter(t)
 	for name, change := range map[string]func(*scenario.File){
@@ -50,6 +50,7 @@
 			f.Fleet.Routers = 6
 			f.Faults[0].AtS, f.Faults[0].ForS, f.Faults[1].AtS, f.Faults[2].AtS = 1, 3, 1.5, 2
 		},
+		"calm": func(f *scenario.File) { f.Load.DisconnectShare = 0.2 },
 		"rude": func(f *scenario.File) {
 			for i := range f.Faults {
 				f.Faults[i].AtS, f.Faults[i].ForS = 1+float64(i), 3
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -88,7 +88,7 @@
 		id := l.newID()
 		t := l.try(id, c, key, zone, tenant, idem, size, patience, try > 0)
 		end, answered = t.end, t.answered
-		if try >= l.p.Retries || !mayRepeat(c, t) {
+		if t.disconnected || try >= l.p.Retries || !mayRepeat(c, t) {
 			break
 		}
 		if t.crossed {
@@ -125,6 +125,8 @@
 	answered bool
 	reached  bool // a router may have read it
 	crossed  bool // a connection that had stood idle was closed as it was sent
+
+	disconnected bool // the client closed its connection before its time was up
 }
 
 // try sends a request once, under an id that was never sent before. A client can't tell whether a router that closed the
@@ -161,7 +163,8 @@
 		return attempt{end: referee.Failed}
 	}
 	sent := l.clock.Now()
-	_ = conn.SetDeadline(time.Now().Add(time.Duration((patience + slackMS) * float64(time.Millisecond))))
+	waitMillis, disconnects := l.waitFor(patience)
+	_ = conn.SetDeadline(time.Now().Add(time.Duration(waitMillis * float64(time.Millisecond))))
 	if n, err := io.WriteString(conn, wire.String()); err != nil {
 		conn.Close()
 		if n == 0 { // nothing of it has left
@@ -173,6 +176,10 @@
 	end, after, sum, err := readAnswer(conn.r)
 	var timeout net.Error
 	switch {
+	case disconnects && errors.As(err, &timeout) && timeout.Timeout():
+		conn.Close()
+		book(sent, referee.Disconnected)
+		return attempt{end: referee.Failed, reached: true, disconnected: true}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		conn.Close()
 		book(sent, referee.Left)
--- /dev/null
+++ b/lab/load/disconnect_test.go
@@ -0,0 +1,41 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+// A client that disconnects closes its connection, says so to the referee, and does not come again.
+func TestClientsDisconnect(t *testing.T) {
+	addr := answers(t, func(string) string { return "" })
+	res, events := send(t, func(p *Params) {
+		p.MaxRequests, p.Retries, p.Classes[0].LimitMS = 20, 2, 60_000
+		p.DisconnectShare, p.DisconnectMS = 1, [2]float64{1, 20}
+	}, time.Second, addr)
+	kinds := map[referee.Kind]int{}
+	for _, e := range events {
+		kinds[e.Kind]++
+	}
+	if n := kinds[referee.Disconnected]; n != 20 || kinds[referee.Sent] != n || len(events) != 2*n {
+		t.Errorf("events by kind: %v", kinds)
+	}
+	if c := res.Classes["read"]; c.Asked != 20 || c.Failed != 20 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Without the knob, and for clients whose time is up first, there is none.
+func TestClientsStay(t *testing.T) {
+	for name, change := range map[string]func(*Params){
+		"share 0":    func(p *Params) { p.DisconnectShare, p.DisconnectMS = 0, [2]float64{1, 1} },
+		"time is up": func(p *Params) { p.DisconnectShare, p.DisconnectMS = 1, [2]float64{500, 500} },
+	} {
+		addr := answers(t, func(string) string { return "" })
+		_, events := send(t, func(p *Params) { p.MaxRequests, p.Classes[0].LimitMS = 1, 50; change(p) }, 50*time.Millisecond, addr)
+		if len(events) != 2 || events[1].Kind != referee.Left {
+			t.Errorf("%s: %+v", name, events)
+		}
+	}
+}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -57,14 +57,17 @@
 	Bully       float64   `toml:"bully"`        // share of the requests that are of the first tenant; the rest is spread evenly over the others
 	Connections int       `toml:"connections"`  // idle ones kept to each router at most
 	Reconnect   float64   `toml:"reconnect"`    // share of requests after which the connection is closed
-	LateMS      float64   `toml:"late_ms"`      // a request sent this much after its time makes the load tool the bottleneck
-	LateShare   float64   `toml:"late_share"`   // where more than this share of them is
-	Classes     []Class   `toml:"-"`            // the scenario's
-	Zones       []Zone    `toml:"-"`            // of the clients; none = any
-	Seed        uint64    `toml:"-"`            // the scenario's
-	Progress    func(Now) `toml:"-" json:"-"`   // called each second
-	FromMS      float64   `toml:"-"`            // what was meant to be sent before counts for no tenant: the scenario's warm-up
-	Marks       bool      `toml:"marks_retry"`  // a further try says r=1
+	// DisconnectShare is the share of tries whose client closes its connection after a time within DisconnectMS, and never comes again.
+	DisconnectShare float64    `toml:"disconnect_share"`
+	DisconnectMS    [2]float64 `toml:"disconnect_ms"` // evenly spread between
+	LateMS          float64    `toml:"late_ms"`       // a request sent this much after its time makes the load tool the bottleneck
+	LateShare       float64    `toml:"late_share"`    // where more than this share of them is
+	Classes         []Class    `toml:"-"`             // the scenario's
+	Zones           []Zone     `toml:"-"`             // of the clients; none = any
+	Seed            uint64     `toml:"-"`             // the scenario's
+	Progress        func(Now)  `toml:"-" json:"-"`    // called each second
+	FromMS          float64    `toml:"-"`             // what was meant to be sent before counts for no tenant: the scenario's warm-up
+	Marks           bool       `toml:"marks_retry"`   // a further try says r=1
 }
 
 // Zone is where clients are.
@@ -146,7 +149,7 @@
 func Defaults() Params {
 	return Params{Shape: "poisson", Rate: 100, Burst: 0.3, BurstMS: 2000, MaxOpen: 4000, MaxRequests: 1 << 20, Keys: 2000, Zipf: 1,
 		Drift: 0.005, Retries: 2, TryShare: 0.65, BackoffMS: 100, Honour: 0.85, MaxAfterMS: 1500, Connections: 64,
-		LateMS: 20, LateShare: 0.02, Workers: 8, Marks: true}
+		DisconnectMS: [2]float64{20, 400}, LateMS: 20, LateShare: 0.02, Workers: 8, Marks: true}
 }
 
 // Check names the first parameter that is impossible, by its name in a scenario file.
@@ -171,6 +174,10 @@
 		return bad("retries", p.Retries)
 	case !(p.TryShare > 0 && p.TryShare <= 1):
 		return bad("try_share", p.TryShare)
+	case !(p.DisconnectShare >= 0 && p.DisconnectShare <= 1):
+		return bad("disconnect_share", p.DisconnectShare)
+	case !(p.DisconnectMS[0] > 0 && p.DisconnectMS[0] <= p.DisconnectMS[1]):
+		return bad("disconnect_ms", p.DisconnectMS)
 	case p.BurstMS <= 0:
 		return bad("burst_ms", p.BurstMS)
 	}
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -25,17 +25,30 @@
 
 // request is what all parties saw of one request.
 type request struct {
-	sent     Event
-	has      bool // sent is there
-	answers  []Event
-	closed   *Event
-	left     *Event
-	attempts []*attempt
+	sent    Event
+	has     bool // sent is there
+	answers []Event
+	closed  *Event
+	left    *Event
+	// disconnected is the client's own early end of the connection.
+	disconnected *Event
+	attempts     []*attempt
 }
 
 // deadline is the time until which the client waits for an answer.
 func (q *request) deadline() float64 { return q.sent.At + q.sent.Deadline }
 
+// disconnectedAt is when the client closed its connection; +Inf where it did not.
+func (q *request) disconnectedAt() float64 {
+	switch {
+	case q.disconnected != nil:
+		return q.disconnected.At
+	case q.left != nil:
+		return q.left.At
+	}
+	return math.Inf(1)
+}
+
 // history is a run's events, put together by request, router and server.
 type history struct {
 	requests []*request // in the order of their first event
@@ -58,7 +71,7 @@
 
 func (h *history) add(e Event) {
 	switch e.Kind {
-	case Sent, Answered, Extra, Closed, Left, Whole, Over:
+	case Sent, Answered, Extra, Closed, Left, Disconnected, Whole, Over:
 		h.request(e.Request).add(e)
 	case Ran:
 		h.ran[e.Request] = append(h.ran[e.Request], e)
@@ -92,6 +105,8 @@
 		q.closed = &e
 	case Left:
 		q.left = &e
+	case Disconnected:
+		q.disconnected = &e
 	case Whole:
 		q.attempts = append(q.attempts, &attempt{began: e.Began, whole: e.At, over: math.Inf(1), server: e.Server, hint: e.TimeoutHint})
 	case Over:
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -44,6 +44,8 @@
 			e.Kind = Closed
 		case "left":
 			e.Kind = Left
+		case "disconnected":
+			e.Kind = Disconnected
 		case "told":
 			e.Kind, e.Server, e.State = Told, word(2), word(3)
 		case "killed":
@@ -180,3 +182,16 @@
 func rename(text, from, to string) string {
 	return strings.ReplaceAll(text, "request="+from, "request="+to)
 }
+
+// at puts a time into a script.
+func at(text, time string) string { return strings.ReplaceAll(text, "%AT", time) }
+
+// brokenRules counts the breaches of a script by rule.
+func brokenRules(t *testing.T, r Rules, text string) map[string]int {
+	t.Helper()
+	rules := map[string]int{}
+	for _, b := range Judge(script(t, text), r) {
+		rules[b.Rule]++
+	}
+	return rules
+}
