Judge routers that reject all they get though nothing has gone wrong

The referee knew no rule on a router that serves nobody.

It breaks rejecting now, in runs whose time line holds planned faults alone. A request that failed with no attempt counts as rejected; an attempt, also one that is turned away, or a kill ends the spell.

--- /dev/null
+++ b/lab/fleet/rules.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/scenario"
+)
+
+// plannedFaults are those that operators bring about by themselves: routers have to go on serving through them.
+var plannedFaults = []string{"roll", "deploy", "shrink", "upgrade", "reload", "change-servers", "change-routers", "release-routers"}
+
+// hasOnlyPlanned reports whether a time line holds nothing else.
+func hasOnlyPlanned(faults []scenario.Fault) bool {
+	return !slices.ContainsFunc(faults, func(f scenario.Fault) bool { return !slices.Contains(plannedFaults, f.What) })
+}
+
+// rules are those that the referee judges by.
+func (fl *Fleet) rules() referee.Rules {
+	r := referee.Rules{Classes: map[string]referee.Class{}, Group: map[string]map[string]string{"zone": {}, "cell": {}},
+		GraceMS: fl.File.Fleet.DrainGrace * 1000, SlackMS: 50 + fl.late, MachineLateMS: fl.late, MaxAttempts: fl.File.Fleet.MaxAttempts,
+		HasOnlyPlanned: hasOnlyPlanned(fl.File.Faults)}
+	for _, c := range fl.File.Classes {
+		r.Classes[c.Name] = referee.Class{Effect: referee.Effect(c.Effect), Scope: c.Scope, WindowMS: c.WindowMS}
+	}
+	for _, m := range fl.members {
+		r.Group["zone"][m.entry.ID], r.Group["cell"][m.entry.ID] = m.entry.Zone, fmt.Sprint(m.entry.Cell)
+	}
+	return r
+}
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -51,7 +51,8 @@
 
 // history is a run's events, put together by request, router and server.
 type history struct {
-	requests []*request // in the order of their first event
+	routers  map[string]bool // that clients or discovery have talked to
+	requests []*request      // in the order of their first event
 	byID     map[string]*request
 	killed   map[string][]float64 // by router
 	paused   map[string][]span    // by router
@@ -61,7 +62,7 @@
 
 // newHistory puts events together, which are in the order of time.
 func newHistory(events []Event) *history {
-	h := &history{byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
+	h := &history{routers: map[string]bool{}, byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
 		drains: map[routerServer][]span{}, ran: map[string][]Event{}}
 	for _, e := range events {
 		h.add(e)
@@ -70,6 +71,9 @@
 }
 
 func (h *history) add(e Event) {
+	if e.Router != "" {
+		h.routers[e.Router] = true
+	}
 	switch e.Kind {
 	case Sent, Answered, Extra, Closed, Left, Disconnected, Whole, Over:
 		h.request(e.Request).add(e)
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -130,12 +130,15 @@
 	SlackMS     float64                      // of every limit in time, and of the order of what two parties saw
 	MaxAttempts int
 
+	// HasOnlyPlanned tells that nothing goes wrong in the run but what operators planned, if anything: routers have to go on serving.
+	HasOnlyPlanned bool
+
 	MachineLateMS float64 // the longest time by which the machine was late; it is slack of the rules that name a slack of their own
 }
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost or disconnected
+	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost, disconnected or rejecting
 	At   float64 `json:"at_ms"`
 	Text string  `json:"text"`
 }
@@ -162,6 +165,7 @@
 	}
 	judgeTimeoutHints(h, r, add)
 	judgeDisconnected(h, r, add)
+	judgeRejecting(h, r, add)
 	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return broken
 }
--- /dev/null
+++ b/lab/referee/rejecting_test.go
@@ -0,0 +1,42 @@
+package referee
+
+import (
+	"fmt"
+	"testing"
+)
+
+// rejections are n requests to a router, each answered without an attempt, so many milliseconds apart.
+func rejections(router, answer string, n, apart int) (text string) {
+	for i := range n {
+		text += fmt.Sprintf("%d sent read request=%s%d router=%s\n%d answer %s request=%s%d router=%s\n",
+			i*apart, router, i, router, i*apart+1, answer, router, i, router)
+	}
+	return text
+}
+
+func TestRoutersThatServeNobody(t *testing.T) {
+	calm := rules
+	calm.HasOnlyPlanned = true
+	const attemptBetween = "\n2050 sent read request=x router=r0\n2051 whole s1 request=x\n2060 over s1 made request=x\n2061 answer served request=x router=r0"
+	const refusedAfterAttempt = "\n2050 sent read request=x router=r0\n2051 whole s1 request=x\n2060 over s1 turned request=x\n2061 answer refused request=x router=r0"
+	others := func(n int) (text string) {
+		for i := range n {
+			text += fmt.Sprintf("\n0 told s1 active router=other%d", i)
+		}
+		return text
+	}
+	all := rejections("r0", "refused", 30, 150)
+	checkCases(t, calm, []ruleCase{
+		{"one of ten", "", all + others(9)},
+		{"one of nine", "rejecting", all + others(8)},
+		{"two of twenty", "", all + rejections("r1", "refused", 30, 150) + others(18)},
+		{"all fail with no attempt", "rejecting", rejections("r0", "failed", 30, 150)},
+		{"fourteen", "", rejections("r0", "refused", 14, 400)},
+		{"fifteen", "rejecting", rejections("r0", "refused", 15, 400)},
+		{"many in a short time", "", rejections("r0", "refused", 300, 10)},
+		{"an attempt between", "", all + attemptBetween},
+		{"an attempt that was turned away", "", all + refusedAfterAttempt},
+		{"a new process", "", all + "\n2050 killed router=r0"},
+	})
+	checkCases(t, rules, []ruleCase{{"where something went wrong", "", all}})
+}
