--- /dev/null
+++ b/lab/load/late_test.go
@@ -0,0 +1,25 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+// An answer that comes after the client's deadline is seen as late, not as none, and earns nothing.
+func TestLateAnswersAreSeen(t *testing.T) {
+	addr := answers(t, func(string) string {
+		time.Sleep(400 * time.Millisecond)
+		return fine
+	})
+	res, events := send(t, func(p *Params) {
+		p.MaxRequests, p.Classes[0].LimitMS, p.Classes[0].AimMS, p.TryShare = 1, 100, 100, 1
+	}, 100*time.Millisecond, addr)
+	if len(events) != 2 || events[1].Kind != referee.Answered || events[1].At < events[0].At+events[0].Deadline {
+		t.Errorf("%+v", events)
+	}
+	if c := res.Classes["read"]; c.Served != 1 || c.InAim != 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -142,3 +142,9 @@
 	until := q.deadline() + r.SlackMS
 	return slices.ContainsFunc(h.paused[q.sent.Router], func(x span) bool { return x.from <= until && x.to >= q.sent.At-r.SlackMS })
 }
+
+// wasKilled reports whether the request's router was killed while it held the request.
+func (h *history) wasKilled(q *request, r Rules) bool {
+	until := q.deadline() + r.SlackMS
+	return slices.ContainsFunc(h.killed[q.sent.Router], func(at float64) bool { return at >= q.sent.At && at <= until })
+}
