Judge new connections that a router closes with no answer

A request whose new connection is closed with no answer counts as refused; beyond one request in 200 these are lost. The referee bore every close that no attempt had gone before, as it could not tell a new connection from one that a router may close between requests.

Clients say with Closed whether the connection was opened for the request and brought not a byte; one that is reset before anything was written is booked too. The referee breaks lost beyond the share, kills aside, and counts such a close as a rejection for routers that serve nobody.

Result: scripts show the rule kept and broken; lab/load shows new, used and half-answered connections apart; a fake router that closes each third new connection is caught by lost.

--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,12 +64,17 @@
 		return err
 	}
 	go f.follow()
+	var accepted atomic.Int64
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			if f.mode == "slams" && accepted.Add(1)%3 == 0 {
+				conn.Close()
+				continue
+			}
 			go f.serve(conn)
 		}
 	}()
@@ -341,7 +347,7 @@
 	}
 	for mode, rule := range map[string]string{"right": "", "two-answers": "answer", "no-answer": "answer", "altered": "value", "copies": "copies",
 		"repeats": "effect", "refuses": "effect", "drained": "drain", "cold": "cold", "attempts": "attempts",
-		"long-hint": "timeout-hint", "deaf": "lost"} {
+		"long-hint": "timeout-hint", "deaf": "lost", "slams": "lost"} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
 			f := f
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -155,9 +155,9 @@
 	} else {
 		fmt.Fprintf(&wire, "mg %s v O%s P%s\r\n", key, id, facts)
 	}
-	book := func(sent float64, k referee.Kind) { // a request that reached a router, and what else came of it than an answer
+	book := func(sent float64, k referee.Kind, newConnection bool) { // a request that reached a router, and what else came of it than an answer
 		l.journal.Add(referee.Event{At: sent, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
-		l.journal.Add(referee.Event{At: l.clock.Now(), Kind: k, Request: id, Router: router})
+		l.journal.Add(referee.Event{At: l.clock.Now(), Kind: k, Request: id, Router: router, NewConnection: newConnection})
 	}
 	conn, used, err := l.pool.take(addr, patience)
 	if err != nil {
@@ -169,9 +169,12 @@
 	if n, err := io.WriteString(conn, wire.String()); err != nil {
 		conn.Close()
 		if n == 0 { // nothing of it has left
+			if !used {
+				book(sent, referee.Closed, true)
+			}
 			return attempt{end: referee.Failed, crossed: used}
 		}
-		book(sent, referee.Closed)
+		book(sent, referee.Closed, !used)
 		return attempt{end: referee.Failed, reached: true, crossed: used}
 	}
 	end, after, sum, err := readAnswer(conn.r)
@@ -179,15 +182,15 @@
 	switch {
 	case disconnects && errors.As(err, &timeout) && timeout.Timeout():
 		conn.Close()
-		book(sent, referee.Disconnected)
+		book(sent, referee.Disconnected, false)
 		return attempt{end: referee.Failed, reached: true, disconnected: true}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		conn.Close()
-		book(sent, referee.Left)
+		book(sent, referee.Left, false)
 		return attempt{end: referee.Failed, reached: true}
 	case err != nil:
 		conn.Close()
-		book(sent, referee.Closed)
+		book(sent, referee.Closed, !used && errors.Is(err, errNothing))
 		return attempt{end: referee.Failed, reached: true, crossed: used && errors.Is(err, errNothing)}
 	}
 	l.journal.Add(referee.Event{At: sent, Kind: referee.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -15,7 +16,7 @@
 	"dockhinge.example/dockhinge/lab/standin"
 )
 
-// answers starts a router that gives to each read what say gives for its line: "" = nothing, "close" = the end.
+// answers starts a router that gives to each read what say gives for its line: "" = nothing, "close" = the end, "close after X" = the end after these bytes.
 func answers(t *testing.T, say func(line string) string) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -38,7 +39,8 @@
 						return
 					}
 					text := say(line)
-					if text == "close" {
+					if part, closes := strings.CutPrefix(text, "close"); closes {
+						_, _ = io.WriteString(c, strings.TrimPrefix(part, " after "))
 						return
 					}
 					if _, err := c.Write([]byte(strings.ReplaceAll(text, "{id}", idOf(line)))); err != nil {
@@ -169,9 +171,24 @@
 		}
 	}
 	addr := answers(t, func(string) string { return "close" })
-	if _, events := send(t, func(p *Params) { p.MaxRequests = 1 }, 100*time.Millisecond, addr); len(events) != 2 || events[1].Kind != referee.Closed {
+	if _, events := send(t, func(p *Params) { p.MaxRequests = 1 }, 100*time.Millisecond, addr); len(events) != 2 || events[1].Kind != referee.Closed || !events[1].NewConnection {
 		t.Errorf("%+v", events)
 	}
+	addr = answers(t, func(string) string { return "close after VA" })
+	if _, events := send(t, func(p *Params) { p.MaxRequests = 1 }, 100*time.Millisecond, addr); len(events) != 2 || events[1].Kind != referee.Closed || events[1].NewConnection {
+		t.Errorf("a connection closed after some bytes: %+v", events)
+	}
+	asked := 0
+	addr = answers(t, func(string) string { // one after the other, on one connection
+		if asked++; asked == 1 {
+			return fine
+		}
+		return "close"
+	})
+	_, events := send(t, func(p *Params) { p.Shape, p.Workers, p.MaxRequests = "closed", 1, 2 }, 100*time.Millisecond, addr)
+	if len(events) != 4 || events[3].Kind != referee.Closed || events[3].NewConnection {
+		t.Errorf("a connection closed that had been used: %+v", events)
+	}
 }
 
 func TestClosedLoopHasOneOpenEach(t *testing.T) {
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -17,7 +17,7 @@
 	Sent         Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
 	Answered                 // a client: a whole answer (Request, Answer, Sum)
 	Extra                    // a client: an answer to what it has an answer for already (Request)
-	Closed                   // a client: the router ended the connection before a whole answer (Request)
+	Closed                   // a client: the router ended the connection before a whole answer (Request, NewConnection)
 	Left                     // a client: it waited past the deadline and the slack, and closed its connection (Request)
 	Disconnected             // a client: it closed its connection before its deadline, without an answer (Request)
 	Whole                    // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint)
@@ -68,6 +68,9 @@
 	Began    float64 // when the attempt's first byte came
 	Sum      uint64  // of the value
 
+	// NewConnection tells that a connection which the router ended was opened for this request, and brought not a byte.
+	NewConnection bool
+
 	TimeoutHint TimeoutHint // Whole: what the attempt told its server
 }
 
@@ -167,6 +170,7 @@
 	judgeDisconnected(h, r, add)
 	judgeRejecting(h, r, add)
 	judgeUnanswered(h, r, add)
+	judgeRefusedConnections(h, r, add)
 	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return broken
 }
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -81,6 +81,8 @@
 		return v
 	}
 	switch name {
+	case "connection":
+		e.NewConnection = value == "new"
 	case "request":
 		e.Request = value
 	case "router":
--- a/lab/referee/rejecting.go
+++ b/lab/referee/rejecting.go
@@ -66,8 +66,11 @@
 	return steps
 }
 
-// rejectedAt is when a request was rejected: refused or failed without any attempt.
+// rejectedAt is when a request was rejected: refused or failed without any attempt, or its new connection closed.
 func (q *request) rejectedAt() (at float64, ok bool) {
+	if q.isConnectionRefused() {
+		return q.closed.At, true
+	}
 	if len(q.attempts) > 0 || len(q.answers) == 0 || q.answers[0].Answer == Served {
 		return 0, false
 	}
