Judge how soon restarted routers are ready

A start that is killed before it was ready does not count.

Result: scripts show the rule kept and broken; the fleet's test shows both events after a kill, and a router that is never ready.

--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -78,7 +78,12 @@
 			go f.serve(conn)
 		}
 	}()
-	return http.ListenAndServe(c.Admin, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ready") }))
+	return http.ListenAndServe(c.Admin, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if mode == "never-ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		fmt.Fprintln(w, "ready")
+	}))
 }
 
 // follow asks for the whole list again and again; one that ignores drains asks too, and goes on as before.
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -327,7 +327,7 @@
 			continue
 		}
 		fl.mark("upgrade of %s", r.name)
-		if err := r.start(ctx, fl.command(r), nil, fl.config(r), fl.o.Ready); err != nil {
+		if err := fl.startProcess(ctx, r, fl.command(r), nil, fl.config(r)); err != nil {
 			if ctx.Err() == nil {
 				fl.trouble(err)
 			}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -416,13 +416,23 @@
 	if len(command) == 0 || len(env) > 0 && len(fl.o.Spoilt) == 0 {
 		return errors.New("a bad version of the router: no build of it is given")
 	}
-	if err := r.start(ctx, command, env, config, fl.o.Ready); err != nil {
+	if err := fl.startProcess(ctx, r, command, env, config); err != nil {
 		return err
 	}
 	fl.front.Up(r.name, r.zone, r.listen)
 	return nil
 }
 
+// startProcess starts a process of a router, and returns once it is ready.
+func (fl *Fleet) startProcess(ctx context.Context, r *router, command, env []string, config map[string]any) error {
+	fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.RouterStarted, Router: r.name})
+	if err := r.start(ctx, command, env, config, fl.o.Ready); err != nil {
+		return err
+	}
+	fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.RouterReady, Router: r.name})
+	return nil
+}
+
 // addrFor is the address at which a router reaches a server: a relay of its own where the scenario has them.
 func (fl *Fleet) addrFor(r *router, e model.Entry) string {
 	if !fl.File.Fleet.Relays {
--- /dev/null
+++ b/lab/fleet/readiness_test.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/scenario"
+)
+
+// startsOf are the events of a router's starts.
+func startsOf(fl *Fleet) (kinds []referee.Kind) {
+	events, _ := fl.journal.Events()
+	for _, e := range events {
+		if e.Kind == referee.RouterStarted || e.Kind == referee.RouterReady {
+			kinds = append(kinds, e.Kind)
+		}
+	}
+	return kinds
+}
+
+// fakeFleet is a fleet with one fake router that has not been started.
+func fakeFleet(t *testing.T, mode string, ready time.Duration) *Fleet {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := scenario.Parse("fake", []byte(fakeScenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fl := newFleet(f, Options{Command: []string{"/usr/bin/env", "FAKE_ROUTER=" + mode, self}, Dir: t.TempDir(), Ready: ready})
+	t.Cleanup(fl.close)
+	return fl
+}
+
+// The referee is told of each start of a router and of when it was ready.
+func TestStartsAreBooked(t *testing.T) {
+	fl := fakeFleet(t, "right", 0)
+	if err := fl.start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	r := fl.allRouters()[0]
+	p := r.newest()
+	fl.kill(r, p)
+	<-p.done
+	if err := fl.startRouter(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	want := []referee.Kind{referee.RouterStarted, referee.RouterReady, referee.RouterStarted, referee.RouterReady}
+	if got := startsOf(fl); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// A router that is never ready is not said to be.
+func TestStartThatIsNeverReady(t *testing.T) {
+	fl := fakeFleet(t, "never-ready", 300*time.Millisecond)
+	if err := fl.start(t.Context()); err == nil {
+		t.Error("it started")
+	}
+	if got := startsOf(fl); !slices.Equal(got, []referee.Kind{referee.RouterStarted}) {
+		t.Errorf("got %v", got)
+	}
+}
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -58,6 +58,8 @@
 	paused   map[string][]span    // by router
 	drains   map[routerServer][]span
 	ran      map[string][]Event // by request
+	starts   []*start           // in the order of time
+	endAt    float64            // of the last event
 }
 
 // newHistory puts events together, which are in the order of time.
@@ -74,6 +76,7 @@
 	if e.Router != "" {
 		h.routers[e.Router] = true
 	}
+	h.endAt = max(h.endAt, e.At)
 	switch e.Kind {
 	case Sent, Answered, Extra, Closed, Left, Disconnected, Whole, Over:
 		h.request(e.Request).add(e)
@@ -81,6 +84,11 @@
 		h.ran[e.Request] = append(h.ran[e.Request], e)
 	case Killed:
 		h.killed[e.Router] = append(h.killed[e.Router], e.At)
+		h.killStarts(e.Router)
+	case RouterStarted:
+		h.starts = append(h.starts, &start{router: e.Router, at: e.At, isRestart: h.hasStarted(e.Router)})
+	case RouterReady:
+		h.readyStart(e)
 	case Paused:
 		h.paused[e.Router] = append(h.paused[e.Router], span{e.At, e.At + e.Deadline})
 	case Told:
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -14,20 +14,22 @@
 
 // The events, by who sees them.
 const (
-	Sent         Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
-	Answered                 // a client: a whole answer (Request, Answer, Sum)
-	Extra                    // a client: an answer to what it has an answer for already (Request)
-	Closed                   // a client: the router ended the connection before a whole answer (Request, NewConnection)
-	Left                     // a client: it waited past the deadline and the slack, and closed its connection (Request)
-	Disconnected             // a client: it closed its connection before its deadline, without an answer (Request)
-	Whole                    // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint)
-	Over                     // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
-	Ran                      // a server: an effect was carried out (Request, Server, Idem)
-	Started                  // a server: its process started (Server)
-	Fell                     // a server: it was cold and has been pushed over (Server)
-	Told                     // discovery: a router was told a server's state (Router, Server, State)
-	Killed                   // the lab: a router was killed or has crashed (Router)
-	Paused                   // the lab: a router's process was stopped (Router), and went on after Deadline ms
+	Sent          Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
+	Answered                  // a client: a whole answer (Request, Answer, Sum)
+	Extra                     // a client: an answer to what it has an answer for already (Request)
+	Closed                    // a client: the router ended the connection before a whole answer (Request, NewConnection)
+	Left                      // a client: it waited past the deadline and the slack, and closed its connection (Request)
+	Disconnected              // a client: it closed its connection before its deadline, without an answer (Request)
+	Whole                     // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint)
+	Over                      // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
+	Ran                       // a server: an effect was carried out (Request, Server, Idem)
+	Started                   // a server: its process started (Server)
+	Fell                      // a server: it was cold and has been pushed over (Server)
+	Told                      // discovery: a router was told a server's state (Router, Server, State)
+	RouterStarted             // the lab: a router's process was started (Router)
+	RouterReady               // the lab: the process that was started last is ready (Router)
+	Killed                    // the lab: a router was killed or has crashed (Router)
+	Paused                    // the lab: a router's process was stopped (Router), and went on after Deadline ms
 )
 
 // Answer is what a client was given.
@@ -141,7 +143,7 @@
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost, disconnected, rejecting or unanswered
+	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost, disconnected, rejecting, unanswered or ready
 	At   float64 `json:"at_ms"`
 	Text string  `json:"text"`
 }
@@ -171,6 +173,7 @@
 	judgeRejecting(h, r, add)
 	judgeUnanswered(h, r, add)
 	judgeRefusedConnections(h, r, add)
+	judgeReadiness(h, r, add)
 	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return broken
 }
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -48,6 +48,10 @@
 			e.Kind = Disconnected
 		case "told":
 			e.Kind, e.Server, e.State = Told, word(2), word(3)
+		case "started":
+			e.Kind = RouterStarted
+		case "ready":
+			e.Kind = RouterReady
 		case "paused":
 			e.Kind, e.Deadline = Paused, 100
 		case "killed":
