Count a change of the list as told by the clock, whether it arrived or not

A change counts as told 6 s after discovery had it and could be reached, and what a silent watch misses 6 s after it fell silent or 2 s after the end of its wait. A pushed list counts as told at once. The referee held routers to drains only once discovery had written them, so that one which never asked could not break the rule.

Discovery books what its list has, when it is down, calls, and watches that fall silent (the new fault watches-silent). The referee adds spans of draining by the clock for each router. How long a router without a watch may go without asking is not judged apart: the clock of 6 s holds for it too.

Result: scripts show the clock kept and broken for calls, silent watches, outages and pushed lists; a fake router that never asks is caught.

--- a/lab/fleet/fake_test.go
+++ b/lab/fleet/fake_test.go
@@ -88,7 +88,7 @@
 
 // follow asks for the whole list again and again; one that ignores drains asks too, and goes on as before.
 func (f *fake) follow() {
-	for ; ; time.Sleep(50 * time.Millisecond) {
+	for ; f.mode != "never-asks"; time.Sleep(50 * time.Millisecond) {
 		resp, err := http.Get("http://" + f.discovery + "/v1/servers")
 		if err != nil {
 			continue
@@ -399,3 +399,24 @@
 		t.Errorf("%v", res.Broken)
 	}
 }
+
+// A router that never asks for the list is caught where a server drains for longer than any clock allows.
+func TestRouterThatNeverAsksIsCaught(t *testing.T) {
+	t.Parallel()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := scenario.Parse("fake", []byte(fakeScenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.DurationS, f.Faults = 10, []scenario.Fault{{AtS: 0.1, What: "shrink", Count: 1, DrainS: 9}}
+	res, err := Run(t.Context(), f, Options{Command: []string{"/usr/bin/env", "FAKE_ROUTER=never-asks", self}, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Broken) == 0 || res.Broken[0].Rule != "drain" {
+		t.Errorf("%v", res.Broken)
+	}
+}
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -75,6 +75,9 @@
 		})
 	case "discovery-down":
 		both("discovery is down", fl.discovery.SetDown)
+	case "watches-silent":
+		fl.mark("all open watches fall silent")
+		fl.discovery.SilenceWatches()
 	case "rewind":
 		fl.mark("the list's version goes back by %d", f.Versions)
 		fl.discovery.Rewind(f.Versions)
--- a/lab/fleet/rules.go
+++ b/lab/fleet/rules.go
@@ -20,7 +20,7 @@
 func (fl *Fleet) rules() referee.Rules {
 	r := referee.Rules{Classes: map[string]referee.Class{}, Group: map[string]map[string]string{"zone": {}, "cell": {}},
 		GraceMS: fl.File.Fleet.DrainGrace * 1000, SlackMS: 50 + fl.late, MachineLateMS: fl.late, MaxAttempts: fl.File.Fleet.MaxAttempts,
-		HasOnlyPlanned: hasOnlyPlanned(fl.File.Faults)}
+		HasOnlyPlanned: hasOnlyPlanned(fl.File.Faults), HasPushedList: !fl.File.Fleet.AskList}
 	for _, c := range fl.File.Classes {
 		r.Classes[c.Name] = referee.Class{Effect: referee.Effect(c.Effect), Scope: c.Scope, WindowMS: c.WindowMS}
 	}
--- /dev/null
+++ b/lab/referee/discovery_clock_test.go
@@ -0,0 +1,47 @@
+package referee
+
+import "testing"
+
+func TestChangesCountAsToldByTheClock(t *testing.T) {
+	const (
+		// GraceMS is 2000, SlackMS 50.
+		sent   = "\n%AT sent read\n%AT whole s1\n%AT over s1 made\n%AT answer served"
+		listed = "1000 listed s1 leaving"
+		back   = "\n8500 listed s1 active"
+		silent = "500 silent 20000\n1000 listed s1 leaving"
+	)
+	checkCases(t, rules, []ruleCase{
+		{"before 6 s and the grace are over", "", listed + at(sent, "9040")},
+		{"after 6 s and the grace", "drain", listed + at(sent, "9060")},
+		{"it leaves for good later", "drain", listed + "\n8000 listed s1 left" + at(sent, "9060")},
+		{"back on the list", "", listed + back + at(sent, "9060")},
+		{"it drains anew", "drain", listed + back + "\n9000 listed s1 leaving" + at(sent, "17060")},
+		{"told before", "drain", listed + "\n1500 told s1 leaving" + at(sent, "3600")},
+		{"discovery was down", "", "800 down\n" + listed + "\n3000 up" + at(sent, "11040")},
+		{"discovery was down, and 6 s have passed", "drain", "800 down\n" + listed + "\n3000 up" + at(sent, "11060")},
+		{"discovery never came back", "", "800 down\n" + listed + at(sent, "20000")},
+		{"discovery went down later", "drain", listed + "\n2000 down\n" + at(sent, "9060")},
+		{"a silent watch that may wait for long", "", silent + at(sent, "24540")},
+		{"a silent watch past its wait", "drain", silent + at(sent, "24560")},
+		{"a silent watch that waits no longer", "drain", "500 silent 100\n" + listed + at(sent, "8560")},
+		{"within 6 s of the silence", "", "500 silent 100\n" + listed + at(sent, "8540")},
+		{"called again", "drain", silent + "\n1500 called" + at(sent, "9060")},
+		{"called again before the change", "drain", "500 silent 20000\n600 called\n" + listed + at(sent, "9060")},
+		{"a change after the silence is over", "drain", "500 silent 1000\n10000 listed s1 leaving" + at(sent, "12060")},
+		{"another router's watch", "drain", "500 silent 20000 router=other\n" + listed + at(sent, "9060")},
+		{"the router was stopped", "", listed + at(sent, "9060") + "\n9100 paused"},
+	})
+	pushed := rules
+	pushed.HasPushedList = true
+	checkCases(t, pushed, []ruleCase{
+		{"pushed, within the grace", "", listed + at(sent, "3040")},
+		{"pushed, after the grace", "drain", listed + at(sent, "3060")},
+		{"pushed, discovery was down", "", "800 down\n" + listed + "\n3000 up" + at(sent, "5040")},
+		{"pushed, at its return", "drain", "800 down\n" + listed + "\n3000 up" + at(sent, "5060")},
+		{"pushed, the watch was silent", "", silent + at(sent, "24540")},
+		{"pushed, and called again", "drain", silent + "\n1500 called" + at(sent, "3560")},
+	})
+	if got := brokenRules(t, rules, listed+"\n1500 told s1 leaving"+at(sent, "9060")); got["drain"] != 1 {
+		t.Errorf("told and by the clock: %v, want one breach", got)
+	}
+}
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -51,24 +51,26 @@
 
 // history is a run's events, put together by request, router and server.
 type history struct {
-	routers  map[string]bool // that clients or discovery have talked to
-	requests []*request      // in the order of their first event
-	byID     map[string]*request
-	killed   map[string][]float64 // by router
-	paused   map[string][]span    // by router
-	drains   map[routerServer][]span
-	ran      map[string][]Event // by request
-	starts   []*start           // in the order of time
-	endAt    float64            // of the last event
+	routers   map[string]bool // that clients or discovery have talked to
+	requests  []*request      // in the order of their first event
+	byID      map[string]*request
+	killed    map[string][]float64 // by router
+	paused    map[string][]span    // by router
+	drains    map[routerServer][]span
+	ran       map[string][]Event // by request
+	starts    []*start           // in the order of time
+	discovery discoveryHistory
+	endAt     float64 // of the last event
 }
 
 // newHistory puts events together, which are in the order of time.
-func newHistory(events []Event) *history {
-	h := &history{routers: map[string]bool{}, byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
+func newHistory(events []Event, r Rules) *history {
+	h := &history{discovery: newDiscoveryHistory(), routers: map[string]bool{}, byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
 		drains: map[routerServer][]span{}, ran: map[string][]Event{}}
 	for _, e := range events {
 		h.add(e)
 	}
+	h.addClockDrains(r)
 	return h
 }
 
@@ -85,6 +87,8 @@
 	case Killed:
 		h.killed[e.Router] = append(h.killed[e.Router], e.At)
 		h.killStarts(e.Router)
+	case Listed, DiscoveryDown, DiscoveryUp, ListCalled, WatchSilent:
+		h.discovery.add(e)
 	case RouterStarted:
 		h.starts = append(h.starts, &start{router: e.Router, at: e.At, isRestart: h.hasStarted(e.Router)})
 	case RouterReady:
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -26,6 +26,11 @@
 	Started                   // a server: its process started (Server)
 	Fell                      // a server: it was cold and has been pushed over (Server)
 	Told                      // discovery: a router was told a server's state (Router, Server, State)
+	Listed                    // discovery: its list has a new state of a server from now on (Server, State)
+	DiscoveryDown             // discovery: it can't be reached any more
+	DiscoveryUp               // discovery: it can be reached again
+	ListCalled                // discovery: a router called for the list or for what is new (Router)
+	WatchSilent               // discovery: a router's watch fell silent (Router), with Deadline ms of its wait left
 	RouterStarted             // the lab: a router's process was started (Router)
 	RouterReady               // the lab: the process that was started last is ready (Router)
 	Killed                    // the lab: a router was killed or has crashed (Router)
@@ -138,6 +143,9 @@
 	// HasOnlyPlanned tells that nothing goes wrong in the run but what operators planned, if anything: routers have to go on serving.
 	HasOnlyPlanned bool
 
+	// HasPushedList tells that routers are pushed the list by an agent: what it has counts as told at once, whether or not it was asked.
+	HasPushedList bool
+
 	MachineLateMS float64 // the longest time by which the machine was late; it is slack of the rules that name a slack of their own
 }
 
@@ -152,7 +160,7 @@
 
 // Judge lists what broke a rule, in the order of time. The events are in that order too.
 func Judge(events []Event, r Rules) (broken []Breach) {
-	h := newHistory(events)
+	h := newHistory(events, r)
 	add := func(rule string, at float64, form string, v ...any) {
 		broken = append(broken, Breach{rule, at, fmt.Sprintf(form, v...)})
 	}
@@ -205,10 +213,11 @@
 		for _, b := range q.attempts[:i] {
 			judgePair(id, b, a, class, r, add)
 		}
-		for _, s := range h.drains[routerServer{q.sent.Router, a.server}] {
+		for _, s := range h.drains[routerServer{q.sent.Router, a.server}] { // one breach is enough
 			if at := s.from + r.GraceMS + r.SlackMS; a.began > at && a.began < s.to && !stood {
 				add("drain", a.began, "request %s: sent to server %s %.0f ms after router %s was told that it drains",
 					id, a.server, a.began-s.from, q.sent.Router)
+				break
 			}
 		}
 	}
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -48,6 +48,17 @@
 			e.Kind = Disconnected
 		case "told":
 			e.Kind, e.Server, e.State = Told, word(2), word(3)
+		case "listed":
+			e.Kind, e.Server, e.State = Listed, word(2), word(3)
+		case "down":
+			e.Kind = DiscoveryDown
+		case "up":
+			e.Kind = DiscoveryUp
+		case "called":
+			e.Kind = ListCalled
+		case "silent":
+			e.Kind = WatchSilent
+			fmt.Sscan(word(2), &e.Deadline)
 		case "started":
 			e.Kind = RouterStarted
 		case "ready":
--- a/lab/referee/timeout_hint.go
+++ b/lab/referee/timeout_hint.go
@@ -23,7 +23,7 @@
 
 // CountTimeoutHints counts over a run. The events are in the order of time.
 func CountTimeoutHints(events []Event, r Rules) TimeoutHintCounts {
-	counts, _ := countTimeoutHints(newHistory(events), r)
+	counts, _ := countTimeoutHints(newHistory(events, r), r)
 	return counts
 }
 
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -110,7 +110,7 @@
 // Kinds of faults, and which of the further keys each needs.
 var what = map[string][]string{
 	"crash": {"part"}, "silence": {"part"}, "spoil": {"part", "spoil"}, "slow": {"part", "bytes_s"}, "shrink": {"part"},
-	"deploy": {"part", "batch"}, "roll": {"batch"}, "discovery-down": nil, "rewind": {"versions"}, "origin-busy": nil,
+	"deploy": {"part", "batch"}, "roll": {"batch"}, "discovery-down": nil, "watches-silent": nil, "rewind": {"versions"}, "origin-busy": nil,
 	"partition-there": {"part", "relays"}, "partition-back": {"part", "relays"}, "partition": {"part", "relays"},
 	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil,
 	"coordinators-die": {"coordinators"}, "coordinator-dies": {"coordinators"},
--- a/lab/standin/discovery.go
+++ b/lab/standin/discovery.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	d       *model.Directory
 	changed chan struct{} // closed at each change of the list and of down
+	silence chan struct{} // closed when open watches fall silent
 	down    bool
 	calls   int
 	doors   []*http.Server
@@ -37,7 +38,7 @@
 
 // NewDiscovery starts discovery with a list that holds since long ago. Close ends it.
 func NewDiscovery(p model.DirectoryParams, seed uint64, known []model.Entry, clock *Clock, journal *referee.Journal) *Discovery {
-	d := &Discovery{clock: clock, journal: journal, d: model.NewDirectory(p, seed, known), changed: make(chan struct{}), kick: make(chan struct{}, 1)}
+	d := &Discovery{clock: clock, journal: journal, d: model.NewDirectory(p, seed, known), changed: make(chan struct{}), silence: make(chan struct{}), kick: make(chan struct{}, 1)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.wg.Go(d.run)
 	return d
@@ -49,7 +50,9 @@
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
-		if d.d.Advance(d.clock.Now()) {
+		known := d.d.Version()
+		if now := d.clock.Now(); d.d.Advance(now) {
+			d.bookListed(now, d.d.After(known))
 			d.turn()
 		}
 		next := d.d.Next()
@@ -68,6 +71,13 @@
 	}
 }
 
+// bookListed tells the referee of what the list has from now on.
+func (d *Discovery) bookListed(now float64, changes model.List) {
+	for _, e := range changes.Servers {
+		d.journal.Add(referee.Event{At: now, Kind: referee.Listed, Server: e.ID, State: e.State})
+	}
+}
+
 // turn wakes those who wait. The caller holds mu.
 func (d *Discovery) turn() {
 	close(d.changed)
@@ -89,10 +99,22 @@
 func (d *Discovery) SetDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if down != d.down {
+		kind := map[bool]referee.Kind{true: referee.DiscoveryDown, false: referee.DiscoveryUp}[down]
+		d.journal.Add(referee.Event{At: d.clock.Now(), Kind: kind})
+	}
 	d.down = down
 	d.turn()
 }
 
+// SilenceWatches has all watches that are open now fall silent: they are never answered, and their connections stay open.
+func (d *Discovery) SilenceWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.silence)
+	d.silence = make(chan struct{})
+}
+
 // Rewind has the list's version go backwards by n.
 func (d *Discovery) Rewind(n int64) {
 	d.mu.Lock()
@@ -141,6 +163,7 @@
 	q := r.URL.Query()
 	d.mu.Lock()
 	d.calls++
+	d.journal.Add(referee.Event{At: d.clock.Now(), Kind: referee.ListCalled, Router: router})
 	wait, ok := d.d.Call(d.clock.Now())
 	down := d.down
 	d.mu.Unlock()
@@ -167,7 +190,7 @@
 			http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
 			return
 		}
-		if l, ok = d.watch(r.Context(), version, min(patience, 60000)); !ok {
+		if l, ok = d.watch(r.Context(), router, version, min(patience, 60000)); !ok {
 			http.Error(w, "not now", http.StatusServiceUnavailable)
 			return
 		}
@@ -191,9 +214,13 @@
 }
 
 // watch waits for what is newer than a version.
-func (d *Discovery) watch(ctx context.Context, version int64, patience float64) (model.List, bool) {
+func (d *Discovery) watch(ctx context.Context, router string, version int64, patience float64) (model.List, bool) {
 	over := time.NewTimer(ms(patience))
 	defer over.Stop()
+	waitEndAt := d.clock.Now() + patience
+	d.mu.Lock()
+	silence := d.silence
+	d.mu.Unlock()
 	for {
 		d.mu.Lock()
 		l, changed, down := d.d.After(version), d.changed, d.down
@@ -208,6 +235,11 @@
 		case <-changed:
 		case <-over.C:
 			return l, true
+		case <-silence:
+			now := d.clock.Now()
+			d.journal.Add(referee.Event{At: now, Kind: referee.WatchSilent, Router: router, Deadline: max(0, waitEndAt-now)})
+			<-ctx.Done()
+			return l, false
 		case <-ctx.Done():
 			return l, false
 		}
--- /dev/null
+++ b/lab/standin/silent_watch_test.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/referee"
+)
+
+// A watch that falls silent is never answered, and the referee is told of it and of what the list has meanwhile; the next call is
+// answered at once.
+func TestWatchesFallSilent(t *testing.T) {
+	r := newRig()
+	s1 := model.Entry{ID: "s1", Addr: "x", State: "active"}
+	d := NewDiscovery(model.DirectoryParams{}, 1, []model.Entry{s1}, r.clock, r.journal)
+	t.Cleanup(d.Close)
+	addr, err := d.Door("r0", func(e model.Entry) string { return e.Addr })
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + addr + "/v1/servers"
+	watch := connect(t, addr)
+	watch.send("GET /v1/servers?after=1&wait_ms=60000 HTTP/1.1\r\nHost: d\r\n\r\n")
+	r.until(t, "call", func(e referee.Event) bool { return e.Kind == referee.ListCalled && e.Router == "r0" })
+	var silent referee.Event
+	for silent.Kind != referee.WatchSilent { // the watch may not be open yet
+		d.SilenceWatches()
+		events, _ := r.journal.Events()
+		silent = events[len(events)-1]
+		time.Sleep(time.Millisecond)
+	}
+	if silent.Router != "r0" || silent.Deadline <= 0 || silent.Deadline > 60000 {
+		t.Errorf("%+v", silent)
+	}
+	s1.State = "leaving"
+	d.Happened(s1)
+	r.until(t, "change of the list", func(e referee.Event) bool {
+		return e.Kind == referee.Listed && e.Server == "s1" && e.State == "leaving"
+	})
+	resp, err := http.Get(url + "?after=1&wait_ms=60000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var l model.List
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil || len(l.Servers) != 1 {
+		t.Errorf("the call after it: %+v, %v", l, err)
+	}
+	if err := watch.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := watch.r.Peek(1); err == nil {
+		t.Error("the silent watch was answered")
+	}
+}
+
+// The referee is told when discovery can't be reached, once for each change.
+func TestDiscoveryBooksThatItIsDown(t *testing.T) {
+	r := newRig()
+	d := NewDiscovery(model.DirectoryParams{}, 1, nil, r.clock, r.journal)
+	t.Cleanup(d.Close)
+	for _, down := range []bool{false, true, true, false} {
+		d.SetDown(down)
+	}
+	events, _ := r.journal.Events()
+	if len(events) != 2 || events[0].Kind != referee.DiscoveryDown || events[1].Kind != referee.DiscoveryUp {
+		t.Errorf("%+v", events)
+	}
+}
