--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -69,6 +69,8 @@
 			e.Kind = Killed
 		case "fell":
 			e.Kind, e.Server = Fell, word(2)
+		case "server-started":
+			e.Kind, e.Server = Started, word(2)
 		case "ran":
 			e.Kind, e.Server = Ran, word(2)
 		default:
@@ -96,6 +98,12 @@
 		return v
 	}
 	switch name {
+	case "start":
+		e.ServerStartedAt = number()
+	case "work":
+		e.Work = number()
+	case "since":
+		e.Began = number()
 	case "connection":
 		e.NewConnection = value == "new"
 	case "request":
--- a/lab/standin/clock.go
+++ b/lab/standin/clock.go
@@ -20,6 +20,9 @@
 // Unix is a time of the clock in Unix milliseconds.
 func (c *Clock) Unix(at float64) float64 { return float64(c.start.UnixMilli()) + at }
 
+// FromUnix is a time in Unix milliseconds on the clock.
+func (c *Clock) FromUnix(at float64) float64 { return at - float64(c.start.UnixMilli()) }
+
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
 // reset ends a connection as a process that dies does.
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -257,7 +257,7 @@
 	}
 	if s.m.Fallen() && !s.fell {
 		s.fell = true
-		s.o.Journal.Add(referee.Event{At: now, Kind: referee.Fell, Server: s.o.ID})
+		s.o.Journal.Add(referee.Event{At: now, Kind: referee.Fell, Server: s.o.ID, Began: now - s.o.Model.FallForMS})
 		s.kill()
 	}
 	return told
@@ -441,9 +441,9 @@
 			}
 			close(sl.ready)
 		default:
-			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began,
-				TimeoutHint: sl.req.hint})
 			work, size := s.o.Work(sl.req.id, sl.req.key, sl.req.class)
+			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began,
+				TimeoutHint: sl.req.hint, Work: work})
 			if sl.req.kind == "set" {
 				size = sl.req.size
 			}
