Judge commands that servers can't read, and print how timeout hints stood

How many first attempts overstate their hint stood in a run's JSON alone.

Stand-ins book malformed commands, by which the referee breaks form, and the table of a run has a line on hints.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -64,30 +64,30 @@
 
 // Result is what became of a run.
 type Result struct {
-	Scenario   string                    `json:"scenario"`
-	Command    string                    `json:"command"`
-	Load       load.Result               `json:"load"`
-	Doors      map[string]admit.State    `json:"doors,omitempty"` // fair admission at the end of the load, by router
-	Service    float64                   `json:"service"`         // after the warm-up
-	Tail       float64                   `json:"tail"`            // in the last fifth
-	Attempts   float64                   `json:"attempts_a_request"`
-	AttemptsBy []int                     `json:"attempts_by_second"` // written whole in each second of the load
-	Broken     []referee.Breach          `json:"broken"`
-	Hints      referee.TimeoutHintCounts `json:"timeout_hints"`
-	Marks      []Mark                    `json:"marks"`
-	Samples    []Sample                  `json:"samples"`
-	Servers    []ServerResult            `json:"servers"`
-	Probes     int64                     `json:"probes"` // answered by cache servers
-	Calls      int                       `json:"discovery_calls"`
-	LateMS     float64                   `json:"machine_late_ms"`   // the longest time by which the machine was late
-	Rude       [2]int                    `json:"rude"`              // misbehaving clients: told or closed on in time, of all
-	Changes    []Change                  `json:"changes,omitempty"` // planned, by the fleet's agreement
-	Released   *Released                 `json:"released,omitempty"`
-	Out        []OutAt                   `json:"out,omitempty"` // as the agreement saw it, at each change
-	Ill        []Ill                     `json:"ill,omitempty"`
-	Killed     bool                      `json:"killed,omitempty"` // whom Options.Kill names
-	Failures   []string                  `json:"failures"`         // what did not hold
-	Cut        bool                      `json:"cut"`              // stopped before its end
+	Scenario     string                    `json:"scenario"`
+	Command      string                    `json:"command"`
+	Load         load.Result               `json:"load"`
+	Doors        map[string]admit.State    `json:"doors,omitempty"` // fair admission at the end of the load, by router
+	Service      float64                   `json:"service"`         // after the warm-up
+	Tail         float64                   `json:"tail"`            // in the last fifth
+	Attempts     float64                   `json:"attempts_a_request"`
+	AttemptsBy   []int                     `json:"attempts_by_second"` // written whole in each second of the load
+	Broken       []referee.Breach          `json:"broken"`
+	TimeoutHints referee.TimeoutHintCounts `json:"timeout_hints"`
+	Marks        []Mark                    `json:"marks"`
+	Samples      []Sample                  `json:"samples"`
+	Servers      []ServerResult            `json:"servers"`
+	Probes       int64                     `json:"probes"` // answered by cache servers
+	Calls        int                       `json:"discovery_calls"`
+	LateMS       float64                   `json:"machine_late_ms"`   // the longest time by which the machine was late
+	Rude         [2]int                    `json:"rude"`              // misbehaving clients: told or closed on in time, of all
+	Changes      []Change                  `json:"changes,omitempty"` // planned, by the fleet's agreement
+	Released     *Released                 `json:"released,omitempty"`
+	Out          []OutAt                   `json:"out,omitempty"` // as the agreement saw it, at each change
+	Ill          []Ill                     `json:"ill,omitempty"`
+	Killed       bool                      `json:"killed,omitempty"` // whom Options.Kill names
+	Failures     []string                  `json:"failures"`         // what did not hold
+	Cut          bool                      `json:"cut"`              // stopped before its end
 }
 
 // Ill is a cache server that was silent, spoilt or slow for a time, and what the routers asked of it meanwhile.
@@ -761,7 +761,7 @@
 	f := fl.File
 	events, whole := fl.journal.Events()
 	res := Result{Scenario: f.Name, Command: strings.Join(fl.o.Command, " "), Load: got, Marks: fl.marks, Samples: fl.samples,
-		Broken: referee.Judge(events, fl.rules()), Hints: referee.CountTimeoutHints(events, fl.rules()), Calls: fl.discovery.Calls(), LateMS: fl.late, Rude: fl.rude, Cut: cut, Failures: fl.problem}
+		Broken: referee.Judge(events, fl.rules()), TimeoutHints: referee.CountTimeoutHints(events, fl.rules()), Calls: fl.discovery.Calls(), LateMS: fl.late, Rude: fl.rude, Cut: cut, Failures: fl.problem}
 	attempts := 0
 	res.AttemptsBy = make([]int, len(got.Seconds))
 	for _, e := range events {
--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -61,6 +61,7 @@
 	ran          map[string][]Event // by request
 	starts       []*start           // in the order of time
 	discovery    discoveryHistory
+	malformed    []Event
 	falls        []Event
 	serverStarts map[string][]float64 // by server
 	toldStarts   map[routerServer][]toldStart
@@ -103,6 +104,8 @@
 		k := routerServer{e.Router, e.Server}
 		h.drains[k] = drainSpans(h.drains[k], e)
 		h.toldStarts[k] = append(h.toldStarts[k], toldStart{e.At, e.ServerStartedAt})
+	case Malformed:
+		h.malformed = append(h.malformed, e)
 	case Fell:
 		h.falls = append(h.falls, e)
 	case Started:
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -22,6 +22,7 @@
 	Disconnected              // a client: it closed its connection before its deadline, without an answer (Request)
 	Whole                     // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint, Work)
 	Over                      // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
+	Malformed                 // a server: it was sent a command in a form that no client sends (Server)
 	Ran                       // a server: an effect was carried out (Request, Server, Idem)
 	Started                   // a server: its process started (Server)
 	Fell                      // a server: it was cold and has been pushed over (Server), by what came since Began
@@ -156,7 +157,7 @@
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost, disconnected, rejecting, unanswered or ready
+	Rule string  `json:"rule"` // answer, effect, copies, drain, cold, value, attempts, timeout-hint, lost, disconnected, rejecting, unanswered, ready or form
 	At   float64 `json:"at_ms"`
 	Text string  `json:"text"`
 }
@@ -183,6 +184,7 @@
 	judgeRefusedConnections(h, r, add)
 	judgeReadiness(h, r, add)
 	judgeFalls(h, r, add)
+	judgeMalformed(h, add)
 	slices.SortStableFunc(broken, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return broken
 }
--- a/lab/referee/referee_test.go
+++ b/lab/referee/referee_test.go
@@ -69,6 +69,8 @@
 			e.Kind = Killed
 		case "fell":
 			e.Kind, e.Server = Fell, word(2)
+		case "malformed":
+			e.Kind, e.Server = Malformed, word(2)
 		case "server-started":
 			e.Kind, e.Server = Started, word(2)
 		case "ran":
@@ -180,6 +182,7 @@
 		{"a drained server", "drain", "0 told s1 leaving\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
 		{"told twice that it drains", "drain", "0 told s1 leaving\n 1500 told s1 left\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
 		{"a cold server", "cold", "5 fell s1"},
+		{"a command that can't be read", "form", "5 malformed s1"},
 		{"four attempts", "attempts", "0 sent read\n 1 whole s1\n 2 over s1 missed\n 3 whole s2\n 4 over s2 missed\n 5 whole s3\n 6 over s3 missed\n 7 whole o\n 8 over o made\n 9 answer served"},
 	} {
 		broken := Judge(script(t, c.text), rules)
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -68,3 +68,11 @@
 		t.Errorf("one pair: %+v", one[0])
 	}
 }
+
+func TestTableTellsOfTimeoutHints(t *testing.T) {
+	var text strings.Builder
+	Table(&text, fleet.Result{TimeoutHints: referee.TimeoutHintCounts{First: 40, FirstOverstated: 3, Further: 20, FurtherOverstated: 1}})
+	if !strings.Contains(text.String(), "3 of 40 first ones, 1 of 20 further ones") {
+		t.Error(text.String())
+	}
+}
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -404,6 +404,9 @@
 		_ = c.SetReadDeadline(time.Time{}) // a large value may take its time
 		req, err := c.s.codec.read(r)
 		if err != nil || req.kind == "bad" {
+			if req.kind == "bad" || errors.Is(err, errLine) {
+				c.s.o.Journal.Add(referee.Event{At: c.s.o.Clock.Now(), Kind: referee.Malformed, Server: c.s.o.ID})
+			}
 			if err == nil || errors.Is(err, errLine) { // it is told, and the connection is over
 				_, _ = c.Write(c.s.codec.write(request{kind: "bad"}, answer{}))
 			}
