--- a/lab/referee/history.go
+++ b/lab/referee/history.go
@@ -30,8 +30,8 @@
 	has     bool // sent is there
 	answers []Event
 	closed  *Event
-	left    *Event
-	// disconnected is the client's own early end of the connection.
+	left    *Event // the client, when its time was up
+	// disconnected is the client's own end of the connection before its time was up.
 	disconnected *Event
 	attempts     []*attempt
 }
@@ -70,8 +70,17 @@
 
 // newHistory puts events together, which are in the order of time.
 func newHistory(events []Event, r Rules) *history {
-	h := &history{serverStarts: map[string][]float64{}, toldStarts: map[routerServer][]toldStart{}, discovery: newDiscoveryHistory(), routers: map[string]bool{}, byID: map[string]*request{}, killed: map[string][]float64{}, paused: map[string][]span{},
-		drains: map[routerServer][]span{}, ran: map[string][]Event{}}
+	h := &history{
+		routers:      map[string]bool{},
+		byID:         map[string]*request{},
+		killed:       map[string][]float64{},
+		paused:       map[string][]span{},
+		drains:       map[routerServer][]span{},
+		ran:          map[string][]Event{},
+		discovery:    newDiscoveryHistory(),
+		serverStarts: map[string][]float64{},
+		toldStarts:   map[routerServer][]toldStart{},
+	}
 	for _, e := range events {
 		h.add(e)
 	}
--- a/lab/referee/referee.go
+++ b/lab/referee/referee.go
@@ -73,7 +73,7 @@
 	Idem     string
 	State    string
 	Deadline float64 // milliseconds from At
-	Began    float64 // when the attempt's first byte came
+	Began    float64 // when the attempt's first byte came; of a fall, the beginning of its window
 	Sum      uint64  // of the value
 
 	// ServerStartedAt is when the server's process started, as the list says it, in milliseconds on the lab's clock.
