--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -64,29 +64,30 @@
 
 // Result is what became of a run.
 type Result struct {
-	Scenario   string                 `json:"scenario"`
-	Command    string                 `json:"command"`
-	Load       load.Result            `json:"load"`
-	Doors      map[string]admit.State `json:"doors,omitempty"` // fair admission at the end of the load, by router
-	Service    float64                `json:"service"`         // after the warm-up
-	Tail       float64                `json:"tail"`            // in the last fifth
-	Attempts   float64                `json:"attempts_a_request"`
-	AttemptsBy []int                  `json:"attempts_by_second"` // written whole in each second of the load
-	Broken     []referee.Breach       `json:"broken"`
-	Marks      []Mark                 `json:"marks"`
-	Samples    []Sample               `json:"samples"`
-	Servers    []ServerResult         `json:"servers"`
-	Probes     int64                  `json:"probes"` // answered by cache servers
-	Calls      int                    `json:"discovery_calls"`
-	LateMS     float64                `json:"machine_late_ms"`   // the longest time by which the machine was late
-	Rude       [2]int                 `json:"rude"`              // misbehaving clients: told or closed on in time, of all
-	Changes    []Change               `json:"changes,omitempty"` // planned, by the fleet's agreement
-	Released   *Released              `json:"released,omitempty"`
-	Out        []OutAt                `json:"out,omitempty"` // as the agreement saw it, at each change
-	Ill        []Ill                  `json:"ill,omitempty"`
-	Killed     bool                   `json:"killed,omitempty"` // whom Options.Kill names
-	Failures   []string               `json:"failures"`         // what did not hold
-	Cut        bool                   `json:"cut"`              // stopped before its end
+	Scenario     string                    `json:"scenario"`
+	Command      string                    `json:"command"`
+	Load         load.Result               `json:"load"`
+	Doors        map[string]admit.State    `json:"doors,omitempty"` // fair admission at the end of the load, by router
+	Service      float64                   `json:"service"`         // after the warm-up
+	Tail         float64                   `json:"tail"`            // in the last fifth
+	Attempts     float64                   `json:"attempts_a_request"`
+	AttemptsBy   []int                     `json:"attempts_by_second"` // written whole in each second of the load
+	Broken       []referee.Breach          `json:"broken"`
+	TimeoutHints referee.TimeoutHintCounts `json:"timeout_hints"`
+	Marks        []Mark                    `json:"marks"`
+	Samples      []Sample                  `json:"samples"`
+	Servers      []ServerResult            `json:"servers"`
+	Probes       int64                     `json:"probes"` // answered by cache servers
+	Calls        int                       `json:"discovery_calls"`
+	LateMS       float64                   `json:"machine_late_ms"`   // the longest time by which the machine was late
+	Rude         [2]int                    `json:"rude"`              // misbehaving clients: told or closed on in time, of all
+	Changes      []Change                  `json:"changes,omitempty"` // planned, by the fleet's agreement
+	Released     *Released                 `json:"released,omitempty"`
+	Out          []OutAt                   `json:"out,omitempty"` // as the agreement saw it, at each change
+	Ill          []Ill                     `json:"ill,omitempty"`
+	Killed       bool                      `json:"killed,omitempty"` // whom Options.Kill names
+	Failures     []string                  `json:"failures"`         // what did not hold
+	Cut          bool                      `json:"cut"`              // stopped before its end
 }
 
 // Ill is a cache server that was silent, spoilt or slow for a time, and what the routers asked of it meanwhile.
@@ -231,6 +232,9 @@
 	fl.n++
 	fl.mu.Unlock()
 	zones := fl.File.Fleet.Zones
+	if k.Model.MeanWork == 0 {
+		k.Model.MeanWork = fl.meanWork()
+	}
 	s, err := standin.Start(standin.Host(standin.Servers)+":0", standin.Options{ID: fmt.Sprintf("s-%08x", 0x1000+n*0x9e37%0xe000), Model: k.Model, Seed: fl.File.Seed + uint64(n)*7 + 100,
 		Clock: fl.clock, Journal: fl.journal, Work: fl.work, Asked: fl.cacheSaid, Probes: fl.File.Fleet.Probes, IdleMS: connIdleMS})
 	if err != nil {
@@ -261,6 +265,16 @@
 	return 1, 1
 }
 
+// meanWork is that of a request, over all classes.
+func (fl *Fleet) meanWork() float64 {
+	work, share := 0.0, 0.0
+	for _, c := range fl.File.Classes {
+		work += c.Share * c.WorkMS
+		share += c.Share
+	}
+	return ratio(work, share)
+}
+
 // cacheSaid books where a key was missing.
 func (fl *Fleet) cacheSaid(s *standin.Server, _, id string, o model.Outcome, _ bool, _ int) {
 	if o != model.Missed && o != model.Fetching {
@@ -400,9 +414,7 @@
 // startRouter starts a process of a router and has the front use it.
 func (fl *Fleet) startRouter(ctx context.Context, r *router) error {
 	config := fl.config(r)
-	for _, e := range fl.discovery.List().Servers { // the configuration tells the list, whatever the process before was told
-		fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.Told, Router: r.name, Server: e.ID, State: e.State})
-	}
+	fl.discovery.BookKnown(r.name) // the configuration tells the list, whatever the process before was told
 	command, env := fl.command(r), []string(nil)
 	fl.mu.Lock()
 	if rel := fl.released; rel != nil && r.label == "v2" && plants[rel.Spoil] != "" {
@@ -415,13 +427,23 @@
 	if len(command) == 0 || len(env) > 0 && len(fl.o.Spoilt) == 0 {
 		return errors.New("a bad version of the router: no build of it is given")
 	}
-	if err := r.start(ctx, command, env, config, fl.o.Ready); err != nil {
+	if err := fl.startProcess(ctx, r, command, env, config); err != nil {
 		return err
 	}
 	fl.front.Up(r.name, r.zone, r.listen)
 	return nil
 }
 
+// startProcess starts a process of a router, and returns once it is ready.
+func (fl *Fleet) startProcess(ctx context.Context, r *router, command, env []string, config map[string]any) error {
+	fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.RouterStarted, Router: r.name})
+	if err := r.start(ctx, command, env, config, fl.o.Ready); err != nil {
+		return err
+	}
+	fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.RouterReady, Router: r.name})
+	return nil
+}
+
 // addrFor is the address at which a router reaches a server: a relay of its own where the scenario has them.
 func (fl *Fleet) addrFor(r *router, e model.Entry) string {
 	if !fl.File.Fleet.Relays {
@@ -514,19 +536,6 @@
 	return fl.rng.Uint64() >> 32 << 16
 }
 
-// rules are those that the referee judges by.
-func (fl *Fleet) rules() referee.Rules {
-	r := referee.Rules{Classes: map[string]referee.Class{}, Group: map[string]map[string]string{"zone": {}, "cell": {}},
-		GraceMS: fl.File.Fleet.DrainGrace * 1000, SlackMS: 50 + fl.late, MaxAttempts: fl.File.Fleet.MaxAttempts}
-	for _, c := range fl.File.Classes {
-		r.Classes[c.Name] = referee.Class{Effect: referee.Effect(c.Effect), Scope: c.Scope, WindowMS: c.WindowMS}
-	}
-	for _, m := range fl.members {
-		r.Group["zone"][m.entry.ID], r.Group["cell"][m.entry.ID] = m.entry.Zone, fmt.Sprint(m.entry.Cell)
-	}
-	return r
-}
-
 // warm puts the most popular keys where a fleet that has run for long would hold them: spread over all servers.
 func (fl *Fleet) warm(l *load.Load) {
 	if !fl.File.Fleet.Warm {
@@ -752,7 +761,7 @@
 	f := fl.File
 	events, whole := fl.journal.Events()
 	res := Result{Scenario: f.Name, Command: strings.Join(fl.o.Command, " "), Load: got, Marks: fl.marks, Samples: fl.samples,
-		Broken: referee.Judge(events, fl.rules()), Calls: fl.discovery.Calls(), LateMS: fl.late, Rude: fl.rude, Cut: cut, Failures: fl.problem}
+		Broken: referee.Judge(events, fl.rules()), TimeoutHints: referee.CountTimeoutHints(events, fl.rules()), Calls: fl.discovery.Calls(), LateMS: fl.late, Rude: fl.rude, Cut: cut, Failures: fl.problem}
 	attempts := 0
 	res.AttemptsBy = make([]int, len(got.Seconds))
 	for _, e := range events {
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -257,7 +257,7 @@
 	}
 	if s.m.Fallen() && !s.fell {
 		s.fell = true
-		s.o.Journal.Add(referee.Event{At: now, Kind: referee.Fell, Server: s.o.ID})
+		s.o.Journal.Add(referee.Event{At: now, Kind: referee.Fell, Server: s.o.ID, Began: now - s.o.Model.FallForMS})
 		s.kill()
 	}
 	return told
@@ -404,6 +404,9 @@
 		_ = c.SetReadDeadline(time.Time{}) // a large value may take its time
 		req, err := c.s.codec.read(r)
 		if err != nil || req.kind == "bad" {
+			if req.kind == "bad" || errors.Is(err, errLine) {
+				c.s.o.Journal.Add(referee.Event{At: c.s.o.Clock.Now(), Kind: referee.Malformed, Server: c.s.o.ID})
+			}
 			if err == nil || errors.Is(err, errLine) { // it is told, and the connection is over
 				_, _ = c.Write(c.s.codec.write(request{kind: "bad"}, answer{}))
 			}
@@ -441,8 +444,9 @@
 			}
 			close(sl.ready)
 		default:
-			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began})
 			work, size := s.o.Work(sl.req.id, sl.req.key, sl.req.class)
+			s.o.Journal.Add(referee.Event{At: now, Kind: referee.Whole, Request: sl.req.id, Server: s.o.ID, Began: sl.began,
+				TimeoutHint: sl.req.hint, Work: work})
 			if sl.req.kind == "set" {
 				size = sl.req.size
 			}
