--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
 	"dockhinge.example/dockhinge/internal/mutant"
 	"dockhinge.example/dockhinge/internal/rollout"
 )
@@ -47,6 +48,7 @@
 	HandOver  Op = "handover"  // Lease, held with Token, to the client To
 	Write     Op = "write"     // Record of Lease, held with Token: an act that the agreed state itself checks
 	Roll      Op = "roll"      // a command of internal/rollout, from version 2 on
+	Put       Op = "put"       // a document of the agreed configuration, from version 4 on
 )
 
 // Command is one entry of the agreed log. Durations are in nanoseconds.
@@ -68,7 +70,8 @@
 	Version int           `json:"version,omitempty"`
 	Record  []byte        `json:"record,omitempty"`
 
-	Roll *rollout.Command `json:"roll,omitempty"`
+	Roll     *rollout.Command `json:"roll,omitempty"`
+	Document *DocumentPut     `json:"document,omitempty"`
 }
 
 // Code says how a command ended.
@@ -84,6 +87,7 @@
 	Full      Code = "full"       // a table has reached its bound, which Text names
 	Bad       Code = "bad"        // the command is impossible: Text says why
 	Old       Code = "old"        // a repeated command whose answer was forgotten
+	Conflict  Code = "conflict"   // the document's revision, Revision, isn't the one that the command expects
 	Newer     Code = "newer"      // a command of a version that this program doesn't know: it must not go on
 )
 
@@ -98,6 +102,8 @@
 	// Of a permit (Roll); Text tells why it waits.
 	Stage   rollout.Stage `json:"stage,omitempty"`
 	Drained bool          `json:"drained,omitempty"`
+
+	Revision uint64 `json:"revision,omitempty"` // of a document (Put)
 }
 
 // Error is the answer as an error; nil where it is OK.
@@ -136,15 +142,17 @@
 	Sessions map[string]*Session `json:"sessions"`
 	Leases   map[string]*Lease   `json:"leases"`
 	Rollout  *rollout.State      `json:"rollout,omitempty"` // nil until the first command of it
+	Changes  *watchlog.Log       `json:"changes,omitzero"`  // of the agreed configuration
 
 	bytes   int           // of all records
+	docs    int           // bytes of all documents
 	next    time.Duration // no session or lease ends before this
 	changed []string      // leases that changed hands or became free in the last command
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{V: 1, Rate: DefaultRate, Sessions: map[string]*Session{}, Leases: map[string]*Lease{}, next: math.MaxInt64}
+	return &State{V: 1, Rate: DefaultRate, Sessions: map[string]*Session{}, Leases: map[string]*Lease{}, Changes: newChanges(), next: math.MaxInt64}
 }
 
 // Wait is how long coordinators wait, on their clock, before they take back what was given for ttl: on the holder's clock,
@@ -210,6 +218,7 @@
 		return Answer{Code: OK}
 	case Raise:
 		s.Token = max(s.Token, c.Token)
+		s.raiseRevision()
 		return Answer{Code: OK, Token: s.Token}
 	case Open:
 		return s.open(c)
@@ -246,6 +255,8 @@
 	var a Answer
 	if c.Op == Roll {
 		a = s.roll(c, se)
+	} else if c.Op == Put {
+		a = s.put(c)
 	} else if text := named("lease", c.Lease); text != "" {
 		a = bad("%s", text)
 	} else {
@@ -484,6 +495,7 @@
 	if s.Rollout != nil {
 		c.Rollout = s.Rollout.Clone()
 	}
+	c.Changes = s.Changes.Clone()
 	return &c
 }
 
--- /dev/null
+++ b/internal/coord/observer/watchlog/check_test.go
@@ -0,0 +1,295 @@
+package watchlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// Sizes of the property check: small, so that moves, compaction and limits meet.
+const (
+	checkObservers = 3
+	checkWatchers  = 4
+	checkEvents    = 400
+	checkWalks     = 200
+)
+
+var checkLimits = Limits{Changes: 12, Bytes: 12 * 2 * changeOverhead}
+
+// watcher is a router as the check sees it: what it was given, beside what it believes.
+type watcher struct {
+	replica   *Replica
+	prefix    string
+	observer  int
+	delivered uint64            // newest revision through which the checker has seen deliveries
+	documents map[string]Change // as the deliveries alone would have them
+	inForce   uint64            // what the router put in force
+}
+
+// world is the agreed order with observers and watchers of it.
+type world struct {
+	rng       *rand.Rand
+	agreed    []Change // agreed[i] has revision i+1
+	voters    *Log
+	observers []*Log
+	watchers  []*watcher
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 34)), voters: NewLog(checkLimits)}
+	for range checkObservers {
+		w.observers = append(w.observers, NewLog(checkLimits))
+	}
+	for i := range checkWatchers {
+		one := &watcher{prefix: []string{"", "a/", "b/", "none/"}[i]}
+		one.restart()
+		w.watchers = append(w.watchers, one)
+	}
+	return w
+}
+
+func (x *watcher) restart() {
+	x.replica, x.documents, x.delivered, x.inForce = NewReplica(), map[string]Change{}, 0, 0
+}
+
+// state is what the agreed order has under a prefix at a revision.
+func (w *world) state(prefix string, through uint64) map[string]Change {
+	documents := map[string]Change{}
+	for _, c := range w.agreed[:through] {
+		switch {
+		case !strings.HasPrefix(c.Name, prefix):
+		case c.Deleted:
+			delete(documents, c.Name)
+		default:
+			documents[c.Name] = c
+		}
+	}
+	return documents
+}
+
+// step plays one event and tells a broken rule.
+func (w *world) step() error {
+	switch w.rng.IntN(16) {
+	case 0, 1, 2, 3:
+		return w.change()
+	case 4, 5, 6, 7:
+		return w.pull(w.rng.IntN(checkObservers))
+	case 8:
+		i := w.rng.IntN(checkObservers)
+		w.observers[i].Compact(w.observers[i].Compacted() + uint64(w.rng.IntN(6)))
+	case 9:
+		if w.rng.IntN(4) == 0 { // killed: its state is in memory alone
+			w.observers[w.rng.IntN(checkObservers)] = NewLog(checkLimits)
+		}
+	case 10:
+		w.watchers[w.rng.IntN(checkWatchers)].observer = w.rng.IntN(checkObservers)
+	case 11:
+		if w.rng.IntN(8) == 0 {
+			w.watchers[w.rng.IntN(checkWatchers)].restart()
+		}
+	case 12:
+		x := w.watchers[w.rng.IntN(checkWatchers)]
+		x.inForce = x.replica.Revision()
+		x.replica.PutInForce(x.inForce)
+	default:
+		return w.deliver(w.watchers[w.rng.IntN(checkWatchers)])
+	}
+	return nil
+}
+
+func (w *world) change() error {
+	c := Change{Revision: uint64(len(w.agreed) + 1), Name: fmt.Sprintf("%s/%d", []string{"a", "b"}[w.rng.IntN(2)], w.rng.IntN(3))}
+	if w.rng.IntN(5) == 0 {
+		c.Deleted = true
+	} else {
+		c.Value = bytes.Repeat([]byte{byte(len(w.agreed))}, w.rng.IntN(200))
+	}
+	w.agreed = append(w.agreed, c)
+	return w.voters.Append(c)
+}
+
+// pull has an observer take a batch from the voters.
+func (w *world) pull(i int) error {
+	batch, err := w.voters.After(w.observers[i].Newest(), "", 1+w.rng.IntN(600))
+	var compacted *CompactedError
+	if errors.As(err, &compacted) {
+		batch, err = w.voters.Snapshot(""), nil
+	}
+	if err != nil {
+		return fmt.Errorf("observer %d pulls: %w", i, err)
+	}
+	if err := w.observers[i].Extend(overTheWire(batch)); err != nil {
+		return fmt.Errorf("observer %d extends: %w", i, err)
+	}
+	return nil
+}
+
+// deliver has a watcher take a batch from its observer, and judges what was given by the agreed order alone.
+func (w *world) deliver(x *watcher) error {
+	log := w.observers[x.observer]
+	batch, err := log.After(x.replica.Revision(), x.prefix, 1+w.rng.IntN(600))
+	var compacted *CompactedError
+	var behind *BehindError
+	switch {
+	case errors.As(err, &compacted):
+		batch = log.Snapshot(x.prefix)
+	case errors.As(err, &behind):
+		if !w.staleSnapshot() {
+			return nil
+		}
+		batch = log.Snapshot(x.prefix) // an observer that answers what it shouldn't: the replica must refuse it
+	case err != nil:
+		return err
+	}
+	batch = overTheWire(batch)
+	if err := x.replica.Take(batch); err != nil {
+		var stale *StaleError
+		if batch.Snapshot && batch.Through < x.delivered && errors.As(err, &stale) {
+			return nil
+		}
+		return fmt.Errorf("a batch that follows was refused: %w", err)
+	}
+	return w.judge(x, batch)
+}
+
+// staleSnapshot says whether a stale observer serves its snapshot all the same.
+func (w *world) staleSnapshot() bool { return w.rng.IntN(2) == 0 }
+
+// judge checks a delivery against the agreed order.
+func (w *world) judge(x *watcher, batch Batch) error {
+	if batch.Through < x.delivered {
+		return fmt.Errorf("went back from revision %d to %d", x.delivered, batch.Through)
+	}
+	if batch.Snapshot {
+		x.documents = map[string]Change{}
+	} else {
+		for _, c := range batch.Changes {
+			if c.Revision <= x.delivered {
+				return fmt.Errorf("revision %d was delivered twice", c.Revision)
+			}
+			x.delivered = c.Revision
+		}
+	}
+	for _, c := range batch.Changes {
+		if c.Deleted {
+			delete(x.documents, c.Name)
+		} else {
+			x.documents[c.Name] = c
+		}
+	}
+	x.delivered = batch.Through
+	if err := sameDocuments(x.documents, w.state(x.prefix, x.delivered)); err != nil {
+		return fmt.Errorf("at revision %d: %w", x.delivered, err)
+	}
+	if err := w.deliveredAll(x.prefix, batch); err != nil {
+		return err
+	}
+	if got := x.replica.Acknowledged(); got > x.inForce {
+		return fmt.Errorf("revision %d was acknowledged, and %d is in force", got, x.inForce)
+	}
+	return nil
+}
+
+// deliveredAll checks that differences are exactly those of the agreed order: a change that the next one hides counts too.
+func (w *world) deliveredAll(prefix string, batch Batch) error {
+	if batch.Snapshot {
+		return nil
+	}
+	var want []Change
+	for _, c := range w.agreed[batch.After:batch.Through] {
+		if strings.HasPrefix(c.Name, prefix) {
+			want = append(want, c)
+		}
+	}
+	if len(want) != len(batch.Changes) {
+		return fmt.Errorf("after revision %d through %d: %d changes, and %d were agreed on", batch.After, batch.Through, len(batch.Changes), len(want))
+	}
+	for i, c := range want {
+		if batch.Changes[i].Revision != c.Revision {
+			return fmt.Errorf("revision %d was delivered in place of %d", batch.Changes[i].Revision, c.Revision)
+		}
+	}
+	return nil
+}
+
+func sameDocuments(got, want map[string]Change) error {
+	if len(got) != len(want) {
+		return fmt.Errorf("%d documents, want %d", len(got), len(want))
+	}
+	for name, c := range want {
+		if g, ok := got[name]; !ok || g.Revision != c.Revision || !bytes.Equal(g.Value, c.Value) {
+			return fmt.Errorf("document %s: %+v, want %+v", name, g, c)
+		}
+	}
+	return nil
+}
+
+// heal lets all observers and watchers catch up and checks that they agree with the agreed order.
+func (w *world) heal() error {
+	newest := uint64(len(w.agreed))
+	for i, log := range w.observers {
+		for log.Newest() < newest {
+			if err := w.pull(i); err != nil {
+				return err
+			}
+		}
+	}
+	for i, x := range w.watchers {
+		for x.replica.Revision() < newest {
+			if err := w.deliver(x); err != nil {
+				return err
+			}
+		}
+		if x.replica.Revision() != newest {
+			return fmt.Errorf("watcher %d ends at revision %d of %d", i, x.replica.Revision(), newest)
+		}
+		held := map[string]Change{}
+		for _, c := range x.replica.Documents() {
+			held[c.Name] = c
+		}
+		if err := sameDocuments(held, w.state(x.prefix, newest)); err != nil {
+			return fmt.Errorf("watcher %d at the end: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// overTheWire is the batch as the other side reads it.
+func overTheWire(batch Batch) (got Batch) {
+	text, err := json.Marshal(batch)
+	if err == nil {
+		err = json.Unmarshal(text, &got)
+	}
+	if err != nil {
+		panic(err) // a test's own fault
+	}
+	return got
+}
+
+// play plays one walk from a seed and tells the broken rule.
+func play(seed uint64) error {
+	w := newWorld(seed)
+	for i := range checkEvents {
+		if err := w.step(); err != nil {
+			return fmt.Errorf("seed %d, event %d: %w", seed, i, err)
+		}
+	}
+	if err := w.heal(); err != nil {
+		return fmt.Errorf("seed %d, healed: %w", seed, err)
+	}
+	return nil
+}
+
+// Over any chain of moves, kills, restarts, compaction and stale observers, each watcher sees the agreed order: nothing twice,
+// nothing left out, never back, acknowledged only once in force; and at the end all agree.
+func TestAnyInterleaving(t *testing.T) {
+	for seed := range uint64(checkWalks) {
+		if err := play(seed); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coord/observer/watchlog/log_test.go
@@ -0,0 +1,136 @@
+package watchlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+)
+
+func put(t *testing.T, l *Log, name string, size int) {
+	t.Helper()
+	if err := l.Append(Change{Revision: l.Newest() + 1, Name: name, Value: make([]byte, size)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Both bounds of a log hold, and who asks for what is gone is told so by type.
+func TestLimits(t *testing.T) {
+	l := NewLog(Limits{Changes: 3, Bytes: 1000})
+	for range 5 {
+		put(t, l, "a", 1)
+	}
+	if l.Compacted() != 2 || l.Newest() != 5 || len(l.History("a")) != 3 {
+		t.Errorf("compacted %d, newest %d, %d kept", l.Compacted(), l.Newest(), len(l.History("a")))
+	}
+	put(t, l, "b", 700)
+	put(t, l, "c", 700)
+	if l.Compacted() != 6 {
+		t.Errorf("compacted %d by bytes", l.Compacted())
+	}
+	put(t, l, "d", 5000)
+	if got, err := l.After(7, "", 1); err != nil || len(got.Changes) != 1 {
+		t.Errorf("%+v, %v: the newest is kept whatever its size", got, err)
+	}
+	var compacted *CompactedError
+	if _, err := l.After(1, "", 1000); !errors.As(err, &compacted) || compacted.Compacted != 7 {
+		t.Errorf("%v", err)
+	}
+	var behind *BehindError
+	if _, err := l.After(9, "", 1000); !errors.As(err, &behind) || behind.Newest != 8 {
+		t.Errorf("%v", err)
+	}
+	if history := l.History("b"); len(history) != 1 || history[0].Revision != 6 {
+		t.Errorf("%+v: what is in force is always in the history", history)
+	}
+}
+
+// A batch is bounded in bytes, and its revisions continue where it ends, also where a prefix leaves changes out.
+func TestBatches(t *testing.T) {
+	l := NewLog(Limits{Changes: 100, Bytes: 1 << 20})
+	for _, name := range []string{"a/1", "b/1", "a/2", "b/2", "a/3"} {
+		put(t, l, name, 100)
+	}
+	first, err := l.After(0, "a/", 250)
+	if err != nil || len(first.Changes) != 1 || first.Through != 2 {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	rest, err := l.After(first.Through, "a/", 1000)
+	if err != nil || len(rest.Changes) != 2 || rest.Through != 5 {
+		t.Errorf("%+v, %v", rest, err)
+	}
+	progress, err := l.After(5, "a/", 1000)
+	if err != nil || len(progress.Changes) != 0 || progress.Through != 5 {
+		t.Errorf("%+v, %v", progress, err)
+	}
+}
+
+// A log read back is the same, byte for byte; one with a gap is refused.
+func TestStored(t *testing.T) {
+	l := NewLog(Limits{Changes: 2, Bytes: 1000})
+	for _, name := range []string{"a", "b", "c"} {
+		put(t, l, name, 1)
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := NewLog(Limits{Changes: 2, Bytes: 1000})
+	if err := json.Unmarshal(text, again); err != nil {
+		t.Fatal(err)
+	}
+	put(t, l, "d", 1)
+	put(t, again, "d", 1)
+	one, _ := json.Marshal(l)
+	two, _ := json.Marshal(again)
+	if !bytes.Equal(one, two) {
+		t.Errorf("%s\n%s", one, two)
+	}
+	gap := bytes.Replace(text, []byte(`"compacted":1`), []byte(`"compacted":0`), 1)
+	if err := json.Unmarshal(gap, again); err == nil {
+		t.Error("a log with a gap was read")
+	}
+}
+
+// After Raise all watchers get a snapshot, and revisions only grow.
+func TestRaise(t *testing.T) {
+	l := NewLog(Limits{Changes: 10, Bytes: 1000})
+	put(t, l, "a", 1)
+	l.Raise(100)
+	var compacted *CompactedError
+	if _, err := l.After(1, "", 1000); !errors.As(err, &compacted) {
+		t.Errorf("%v", err)
+	}
+	put(t, l, "b", 1)
+	if got, err := l.After(101, "", 1000); err != nil || len(got.Changes) != 1 || got.Through != 102 {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// A batch that doesn't follow changes nothing, whole or not at all.
+func TestRefusedWhole(t *testing.T) {
+	r, l := NewReplica(), NewLog(Limits{Changes: 10, Bytes: 1000})
+	good := Batch{Through: 2, Changes: []Change{{Revision: 1, Name: "a"}, {Revision: 2, Name: "b"}}}
+	if err := errors.Join(r.Take(good), l.Extend(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []Batch{
+		{After: 1, Through: 3},
+		{After: 3, Through: 4},
+		{After: 2, Through: 1},
+		{After: 2, Through: 4, Changes: []Change{{Revision: 3, Name: "c"}, {Revision: 3, Name: "d"}}},
+		{After: 2, Through: 3, Changes: []Change{{Revision: 4, Name: "c"}}},
+		{After: 2, Through: 3, Changes: []Change{{Revision: 2, Name: "c"}}},
+		{Snapshot: true, Through: 1},
+	} {
+		if r.Take(bad) == nil || r.Revision() != 2 || len(r.Documents()) != 2 {
+			t.Errorf("replica took %+v", bad)
+		}
+		if l.Extend(bad) == nil || l.Newest() != 2 || l.Len() != 2 {
+			t.Errorf("log took %+v", bad)
+		}
+	}
+	if r.PutInForce(9); r.Acknowledged() != 2 {
+		t.Errorf("%d acknowledged of 2", r.Acknowledged())
+	}
+}
--- a/internal/coord/snapshot.go
+++ b/internal/coord/snapshot.go
@@ -51,6 +51,7 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	s.next, s.bytes = 0, 0
+	s.restoredDocuments()
 	if s.Rollout != nil {
 		s.Rollout.Restored()
 	}
