Answer long polls for changes on any coordinator, with the age of its state

An observer needs the agreed changes without a vote, and a cost at the leader that doesn't grow. Who is ahead of a coordinator is refused as such. Put is kept out of the log until its version is in force.

--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
 	"dockhinge.example/dockhinge/internal/rollout"
 )
 
@@ -55,6 +56,7 @@
 	Sessions    int      `json:"sessions"`    // open
 	Leases      int      `json:"leases"`      // held
 	Token       uint64   `json:"token"`       // the newest
+	Revision    uint64   `json:"revision"`    // of the agreed configuration
 	Watchers    int      `json:"watchers"`
 	Refused     int64    `json:"refused"` // as a bound was reached
 	FsyncP50MS  float64  `json:"fsync_p50_ms"`
@@ -80,6 +82,7 @@
 	defer n.mu.Unlock()
 	s.Version = n.state.V
 	s.Applied, s.Sessions, s.Leases, s.Token, s.Watchers = n.applied, len(n.state.Sessions), len(n.state.Leases), n.state.Token, n.count
+	s.Revision = n.state.Revision()
 	return s
 }
 
@@ -147,8 +150,8 @@
 		n.mu.Lock()
 		version := n.state.V
 		n.mu.Unlock()
-		if c.Op == coord.Roll && version < 2 { // not into the log: an older coordinator would answer it in other words
-			n.give(w, coord.Answer{Code: coord.Bad, Text: fmt.Sprintf("version: %d is in force, and this wants 2: once all coordinators run this program, 'members upgrade'", version)}, nil)
+		if needed := neededVersion(c.Op); version < needed { // not into the log: an older coordinator would answer it in other words
+			n.give(w, coord.NeedsVersion(version, needed), nil)
 			return
 		}
 		a, err := n.Do(c)
@@ -216,6 +219,9 @@
 		})
 		n.give(w, d, err)
 	})
+	m.HandleFunc("GET "+protocol.ChangesPath, n.serveChanges)
+	m.HandleFunc("GET "+protocol.HistoryPath, n.serveHistory)
+	m.HandleFunc("GET "+protocol.DocumentsPath, n.serveDocuments)
 	m.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { n.give(w, n.Status(), nil) })
 	m.HandleFunc("POST /v1/init", func(w http.ResponseWriter, r *http.Request) {
 		var all []Member
--- /dev/null
+++ b/internal/coord/node/changes_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+)
+
+// leading starts a group of one coordinator that leads.
+func leading(t *testing.T) *Node {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := ln.Addr().String()
+	ln.Close()
+	n, err := Start(Options{Name: "c1", Dir: t.TempDir(), Listen: listen, API: "127.0.0.1:1", Rate: coord.DefaultRate, SnapshotEvery: 100, Beat: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := n.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := n.Init([]Member{{Name: "c1", Identity: n.Status().Identity, Address: listen, Voter: true}}); err != nil {
+		t.Fatal(err)
+	}
+	for n.Leader() == "" {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("no leader")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return n
+}
+
+// do has a command agreed on, which must end as it should.
+func do(t *testing.T, n *Node, c coord.Command, want coord.Code) coord.Answer {
+	t.Helper()
+	a, err := n.Do(c)
+	if err != nil || a.Code != want {
+		t.Fatalf("%+v, %v, want %s", a, err, want)
+	}
+	return a
+}
+
+// poll asks for changes and reads the answer into one of the two.
+func poll(t *testing.T, n *Node, query string) (int, protocol.Update, protocol.Refusal) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	n.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, protocol.ChangesPath+"?"+query, nil))
+	var update protocol.Update
+	var refusal protocol.Refusal
+	into := any(&update)
+	if w.Code != http.StatusOK {
+		into = &refusal
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), into); err != nil {
+		t.Fatalf("%s: %v", w.Body, err)
+	}
+	return w.Code, update, refusal
+}
+
+// A long poll is answered with what comes after its revision, with a notice of progress where nothing comes, with a snapshot
+// where the changes are gone, and refused by type where the coordinator is behind the one that asks.
+func TestChanges(t *testing.T) {
+	n := leading(t)
+	do(t, n, coord.Command{Op: coord.Upgrade, Version: coord.DocumentVersion}, coord.OK)
+	do(t, n, coord.Command{Op: coord.Open, Session: "s", Client: "c", TTL: time.Minute}, coord.OK)
+	put := func(seq uint64, name string) {
+		do(t, n, coord.Command{Op: coord.Put, Session: "s", Seq: seq, Acked: seq - 1, Document: &coord.DocumentPut{Name: name, Value: []byte(name)}}, coord.OK)
+	}
+	got := make(chan protocol.Update, 1)
+	done := make(chan struct{})
+	go func() { // ends with its one poll, which is waited for below
+		defer close(done)
+		for after := uint64(0); ; {
+			code, update, _ := poll(t, n, fmt.Sprint("after=", after))
+			if code != http.StatusOK || len(update.Changes) > 0 {
+				got <- update
+				return
+			}
+		}
+	}()
+	put(1, "a/1")
+	<-done
+	if update := <-got; update.Snapshot || update.After != 0 || update.Through != 1 || len(update.Changes) != 1 || string(update.Changes[0].Value) != "a/1" {
+		t.Errorf("%+v", update)
+	}
+	put(2, "b/1")
+	if code, update, _ := poll(t, n, "after=1&prefix=a/"); code != http.StatusOK || len(update.Changes) != 0 || update.Through != 2 {
+		t.Errorf("%d %+v: what lies outside the prefix is progress alone", code, update)
+	}
+	if code, update, _ := poll(t, n, "after=2"); code != http.StatusOK || len(update.Changes) != 0 || update.Through != 2 {
+		t.Errorf("%d %+v", code, update)
+	}
+	if code, _, refusal := poll(t, n, "after=3"); code != http.StatusConflict || refusal.Code != protocol.Behind {
+		t.Errorf("%d %+v", code, refusal)
+	}
+	if code, _, refusal := poll(t, n, "after=x"); code != http.StatusBadRequest || refusal.Code != protocol.Invalid {
+		t.Errorf("%d %+v", code, refusal)
+	}
+	n.mu.Lock()
+	n.state.Changes.Compact(2)
+	n.mu.Unlock()
+	if code, update, _ := poll(t, n, "after=1"); code != http.StatusOK || !update.Snapshot || update.Through != 2 || len(update.Changes) != 2 {
+		t.Errorf("%d %+v", code, update)
+	}
+}
+
+// A document is refused before all coordinators understand it, and the refusal never gets into the log.
+func TestPutBeforeUpgrade(t *testing.T) {
+	n := leading(t)
+	if err := n.Read(func(*coord.State) {}); err != nil { // the leader's first entry stands in the log by then
+		t.Fatal(err)
+	}
+	before := n.raft.LastIndex()
+	s := httptest.NewServer(n.Handler())
+	defer s.Close()
+	code, a := command(t, s, coord.Command{Op: coord.Put, Session: "s", Seq: 1, Document: &coord.DocumentPut{Name: "a"}})
+	if code != http.StatusOK || a.Code != coord.Bad || n.raft.LastIndex() != before {
+		t.Errorf("%d %+v", code, a)
+	}
+}
+
+func command(t *testing.T, s *httptest.Server, c coord.Command) (int, coord.Answer) {
+	t.Helper()
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(s.URL+"/v1/command", "application/json", bytes.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var a coord.Answer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, a
+}
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -448,6 +448,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	version, drains := m.state.RolloutVersions()
+	revision := m.state.Revision()
 	a := m.state.Apply(c, l.Term)
 	if a.Code == coord.Newer { // going on would leave this state behind the others'
 		m.o.Fatal(fmt.Errorf("%s: this program is too old for what the others agree on", a.Text))
@@ -460,6 +461,9 @@
 			changed = append(changed, drainsKey)
 		}
 	}
+	if m.state.Revision() != revision {
+		changed = append(changed, changesKey)
+	}
 	for _, name := range changed {
 		if w := m.waiting[name]; w != nil {
 			close(w)
--- /dev/null
+++ b/internal/coord/observer/protocol/protocol.go
@@ -0,0 +1,91 @@
+// Package protocol holds the messages between coordinators, observers and the routers that watch them: JSON over HTTP.
+package protocol
+
+import (
+	"fmt"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+)
+
+// Paths of the requests.
+const (
+	ChangesPath     = "/v1/changes"     // at coordinators: GET, a long poll with Update as its answer
+	HistoryPath     = "/v1/history"     // at coordinators: GET, a document's []watchlog.Change
+	DocumentsPath   = "/v1/documents"   // at coordinators: GET, []DocumentRow
+	WatchPath       = "/v1/watch"       // at observers: GET, a stream of Update, one a line
+	AcknowledgePath = "/v1/acknowledge" // at observers: POST of Acknowledgement
+	StatusPath      = "/v1/status"      // at observers: GET, Status
+)
+
+// Update is what a watcher gets: a batch, and how old the state is that it comes from.
+type Update struct {
+	watchlog.Batch
+	AgeMillis int64 `json:"ageMillis"` // what the sender had then was complete at most so long before
+}
+
+// Age is AgeMillis as a duration.
+func (u Update) Age() time.Duration { return time.Duration(u.AgeMillis) * time.Millisecond }
+
+// Code says why a request was refused.
+type Code string
+
+// The refusals.
+const (
+	Behind     Code = "behind"      // the one that was asked has older state than the watcher: ask another
+	Unready    Code = "unready"     // it has no state yet: ask another
+	Busy       Code = "busy"        // too many join at once, or watch: RetryAfterMillis
+	Invalid    Code = "invalid"     // the request is impossible
+	NotWatched Code = "not-watched" // an acknowledgement of who doesn't watch here, or of a revision that it wasn't given
+)
+
+// Refusal is the body of an answer that isn't 200. It is an error.
+type Refusal struct {
+	Code             Code   `json:"code"`
+	Text             string `json:"text"`
+	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
+}
+
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Code, r.Text) }
+
+// RetryAfter is RetryAfterMillis as a duration.
+func (r *Refusal) RetryAfter() time.Duration {
+	return time.Duration(r.RetryAfterMillis) * time.Millisecond
+}
+
+// Acknowledgement tells that a watcher has everything through a revision in force.
+type Acknowledgement struct {
+	Watcher  string `json:"watcher"`
+	Revision uint64 `json:"revision"`
+}
+
+// DocumentRow is one document as it is listed.
+type DocumentRow struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Bytes    int    `json:"bytes"`
+}
+
+// Lagging is a watcher that has not acknowledged the newest revision.
+type Lagging struct {
+	Watcher     string `json:"watcher"`
+	Revision    uint64 `json:"revision"` // that it acknowledged
+	SinceMillis int64  `json:"sinceMillis"`
+}
+
+// Status is how an observer stands, its watchers summed up.
+type Status struct {
+	Name         string    `json:"name"`
+	Revision     uint64    `json:"revision"`
+	AgeMillis    int64     `json:"ageMillis"` // -1: it has no state yet
+	Upstream     string    `json:"upstream"`  // the coordinator that it follows
+	Watchers     int       `json:"watchers"`
+	Acknowledged int       `json:"acknowledged"` // watchers that have the newest revision in force
+	Lagging      []Lagging `json:"lagging"`      // the others, the longest first, MaxLagging at most
+	Snapshots    int64     `json:"snapshots"`    // given to watchers
+	Refused      int64     `json:"refused"`      // joins, as too many came at once or watch
+	Lies         int64     `json:"lies"`         // acknowledgements of what was not given
+}
+
+// MaxLagging bounds Status.Lagging.
+const MaxLagging = 100
