Serve the agreed configuration to routers from observers, which follow without a vote

Every watcher hung on a coordinator itself. dockhinge-coord observe FILE polls any coordinator for changes, holds the state in memory and serves watches as streams of JSON lines.

The client watches one observer of a list, moves where it fails, falls silent or is stale, never goes back, and acknowledges what is in force; the answer tells how old its state is, counted from the asking. Observers sum acknowledgements up.

--- a/internal/coord/node/changes.go
+++ b/internal/coord/node/changes.go
@@ -36,8 +36,9 @@
 	}
 	n.mu.Lock()
 	batch, err := n.state.ChangesAfter(after, prefix, maxChangesBytes)
+	newest := n.state.Revision()
 	n.mu.Unlock()
-	return protocol.Update{Batch: batch, AgeMillis: age.Milliseconds()}, err
+	return protocol.Update{Batch: batch, Newest: newest, AgeMillis: age.Milliseconds()}, err
 }
 
 // stateAge is how long ago this coordinator's state was complete, at most as far as it can know: now at a leader that a majority
--- a/internal/coord/node/changes_test.go
+++ b/internal/coord/node/changes_test.go
@@ -99,7 +99,7 @@
 		t.Errorf("%+v", update)
 	}
 	put(2, "b/1")
-	if code, update, _ := poll(t, n, "after=1&prefix=a/"); code != http.StatusOK || len(update.Changes) != 0 || update.Through != 2 {
+	if code, update, _ := poll(t, n, "after=1&prefix=a/"); code != http.StatusOK || len(update.Changes) != 0 || update.Through != 2 || update.Newest != 2 {
 		t.Errorf("%d %+v: what lies outside the prefix is progress alone", code, update)
 	}
 	if code, update, _ := poll(t, n, "after=2"); code != http.StatusOK || len(update.Changes) != 0 || update.Through != 2 {
--- /dev/null
+++ b/internal/coord/observer/client/client_test.go
@@ -0,0 +1,242 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+)
+
+// fakeObserver gives each watch the updates that it is told to, and then ends it or keeps it open.
+type fakeObserver struct {
+	mu           sync.Mutex
+	updates      []protocol.Update
+	staysOpen    bool
+	asked        []string // the revisions from which watches were begun
+	acknowledged []uint64
+	answer       protocol.Acknowledged
+}
+
+func (f *fakeObserver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	updates, staysOpen, answer := f.updates, f.staysOpen, f.answer
+	f.mu.Unlock()
+	if r.URL.Path == protocol.AcknowledgePath {
+		var a protocol.Acknowledgement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		f.mu.Lock()
+		f.acknowledged = append(f.acknowledged, a.Revision)
+		f.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(answer)
+		return
+	}
+	f.mu.Lock()
+	f.asked = append(f.asked, r.URL.Query().Get("after"))
+	f.mu.Unlock()
+	for _, update := range updates {
+		_ = json.NewEncoder(w).Encode(update)
+	}
+	if staysOpen {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+}
+
+func (f *fakeObserver) script(staysOpen bool, updates ...protocol.Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updates, f.staysOpen = updates, staysOpen
+}
+
+// router is a client with what it was given to put in force.
+type router struct {
+	*Client
+	mu     sync.Mutex
+	states []State
+	refuse func(State) bool
+}
+
+// run starts a client of observers that speak through these handlers, until the test ends.
+func run(t *testing.T, refuse func(State) bool, observers ...http.Handler) *router {
+	t.Helper()
+	r := &router{refuse: refuse}
+	var addresses []string
+	var servers []*httptest.Server
+	for _, handler := range observers {
+		server := httptest.NewServer(handler)
+		servers, addresses = append(servers, server), append(addresses, server.Listener.Addr().String())
+	}
+	r.Client = New(Options{Observers: addresses, Watcher: "w", Apply: r.apply})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		for _, server := range servers {
+			server.Close()
+		}
+	})
+	return r
+}
+
+func (r *router) apply(_ context.Context, state State) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refuse != nil && r.refuse(state) {
+		return errors.New("refused")
+	}
+	r.states = append(r.states, state)
+	return nil
+}
+
+func eventually(t *testing.T, f func() error) {
+	t.Helper()
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		select {
+		case <-t.Context().Done():
+			t.Fatal(err)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func held(r *router, want uint64) func() error {
+	return func() error {
+		if got, _ := r.Revision(); got != want {
+			return fmt.Errorf("revision %d, want %d", got, want)
+		}
+		return nil
+	}
+}
+
+func snapshot(through uint64, names ...string) protocol.Update {
+	update := protocol.Update{Batch: watchlog.Batch{Through: through, Snapshot: true}, Newest: through}
+	for i, name := range names {
+		update.Changes = append(update.Changes, watchlog.Change{Revision: through - uint64(len(names)-1-i), Name: name})
+	}
+	return update
+}
+
+func differences(after, through uint64, names ...string) protocol.Update {
+	update := snapshot(through, names...)
+	update.Snapshot, update.After = false, after
+	return update
+}
+
+// A client moves to another observer where its own ends, goes on from its revision, and takes nothing older or that doesn't follow.
+func TestNeverGoesBack(t *testing.T) {
+	first, second := &fakeObserver{}, &fakeObserver{}
+	first.script(false, snapshot(5, "a", "b"))
+	second.script(false, snapshot(5, "a", "b"))
+	r := run(t, nil, first, second)
+	eventually(t, held(r, 5))
+	first.script(false, snapshot(3, "a"))        // stale, and says so
+	second.script(false, differences(6, 7, "c")) // not what follows
+	before := watches(first) + watches(second)
+	eventually(t, func() error {
+		if watches(first)+watches(second) < before+3 {
+			return errors.New("it doesn't move")
+		}
+		return held(r, 5)()
+	})
+	second.script(true, differences(5, 6, "c"), differences(6, 7, "d"))
+	first.script(false)
+	eventually(t, held(r, 7))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := uint64(0)
+	for _, state := range r.states {
+		if state.Revision < last {
+			t.Errorf("revision %d after %d", state.Revision, last)
+		}
+		last = state.Revision
+	}
+	if n := len(r.states[len(r.states)-1].Documents); n != 4 {
+		t.Errorf("%d documents", n)
+	}
+}
+
+func watches(f *fakeObserver) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.asked)
+}
+
+// What could not be put in force isn't acknowledged, nor is what follows it without a change; the next state that can be is.
+func TestRefusedStateIsNotAcknowledged(t *testing.T) {
+	observer := &fakeObserver{}
+	observer.script(true, snapshot(4, "a"), differences(4, 5, "bad"), differences(5, 6))
+	r := run(t, func(s State) bool { return s.Revision == 5 }, observer)
+	eventually(t, held(r, 6))
+	if _, inForce := r.Revision(); inForce != 4 {
+		t.Errorf("revision %d is said to be in force", inForce)
+	}
+	eventually(t, func() error {
+		observer.mu.Lock()
+		defer observer.mu.Unlock()
+		if len(observer.acknowledged) == 0 || observer.acknowledged[len(observer.acknowledged)-1] != 4 {
+			return fmt.Errorf("acknowledged: %v", observer.acknowledged)
+		}
+		return nil
+	})
+	other := &fakeObserver{}
+	other.script(true, snapshot(4, "a"), differences(4, 5, "bad"), differences(5, 6), differences(6, 7, "good"))
+	r = run(t, func(s State) bool { return s.Revision == 5 }, other)
+	eventually(t, func() error {
+		if _, inForce := r.Revision(); inForce != 7 {
+			return fmt.Errorf("revision %d is in force", inForce)
+		}
+		return nil
+	})
+}
+
+// The age is known only from an answer that tells nothing newer than what is held, and counts from the asking.
+func TestAge(t *testing.T) {
+	c := New(Options{})
+	if err := c.replica.Take(snapshot(5).Batch); err != nil {
+		t.Fatal(err)
+	}
+	for _, answer := range []protocol.Acknowledged{{Newest: 6}, {Newest: 5, AgeMillis: -1}} {
+		c.confirmed(answer, 0)
+		if _, ok := c.Age(); ok {
+			t.Errorf("%+v: an age is known", answer)
+		}
+	}
+	c.confirmed(protocol.Acknowledged{Newest: 5, AgeMillis: 1000}, time.Hour)
+	c.confirmed(protocol.Acknowledged{Newest: 5, AgeMillis: 9000}, time.Hour) // older: it doesn't go back
+	if c.completeAt != time.Hour-time.Second {
+		t.Errorf("complete at %v", c.completeAt)
+	}
+}
+
+// A time to come back is kept, with a part more that spreads the herd; without one the pause is spread.
+func TestComeBack(t *testing.T) {
+	told := &protocol.Refusal{Code: protocol.Busy, RetryAfterMillis: 8000}
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		got := comeBack(fmt.Errorf("joining: %w", told), time.Second)
+		if got < 8*time.Second || got > 10*time.Second {
+			t.Fatalf("%v", got)
+		}
+		seen[got] = true
+		if got := comeBack(errors.New("reset"), time.Second); got < time.Second/2 || got > 3*time.Second/2 {
+			t.Fatalf("%v", got)
+		}
+	}
+	if len(seen) < 50 {
+		t.Errorf("only %d times of 100 differ", len(seen))
+	}
+}
--- /dev/null
+++ b/internal/coord/observer/follow.go
@@ -0,0 +1,106 @@
+package observer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+)
+
+const (
+	pollTimeout    = 5 * time.Second        // a coordinator answers a poll within one second
+	maxUpstreamAge = 3 * time.Second        // a coordinator whose state is older is left for another
+	minPause       = 50 * time.Millisecond  // after a coordinator failed, doubled each time
+	maxPause       = 500 * time.Millisecond // short: an observer is one of a few
+	maxAnswerBytes = 16 << 20               // a snapshot of all documents in base64, twice over
+)
+
+// follow polls one coordinator after another, each as long as it answers with fresh state.
+func (o *Observer) follow(ctx context.Context) {
+	var names []string
+	for name := range o.options.Coordinators {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	pause := minPause
+	for i := 0; ctx.Err() == nil; i++ {
+		name := names[i%len(names)]
+		answered, err := o.followOne(ctx, name)
+		if ctx.Err() != nil {
+			return
+		}
+		o.options.Log.Warn("following another coordinator", "before", name, "error", err)
+		if answered {
+			pause = minPause
+		}
+		if !clock.Sleep(ctx, jitter(pause)) {
+			return
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// followOne polls a coordinator until it fails. It reports whether it had answered.
+func (o *Observer) followOne(ctx context.Context, name string) (answered bool, err error) {
+	for {
+		o.mu.Lock()
+		revision := o.log.Newest()
+		o.mu.Unlock()
+		askedAt := clock.Now()
+		update, err := o.poll(ctx, o.options.Coordinators[name], revision)
+		if err != nil {
+			return answered, err
+		}
+		if err := o.take(update, askedAt); err != nil {
+			return answered, err
+		}
+		if update.Age() > maxUpstreamAge && len(o.options.Coordinators) > 1 {
+			return answered, fmt.Errorf("its state is %v old", update.Age())
+		}
+		o.mu.Lock()
+		o.following = name
+		o.mu.Unlock()
+		answered = true
+	}
+}
+
+// poll asks a coordinator for what follows a revision.
+func (o *Observer) poll(ctx context.Context, address string, revision uint64) (update protocol.Update, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s?after=%d", address, protocol.ChangesPath, revision)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return update, err
+	}
+	response, err := o.upstream.Do(request)
+	if err != nil {
+		return update, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return update, err
+	}
+	if response.StatusCode != http.StatusOK {
+		var refusal protocol.Refusal
+		if json.Unmarshal(body, &refusal) != nil || refusal.Code == "" {
+			return update, fmt.Errorf("polling for changes: %s", response.Status)
+		}
+		return update, &refusal
+	}
+	return update, json.Unmarshal(body, &update)
+}
+
+// jitter spreads a pause over half of it to one and a half.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause+1)
+}
--- /dev/null
+++ b/internal/coord/observer/observer_test.go
@@ -0,0 +1,330 @@
+package observer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+)
+
+// coordinator stands in for one: it answers polls from a log of the test's own.
+type coordinator struct {
+	mu      sync.Mutex
+	log     *watchlog.Log
+	changed chan struct{} // closed at each change
+}
+
+func (c *coordinator) put(t *testing.T, name string, size int) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.log.Append(watchlog.Change{Revision: c.log.Newest() + 1, Name: name, Value: make([]byte, size)}); err != nil {
+		t.Fatal(err)
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// wait waits for a change after a revision, for a poll's time.
+func (c *coordinator) wait(ctx context.Context, after uint64) {
+	c.mu.Lock()
+	newest, changed := c.log.Newest(), c.changed
+	c.mu.Unlock()
+	if newest > after {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+func (c *coordinator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	c.wait(r.Context(), after)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch, err := c.log.After(after, "", 256<<10)
+	var compacted *watchlog.CompactedError
+	if errors.As(err, &compacted) {
+		batch, err = c.log.Snapshot(""), nil
+	}
+	if err != nil {
+		refuse(w, http.StatusConflict, &protocol.Refusal{Code: protocol.Behind, Text: err.Error()})
+		return
+	}
+	_ = json.NewEncoder(w).Encode(protocol.Update{Batch: batch, Newest: c.log.Newest()})
+}
+
+// started runs an observer of a stand-in coordinator until the test ends.
+func started(t *testing.T, options Options) (*Observer, *coordinator, *httptest.Server) {
+	t.Helper()
+	upstream := &coordinator{log: watchlog.NewLog(logLimits), changed: make(chan struct{})}
+	coordinators := httptest.NewServer(upstream)
+	options.Name, options.Coordinators = "o1", map[string]string{"c1": coordinators.Listener.Addr().String()}
+	o := New(options)
+	routers := httptest.NewUnstartedServer(o.Handler())
+	routers.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if err := conn.(*net.TCPConn).SetWriteBuffer(socketBytes); err != nil {
+			t.Error(err)
+		}
+		return ctx
+	}
+	routers.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { o.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		routers.CloseClientConnections()
+		routers.Close()
+		coordinators.Close()
+	})
+	eventually(t, func() error {
+		if o.Status().AgeMillis < 0 {
+			return errors.New("no state")
+		}
+		return nil
+	})
+	return o, upstream, routers
+}
+
+// socketBytes bounds what sockets hold of a watch, so that one who doesn't read is soon seen as such.
+const socketBytes = 64 << 10
+
+// routerClient is a router's HTTP client.
+var routerClient = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetReadBuffer(socketBytes)
+}}}
+
+var plenty = Options{MaxWatchers: 100, JoinsPerSecond: 1000, WatcherBytes: 1 << 30}
+
+// eventually waits until f has no complaint.
+func eventually(t *testing.T, f func() error) {
+	t.Helper()
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		select {
+		case <-t.Context().Done():
+			t.Fatal(err)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// watch opens a watch as a router does.
+func watch(t *testing.T, routers *httptest.Server, query string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, routers.URL+protocol.WatchPath+"?"+query, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := routerClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func scanner(response *http.Response) *bufio.Scanner {
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxAnswerBytes)
+	return lines
+}
+
+// next takes the watch's next update into a replica.
+func next(t *testing.T, lines *bufio.Scanner, replica *watchlog.Replica) protocol.Update {
+	t.Helper()
+	update, ok := tryNext(t, lines, replica)
+	if !ok {
+		t.Fatalf("the watch ended: %v", lines.Err())
+	}
+	return update
+}
+
+// tryNext is next, and false where the watch ended, in mid-line maybe.
+func tryNext(t *testing.T, lines *bufio.Scanner, replica *watchlog.Replica) (update protocol.Update, ok bool) {
+	t.Helper()
+	if !lines.Scan() || json.Unmarshal(lines.Bytes(), &update) != nil {
+		return protocol.Update{}, false
+	}
+	if err := replica.Take(update.Batch); err != nil {
+		t.Fatal(err)
+	}
+	return update, true
+}
+
+// A watch gets differences under its prefix, and progress where nothing of it changes.
+func TestWatch(t *testing.T) {
+	o, upstream, routers := started(t, plenty)
+	lines, replica := scanner(watch(t, routers, "watcher=w1&prefix=a/")), watchlog.NewReplica()
+	if first := next(t, lines, replica); first.Through != 0 || len(first.Changes) != 0 {
+		t.Errorf("%+v", first)
+	}
+	upstream.put(t, "a/1", 10)
+	upstream.put(t, "b/1", 10)
+	for replica.Revision() < 2 {
+		next(t, lines, replica)
+	}
+	if documents := replica.Documents(); len(documents) != 1 || documents[0].Name != "a/1" {
+		t.Errorf("%+v", documents)
+	}
+	body := `{"watcher":"w1","revision":2}`
+	response, err := http.Post(routers.URL+protocol.AcknowledgePath, "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if status := o.Status(); response.StatusCode != http.StatusOK || status.Acknowledged != 1 || status.Watchers != 1 || status.Upstream != "c1" {
+		t.Errorf("%s %+v", response.Status, status)
+	}
+}
+
+// What can't be served is refused by type: before there is state, ahead of it, too many, impossible; and one who acknowledges what
+// it wasn't given.
+func TestRefusals(t *testing.T) {
+	unready := httptest.NewServer(New(Options{Name: "o2", MaxWatchers: 1, JoinsPerSecond: 1, WatcherBytes: 1 << 20}).Handler())
+	defer unready.Close()
+	_, _, routers := started(t, Options{MaxWatchers: 1, JoinsPerSecond: 1000, WatcherBytes: 1 << 20})
+	next(t, scanner(watch(t, routers, "watcher=first")), watchlog.NewReplica())
+	for _, want := range []struct {
+		server *httptest.Server
+		query  string
+		code   protocol.Code
+	}{
+		{unready, "watcher=w", protocol.Unready},
+		{routers, "watcher=w&after=5", protocol.Behind},
+		{routers, "watcher=w", protocol.Busy},
+		{routers, "", protocol.Invalid},
+		{routers, "watcher=w&after=x", protocol.Invalid},
+		{routers, "watcher=w&prefix=" + string(bytes.Repeat([]byte("p"), 129)), protocol.Invalid},
+	} {
+		response := watch(t, want.server, want.query)
+		var refusal protocol.Refusal
+		if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil || refusal.Code != want.code {
+			t.Errorf("%s: %+v, %v, want %s", want.query, refusal, err, want.code)
+		}
+		if want.code == protocol.Busy && response.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: no time to come back", want.query)
+		}
+	}
+	response, err := http.Post(routers.URL+protocol.AcknowledgePath, "application/json", bytes.NewBufferString(`{"watcher":"first","revision":9}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusConflict {
+		t.Errorf("a lie was answered by %s", response.Status)
+	}
+}
+
+// Joins beyond the rate are turned away with a time to come back.
+func TestJoinsAreLimited(t *testing.T) {
+	o, _, routers := started(t, Options{MaxWatchers: 1000, JoinsPerSecond: 1, WatcherBytes: 1 << 20})
+	for i := range 10 * joinBurst { // room for one comes each second meanwhile
+		response := watch(t, routers, fmt.Sprint("watcher=w", i))
+		if response.StatusCode == http.StatusServiceUnavailable {
+			var refusal protocol.Refusal
+			if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil || refusal.Code != protocol.Busy || refusal.RetryAfter() <= 0 {
+				t.Errorf("%+v, %v", refusal, err)
+			}
+			if o.Status().Refused != 1 {
+				t.Errorf("%+v", o.Status())
+			}
+			return
+		}
+	}
+	t.Errorf("%d joins were let in", 10*joinBurst)
+}
+
+// A watcher that doesn't read holds up nobody, and gets a snapshot once the log has gone beyond it.
+func TestSlowWatcher(t *testing.T) {
+	o, upstream, routers := started(t, plenty)
+	slow := watch(t, routers, "watcher=slow") // its header has come; its body isn't read
+	fast, replica := scanner(watch(t, routers, "watcher=fast")), watchlog.NewReplica()
+	const documents, rounds, size = 20, 12, 32 << 10 // 7.5 MiB: more than the sockets and the log hold
+	for i := range documents * rounds {
+		upstream.put(t, fmt.Sprint("d", i%documents), size)
+		if i%8 == 7 { // the fast one keeps up
+			for replica.Revision() < uint64(i+1) {
+				next(t, fast, replica)
+			}
+		}
+	}
+	for replica.Revision() < documents*rounds {
+		next(t, fast, replica)
+	}
+	if o.Status().Snapshots != 0 {
+		t.Errorf("%d snapshots: the fast one should have had none", o.Status().Snapshots)
+	}
+	late, lines := watchlog.NewReplica(), scanner(slow)
+	snapshots := 0
+	for late.Revision() < documents*rounds {
+		update, ok := tryNext(t, lines, late)
+		if !ok { // on a slow machine it was let go meanwhile: it comes again from where it is
+			lines = scanner(watch(t, routers, fmt.Sprint("watcher=slow&after=", late.Revision())))
+		}
+		if update.Snapshot {
+			snapshots++
+		}
+	}
+	if snapshots == 0 {
+		t.Error("the slow one got no snapshot: the test is too small for this machine's sockets")
+	}
+	if one, two := fmt.Sprint(replica.Documents()), fmt.Sprint(late.Documents()); one != two {
+		t.Error("the slow one ends with other documents")
+	}
+}
+
+// Bytes to a watcher are bounded a second.
+func TestPace(t *testing.T) {
+	const rate = 160 << 10
+	_, upstream, routers := started(t, Options{MaxWatchers: 1, JoinsPerSecond: 1000, WatcherBytes: rate})
+	for i := range 4 {
+		upstream.put(t, fmt.Sprint("d", i), 32<<10)
+	}
+	began := time.Now()
+	lines, replica, bytes := scanner(watch(t, routers, "watcher=w")), watchlog.NewReplica(), 0
+	for replica.Revision() < 4 {
+		next(t, lines, replica)
+		bytes += len(lines.Bytes())
+	}
+	if least := time.Duration(bytes-2*pieceBytes) * time.Second / rate; time.Since(began) < least {
+		t.Errorf("%d bytes came in %v, and %v is the least", bytes, time.Since(began), least)
+	}
+}
+
+// Who comes again under its name ends its watch before, as the old connection may be half open.
+func TestComeAgain(t *testing.T) {
+	o, _, routers := started(t, plenty)
+	first, replica := scanner(watch(t, routers, "watcher=w")), watchlog.NewReplica()
+	next(t, first, replica)
+	next(t, scanner(watch(t, routers, "watcher=w")), watchlog.NewReplica())
+	for first.Scan() { // a line may have been under way
+	}
+	if o.Status().Watchers != 1 {
+		t.Errorf("%+v", o.Status())
+	}
+}
--- a/internal/coord/observer/protocol/protocol.go
+++ b/internal/coord/observer/protocol/protocol.go
@@ -14,14 +14,15 @@
 	HistoryPath     = "/v1/history"     // at coordinators: GET, a document's []watchlog.Change
 	DocumentsPath   = "/v1/documents"   // at coordinators: GET, []DocumentRow
 	WatchPath       = "/v1/watch"       // at observers: GET, a stream of Update, one a line
-	AcknowledgePath = "/v1/acknowledge" // at observers: POST of Acknowledgement
+	AcknowledgePath = "/v1/acknowledge" // at observers: POST of Acknowledgement, answered by Acknowledged
 	StatusPath      = "/v1/status"      // at observers: GET, Status
 )
 
 // Update is what a watcher gets: a batch, and how old the state is that it comes from.
 type Update struct {
 	watchlog.Batch
-	AgeMillis int64 `json:"ageMillis"` // what the sender had then was complete at most so long before
+	Newest    uint64 `json:"newest"`    // the sender's newest revision; Through is below it where more follows
+	AgeMillis int64  `json:"ageMillis"` // the sender's state was complete at most so long before it sent this
 }
 
 // Age is AgeMillis as a duration.
@@ -59,6 +60,12 @@
 	Revision uint64 `json:"revision"`
 }
 
+// Acknowledged answers an Acknowledgement: who has everything through Newest knows by it how old that is.
+type Acknowledged struct {
+	Newest    uint64 `json:"newest"`
+	AgeMillis int64  `json:"ageMillis"`
+}
+
 // DocumentRow is one document as it is listed.
 type DocumentRow struct {
 	Name     string `json:"name"`
--- /dev/null
+++ b/internal/coord/observer/serve.go
@@ -0,0 +1,184 @@
+package observer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+)
+
+const (
+	maxBatchBytes   = 64 << 10 // of one update, unless it is a snapshot
+	progressEvery   = time.Second
+	retryWhenFull   = 5 * time.Second
+	maxRequestBytes = 4 << 10
+)
+
+// Handler serves routers and the operators' tool.
+func (o *Observer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+protocol.WatchPath, o.serveWatch)
+	mux.HandleFunc("POST "+protocol.AcknowledgePath, o.serveAcknowledge)
+	mux.HandleFunc("GET "+protocol.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(o.Status()) // who has gone needs no answer
+	})
+	return mux
+}
+
+// watchRequest is what a watcher asks for.
+type watchRequest struct {
+	watcher string
+	after   uint64
+	prefix  string
+}
+
+func parseWatch(r *http.Request) (watchRequest, error) {
+	query := r.URL.Query()
+	request := watchRequest{watcher: query.Get("watcher"), prefix: query.Get("prefix")}
+	if request.watcher == "" || len(request.watcher) > coord.MaxName {
+		return request, fmt.Errorf("watcher: %d bytes, and 1 to %d are wanted", len(request.watcher), coord.MaxName)
+	}
+	if len(request.prefix) > coord.MaxName {
+		return request, fmt.Errorf("prefix: %d bytes, at most %d", len(request.prefix), coord.MaxName)
+	}
+	after, err := strconv.ParseUint(cmp.Or(query.Get("after"), "0"), 10, 64)
+	if err != nil {
+		return request, fmt.Errorf("after: %w", err)
+	}
+	request.after = after
+	return request, nil
+}
+
+// serveWatch answers GET /v1/watch?watcher=NAME&after=REVISION&prefix=PREFIX with a line of JSON an update until the router goes,
+// is too slow for its connection, or comes again.
+func (o *Observer) serveWatch(w http.ResponseWriter, r *http.Request) {
+	request, err := parseWatch(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, &protocol.Refusal{Code: protocol.Invalid, Text: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	watch, refusal := o.join(request, cancel)
+	if refusal != nil {
+		refuse(w, http.StatusServiceUnavailable, refusal)
+		return
+	}
+	defer func() {
+		o.mu.Lock()
+		o.watchers.leave(watch)
+		o.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "application/jsonl")
+	err = o.stream(ctx, newPacedWriter(w, o.options.WatcherBytes), request, watch)
+	if err != nil && ctx.Err() == nil {
+		o.options.Log.Info("a watch ended", "watcher", request.watcher, "error", err)
+	}
+}
+
+// join admits a watcher, or tells why not.
+func (o *Observer) join(request watchRequest, end func()) (*watcher, *protocol.Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.isReady {
+		return nil, &protocol.Refusal{Code: protocol.Unready, Text: "no state yet", RetryAfterMillis: time.Second.Milliseconds()}
+	}
+	newest := o.log.Newest()
+	if request.after > newest {
+		behind := watchlog.BehindError{After: request.after, Newest: newest}
+		return nil, &protocol.Refusal{Code: protocol.Behind, Text: behind.Error()}
+	}
+	now := clock.Now()
+	if retryAfter, ok := o.joins.admit(now); !ok {
+		o.watchers.refused++
+		text := fmt.Sprintf("joins: %v a second at most", o.options.JoinsPerSecond)
+		return nil, &protocol.Refusal{Code: protocol.Busy, Text: text, RetryAfterMillis: retryAfter.Milliseconds()}
+	}
+	watch := o.watchers.join(request.watcher, request.after, newest, now, end)
+	if watch == nil {
+		o.watchers.refused++
+		text := fmt.Sprintf("watchers: %d at most", o.options.MaxWatchers)
+		return nil, &protocol.Refusal{Code: protocol.Busy, Text: text, RetryAfterMillis: retryWhenFull.Milliseconds()}
+	}
+	return watch, nil
+}
+
+// stream sends updates. A watcher has no queue of its own: it is a revision in the log, so that a slow one costs nothing, and
+// gets a snapshot once the log has gone beyond it.
+func (o *Observer) stream(ctx context.Context, out *pacedWriter, request watchRequest, watch *watcher) error {
+	if err := out.begin(); err != nil {
+		return err
+	}
+	revision := request.after
+	isProgressDue := true // the first line tells at once how far this observer is
+	progress := time.NewTicker(progressEvery)
+	defer progress.Stop()
+	for {
+		update, changed, err := o.read(revision, request.prefix)
+		if err != nil {
+			return err
+		}
+		if len(update.Changes) > 0 || update.Snapshot || isProgressDue {
+			o.given(watch, update.Through)
+			if err := out.writeLine(ctx, update); err != nil {
+				return err
+			}
+			revision, isProgressDue = update.Through, false
+		}
+		if update.Through < update.Newest && len(update.Changes) > 0 {
+			continue // the rest of a large batch
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-progress.C:
+			isProgressDue = true
+		}
+	}
+}
+
+func (o *Observer) given(watch *watcher, revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	watch.given = max(watch.given, revision)
+}
+
+// serveAcknowledge answers POST /v1/acknowledge.
+func (o *Observer) serveAcknowledge(w http.ResponseWriter, r *http.Request) {
+	var a protocol.Acknowledgement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&a); err != nil {
+		refuse(w, http.StatusBadRequest, &protocol.Refusal{Code: protocol.Invalid, Text: err.Error()})
+		return
+	}
+	o.mu.Lock()
+	answer := protocol.Acknowledged{Newest: o.log.Newest(), AgeMillis: o.ageMillis()}
+	ok := o.watchers.acknowledge(a, answer.Newest)
+	o.mu.Unlock()
+	if !ok {
+		text := fmt.Sprintf("%s doesn't watch here, or was not given revision %d", a.Watcher, a.Revision)
+		refuse(w, http.StatusConflict, &protocol.Refusal{Code: protocol.NotWatched, Text: text})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer) // who has gone needs no answer
+}
+
+// refuse answers with a refusal, and with Retry-After in whole seconds, rounded up, where it tells a time.
+func refuse(w http.ResponseWriter, status int, refusal *protocol.Refusal) {
+	if refusal.RetryAfterMillis > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((refusal.RetryAfterMillis+999)/1000, 10))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(refusal) // who has gone needs no answer
+}
