--- a/cmd/dockhinge-coord/main.go
+++ b/cmd/dockhinge-coord/main.go
@@ -51,7 +51,7 @@
 		Long: "A coordinator and the operators' tool for them. docs/agreement.md tells more."}
 	r.AddCommand(serve(), observe(), check(), initGroup(), status(), members(), lease(), recoverOne(), budgets(), fleet(), permit(), drain(),
 		word("undrain", "Have routers send to a drained cache server again", rollout.Clear),
-		word("forget", "Say that a router or cache server that isn't there belongs to the fleet no more", rollout.Forget), halt(), resume(), release())
+		word("forget", "Say that a router or cache server that isn't there belongs to the fleet no more", rollout.Forget), halt(), resume(), release(), configuration())
 	return r
 }
 
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -22,6 +22,8 @@
 
 	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/clock"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
 	"dockhinge.example/dockhinge/internal/rollout"
 )
 
@@ -478,6 +480,25 @@
 	return d, err
 }
 
+// Put has a document of the agreed configuration put, and tells its revision. An error is a RefusedError where the coordinators
+// refused it; with the code Conflict it tells the document's revision.
+func (c *Client) Put(ctx context.Context, put coord.DocumentPut) (revision uint64, err error) {
+	o := c.do(ctx, coord.Command{Op: coord.Put, Document: &put}, nil)
+	return o.a.Revision, o.err
+}
+
+// History tells what the coordinators keep of a document's changes, the oldest first, not older than the call.
+func (c *Client) History(ctx context.Context, name string) (history []watchlog.Change, err error) {
+	err = c.call(ctx, http.MethodGet, protocol.HistoryPath+"?name="+url.QueryEscape(name), nil, &history)
+	return history, err
+}
+
+// Documents lists the documents whose names begin with prefix, not older than the call.
+func (c *Client) Documents(ctx context.Context, prefix string) (rows []protocol.DocumentRow, err error) {
+	err = c.call(ctx, http.MethodGet, protocol.DocumentsPath+"?prefix="+url.QueryEscape(prefix), nil, &rows)
+	return rows, err
+}
+
 // Session is the id of the session that is there; "" where none is.
 func (c *Client) Session() string {
 	c.mu.Lock()
