Play coordinators, observers and routers with faults, and judge them from outside

The watch protocol was checked in one process alone. The rig starts three coordinators and two observers as processes and 24 routers with the real client in two regions behind relays; by seed it kills, stops and cuts off an observer, cuts a region off until what it lacks is compacted, kills the leader in mid-batch, stops all coordinators, and has a router be slow and one lie. A history checker judges by values that each router saw a prefix of the agreed order. Observers tell progress twice a second, and a silent one is left after 2 s, as the loss of any one machine must be over within 2.3 s.

Events are awaited; no time is asserted.

--- a/internal/coord/observer/client/client.go
+++ b/internal/coord/observer/client/client.go
@@ -39,8 +39,8 @@
 // The client's pauses and patience.
 const (
 	minPause       = 50 * time.Millisecond // after an observer failed, doubled each time
-	maxPause       = 5 * time.Second
-	silence        = 5 * time.Second // without a byte from an observer, which sends progress each second
+	maxPause       = 2 * time.Second
+	silence        = 2 * time.Second // without a byte from an observer, which sends progress twice a second
 	minStale       = 5 * time.Second // a watch whose state is older moves, twice as late each time in a row
 	maxStale       = time.Minute
 	acknowledgeGap = 200 * time.Millisecond // between two acknowledgements, at least
--- a/internal/coord/observer/serve.go
+++ b/internal/coord/observer/serve.go
@@ -17,7 +17,7 @@
 
 const (
 	maxBatchBytes   = 64 << 10 // of one update, unless it is a snapshot
-	progressEvery   = time.Second
+	progressEvery   = 500 * time.Millisecond
 	retryWhenFull   = 5 * time.Second
 	maxRequestBytes = 4 << 10
 )
--- /dev/null
+++ b/lab/fleet/observe_rig_test.go
@@ -0,0 +1,317 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	observerclient "dockhinge.example/dockhinge/internal/coord/observer/client"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// The size of a run.
+const (
+	rigCoordinators = 3
+	rigObservers    = 2
+	rigRouters      = 24
+	rigRegions      = 2
+	rigPatience     = time.Minute // a slow machine is no verdict
+)
+
+// rigPrefixes are what routers watch, in turn.
+var rigPrefixes = []string{"", "a/", "b/"}
+
+// observerProcess is one observer with the relays before it and behind it.
+type observerProcess struct {
+	*proc
+	api      string
+	upstream []*standin.Relay // to each coordinator
+	regions  []*standin.Relay // from the routers of each region
+}
+
+// watchingRouter is one router: a client of the observers, and what it was given in each of its lives.
+type watchingRouter struct {
+	name      string
+	prefix    string
+	observers []string
+	gate      chan struct{} // not nil: Apply waits until it is closed
+
+	mu     sync.Mutex
+	lives  []*referee.WatchHistory
+	client *observerclient.Client
+	end    func()
+}
+
+// observation is a run of coordinators, observers and routers.
+type observation struct {
+	t         *testing.T
+	agreement *agreement
+	puts      *client.Client
+	rng       *rand.Rand
+	observers []*observerProcess
+	routers   []*watchingRouter
+
+	mu        sync.Mutex
+	agreed    []referee.AgreedChange
+	revisions map[string]uint64 // of documents that are there
+}
+
+// observe starts coordinators, observers and routers.
+func observe(t *testing.T, seed uint64, options AgreeOptions) *observation {
+	t.Helper()
+	a, puts := quiet(t, rigCoordinators, options)
+	o := &observation{t: t, agreement: a, puts: puts, rng: rand.New(rand.NewPCG(seed, 34)), revisions: map[string]uint64{}}
+	settled(t, a)
+	tool(t, a, "members", "upgrade")
+	for i := range rigObservers {
+		o.observers = append(o.observers, o.startObserver(fmt.Sprint("o", i)))
+	}
+	for i := range rigRouters {
+		o.startRouter(i)
+	}
+	t.Cleanup(func() {
+		for _, router := range o.routers {
+			router.stop()
+		}
+		for _, observer := range o.observers {
+			observer.kill()
+		}
+	})
+	return o
+}
+
+func (o *observation) relay(to string) *standin.Relay {
+	o.t.Helper()
+	relay, err := o.agreement.relay(to)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return relay
+}
+
+func (o *observation) startObserver(name string) *observerProcess {
+	o.t.Helper()
+	api, err := FreeAddr()
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	dir := o.agreement.o.Dir
+	observer := &observerProcess{api: api, proc: &proc{name: name, dir: dir, env: o.agreement.o.Env}}
+	var text strings.Builder
+	fmt.Fprintf(&text, "version = 1\nname = %q\napi = %q\n[coordinators]\n", name, api)
+	for _, c := range o.agreement.coords {
+		relay := o.relay(c.api)
+		observer.upstream = append(observer.upstream, relay)
+		fmt.Fprintf(&text, "%s = %q\n", c.name, relay.Addr())
+	}
+	for range rigRegions {
+		observer.regions = append(observer.regions, o.relay(api))
+	}
+	file := filepath.Join(dir, name+".toml")
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		o.t.Fatal(err)
+	}
+	observer.command = append(slices.Clone(o.agreement.o.Coord), "observe", file)
+	if err := observer.start(); err != nil {
+		o.t.Fatal(err)
+	}
+	return observer
+}
+
+func (o *observation) startRouter(i int) *watchingRouter {
+	router := &watchingRouter{name: fmt.Sprint("r", i), prefix: rigPrefixes[i%len(rigPrefixes)]}
+	for _, observer := range o.observers {
+		router.observers = append(router.observers, observer.regions[i%rigRegions].Addr())
+	}
+	o.routers = append(o.routers, router)
+	router.start()
+	return router
+}
+
+// start begins a life of the router, which holds nothing.
+func (r *watchingRouter) start() {
+	life := &referee.WatchHistory{Watcher: r.name, Prefix: r.prefix}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := observerclient.New(observerclient.Options{Observers: r.observers, Watcher: r.name, Prefix: r.prefix,
+		Apply: func(ctx context.Context, state observerclient.State) error { return r.apply(ctx, life, state) }})
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(ctx) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lives, r.client = append(r.lives, life), c
+	r.end = func() { cancel(); wg.Wait() }
+}
+
+func (r *watchingRouter) stop() {
+	r.mu.Lock()
+	end := r.end
+	r.mu.Unlock()
+	end()
+}
+
+func (r *watchingRouter) current() *observerclient.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.client
+}
+
+func (r *watchingRouter) apply(ctx context.Context, life *referee.WatchHistory, state observerclient.State) error {
+	r.mu.Lock()
+	gate := r.gate
+	update := state.Update
+	life.Deliveries = append(life.Deliveries, referee.Delivery{After: update.After, Through: update.Through, Snapshot: update.Snapshot,
+		Changes: agreedChanges(update.Changes), Documents: agreedChanges(state.Documents)})
+	r.mu.Unlock()
+	if gate == nil {
+		return nil
+	}
+	select {
+	case <-gate:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *watchingRouter) setGate(gate chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate = gate
+}
+
+func agreedChanges(changes []watchlog.Change) []referee.AgreedChange {
+	var all []referee.AgreedChange
+	for _, c := range changes {
+		all = append(all, referee.AgreedChange{Revision: c.Revision, Name: c.Name, Sum: xxhash.Sum64(c.Value), Deleted: c.Deleted})
+	}
+	return all
+}
+
+// put has a document put over the revision that the last put of it had, and books the answer. One caller at once a document.
+func (o *observation) put(name string, value []byte, isDeletion bool) error {
+	o.mu.Lock()
+	expected := o.revisions[name]
+	o.mu.Unlock()
+	put := coord.DocumentPut{Name: name, Value: value, Delete: isDeletion, Expected: expected}
+	revision, err := o.puts.Put(o.t.Context(), put)
+	if err != nil {
+		return fmt.Errorf("putting %s: %w", name, err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.agreed = append(o.agreed, referee.AgreedChange{Revision: revision, Name: name, Sum: xxhash.Sum64(value), Deleted: isDeletion})
+	o.revisions[name] = revision
+	if isDeletion {
+		delete(o.revisions, name)
+	}
+	return nil
+}
+
+// change puts some documents, one after the other.
+func (o *observation) change(count int) {
+	o.t.Helper()
+	for range count {
+		name := fmt.Sprintf("%s%d", []string{"a/", "b/"}[o.rng.IntN(2)], o.rng.IntN(4))
+		o.mu.Lock()
+		isDeletion := o.revisions[name] > 0 && o.rng.IntN(4) == 0
+		o.mu.Unlock()
+		var value []byte
+		if !isDeletion {
+			value = fmt.Appendf(nil, "value %d", o.rng.Uint64())
+		}
+		if err := o.put(name, value, isDeletion); err != nil {
+			o.t.Fatal(err)
+		}
+	}
+}
+
+// newest is the revision of the newest change that was agreed on.
+func (o *observation) newest() (revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.agreed {
+		revision = max(revision, c.Revision)
+	}
+	return revision
+}
+
+func (o *observation) await(what string, f func() error) {
+	o.t.Helper()
+	if err := until(o.t.Context(), rigPatience, f); err != nil {
+		o.t.Fatalf("%s: %v", what, err)
+	}
+}
+
+// awaitRouters waits until routers have the newest revision in force.
+func (o *observation) awaitRouters(what string, routers []*watchingRouter) {
+	o.t.Helper()
+	newest := o.newest()
+	o.await(what, func() error {
+		for _, router := range routers {
+			if held, inForce := router.current().Revision(); inForce != newest {
+				return fmt.Errorf("%s holds revision %d and has %d of %d in force", router.name, held, inForce, newest)
+			}
+		}
+		return nil
+	})
+}
+
+// region are the routers of one.
+func (o *observation) region(number int) (routers []*watchingRouter) {
+	for i, router := range o.routers {
+		if i%rigRegions == number {
+			routers = append(routers, router)
+		}
+	}
+	return routers
+}
+
+func (p *observerProcess) status(ctx context.Context) (status protocol.Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	err = client.Call(ctx, http.MethodGet, p.api, protocol.StatusPath, nil, &status)
+	return status, err
+}
+
+// judge checks all that every router was given in each life.
+func (o *observation) judge() (deliveries, snapshots int) {
+	o.t.Helper()
+	o.mu.Lock()
+	agreed := slices.Clone(o.agreed)
+	o.mu.Unlock()
+	slices.SortFunc(agreed, func(a, b referee.AgreedChange) int { return int(a.Revision) - int(b.Revision) })
+	for _, router := range o.routers {
+		router.mu.Lock()
+		for _, life := range router.lives {
+			if text := referee.JudgeChanges(agreed, *life); text != "" {
+				o.t.Error(text)
+			}
+			deliveries += len(life.Deliveries)
+			for _, d := range life.Deliveries {
+				if d.Snapshot {
+					snapshots++
+				}
+			}
+		}
+		router.mu.Unlock()
+	}
+	return deliveries, snapshots
+}
+
+var errStillThere = errors.New("not yet")
--- /dev/null
+++ b/lab/fleet/observe_test.go
@@ -0,0 +1,298 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// observerFaults are the faults of a run, each of which waits for what must come of it.
+var observerFaults = []struct {
+	name string
+	play func(*observation)
+}{
+	{"an observer is killed, and comes back with nothing", (*observation).killObserver},
+	{"an observer is stopped, and resumed with its old state", (*observation).stopObserver},
+	{"an observer is cut off from the coordinators", (*observation).cutObserver},
+	{"a region is cut off, and what it lacks is compacted", (*observation).cutRegion},
+	{"the leader is killed in mid-batch", (*observation).killLeader},
+	{"all coordinators are stopped", (*observation).stopCoordinators},
+	{"a router is slow to put a state in force, and one lies", (*observation).slowAndLying},
+}
+
+// Three seeds of all faults in their own order: each router sees a prefix of the agreed order over any chain of observers, and at
+// the end all agree.
+func TestRoutersFollowTheAgreedOrder(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			o := observe(t, seed, agreeOptions(t))
+			o.change(5)
+			o.awaitRouters("at the start", o.routers)
+			for _, i := range o.rng.Perm(len(observerFaults)) {
+				began := time.Now()
+				observerFaults[i].play(o)
+				played := time.Since(began)
+				o.change(2)
+				o.awaitRouters("after it: "+observerFaults[i].name, o.routers)
+				t.Logf("%s: %.1f s, and all agreed after %.1f s", observerFaults[i].name, played.Seconds(), (time.Since(began) - played).Seconds())
+			}
+			o.awaitCounted()
+			deliveries, snapshots := o.judge()
+			t.Logf("%d changes, %d deliveries, %d snapshots", len(o.agreed), deliveries, snapshots)
+			if snapshots == 0 {
+				t.Error("no router ever got a snapshot: compaction was not tried")
+			}
+		})
+	}
+}
+
+// one is an observer by the seed.
+func (o *observation) one() *observerProcess { return o.observers[o.rng.IntN(len(o.observers))] }
+
+// killObserver has the other one serve all; some routers are restarted meanwhile.
+func (o *observation) killObserver() {
+	observer := o.one()
+	observer.kill()
+	o.change(4)
+	for _, i := range o.rng.Perm(len(o.routers))[:4] {
+		o.routers[i].stop()
+		o.routers[i].start()
+	}
+	o.awaitRouters("by the other observer", o.routers)
+	o.agreement.up(observer.proc)
+}
+
+// stopObserver has its routers notice that it is silent, and resumes it while it is behind.
+func (o *observation) stopObserver() {
+	observer := o.one()
+	observer.signal(syscall.SIGSTOP)
+	defer observer.signal(syscall.SIGCONT)
+	o.change(4)
+	o.awaitRouters("by the other observer", o.routers)
+}
+
+// cutObserver has an observer tell that its state grows old.
+func (o *observation) cutObserver() {
+	observer := o.one()
+	setRelays(observer.upstream, standin.Net{Cut: true})
+	defer setRelays(observer.upstream, standin.Net{})
+	o.change(4)
+	o.await("its age", func() error {
+		status, err := observer.status(o.t.Context())
+		if err == nil && status.AgeMillis < 2000 {
+			err = fmt.Errorf("it tells %d ms", status.AgeMillis)
+		}
+		return err
+	})
+}
+
+// cutRegion has one region lack more than the log holds; all its routers come back at once.
+func (o *observation) cutRegion() {
+	var relays []*standin.Relay
+	for _, observer := range o.observers {
+		relays = append(relays, observer.regions[0])
+	}
+	setRelays(relays, standin.Net{Cut: true})
+	defer setRelays(relays, standin.Net{})
+	o.burst()
+	o.awaitRouters("in the other region", o.region(1))
+}
+
+// burst changes more than the coordinators' log holds.
+func (o *observation) burst() {
+	const writers = 8
+	const each = coord.MaxHistoryBytes/coord.MaxDocumentBytes/writers + 2
+	errs := make([]error, writers)
+	var wg sync.WaitGroup
+	for i := range writers {
+		wg.Go(func() {
+			value := make([]byte, coord.MaxDocumentBytes)
+			for j := range each {
+				value[0] = byte(j)
+				if errs[i] = o.put(fmt.Sprint("large/", i), value, false); errs[i] != nil {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			o.t.Fatal(err)
+		}
+	}
+}
+
+// killLeader kills the leader while changes are under way; the others go on.
+func (o *observation) killLeader() {
+	leader, err := o.agreement.leader(o.t.Context())
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(leader.kill)
+	o.change(8)
+	wg.Wait()
+	o.awaitRouters("by the other coordinators", o.routers)
+	o.agreement.up(leader.proc)
+	settled(o.t, o.agreement)
+}
+
+// stopCoordinators has observers serve on with what they have, and tell its age; a router that comes then gets all of it.
+func (o *observation) stopCoordinators() {
+	for _, c := range o.agreement.coords {
+		c.signal(syscall.SIGSTOP)
+	}
+	router := o.routers[o.rng.IntN(len(o.routers))]
+	router.stop()
+	router.start()
+	o.awaitRouters("without coordinators", []*watchingRouter{router})
+	for _, observer := range o.observers {
+		o.await("its age", func() error {
+			status, err := observer.status(o.t.Context())
+			if err == nil && status.AgeMillis < 2000 {
+				err = fmt.Errorf("it tells %d ms", status.AgeMillis)
+			}
+			return err
+		})
+	}
+	for _, c := range o.agreement.coords {
+		c.signal(syscall.SIGCONT)
+	}
+	settled(o.t, o.agreement)
+}
+
+// slowAndLying has one router keep a state from being in force: it must be told as lagging also after it has spoken again. Another
+// acknowledges what there isn't, which must be refused.
+func (o *observation) slowAndLying() {
+	router := o.routers[0] // of all documents
+	gate := make(chan struct{})
+	router.setGate(gate)
+	o.change(1)
+	newest := o.newest()
+	o.awaitRouters("the others", o.routers[1:])
+	before, _ := router.current().Age()
+	o.await("a heartbeat of the slow router", func() error {
+		if held, _ := router.current().Revision(); held != newest {
+			return fmt.Errorf("it holds %d", held)
+		}
+		if age, ok := router.current().Age(); !ok || age >= before {
+			before = age
+			return errStillThere
+		}
+		return nil
+	})
+	for _, observer := range o.observers {
+		status, err := observer.status(o.t.Context())
+		if err != nil {
+			o.t.Fatal(err)
+		}
+		if status.Acknowledged == status.Watchers && router.current().Observer() == observer.regions[0].Addr() {
+			o.t.Errorf("%s has revision %d acknowledged by all, and %s does not have it in force", observer.name, newest, router.name)
+		}
+	}
+	lie := protocol.Acknowledgement{Watcher: router.name, Revision: newest + 1000}
+	for _, observer := range o.observers {
+		if err := client.Call(o.t.Context(), http.MethodPost, observer.api, protocol.AcknowledgePath, lie, nil); err == nil {
+			o.t.Errorf("%s took the acknowledgement of revision %d, which there isn't", observer.name, lie.Revision)
+		}
+	}
+	router.setGate(nil)
+	close(gate)
+}
+
+func setRelays(relays []*standin.Relay, net standin.Net) {
+	for _, relay := range relays {
+		relay.Set(net)
+	}
+}
+
+// awaitCounted waits until the observers count every router once, with the newest revision in force.
+func (o *observation) awaitCounted() {
+	o.t.Helper()
+	newest := o.newest()
+	o.await("the observers' count", func() error {
+		watchers, acknowledged := 0, 0
+		for _, observer := range o.observers {
+			status, err := observer.status(o.t.Context())
+			if err != nil {
+				return err
+			}
+			if status.Revision != newest {
+				return fmt.Errorf("%s is at revision %d of %d", observer.name, status.Revision, newest)
+			}
+			watchers, acknowledged = watchers+status.Watchers, acknowledged+status.Acknowledged
+		}
+		if watchers != len(o.routers) || acknowledged != len(o.routers) {
+			return fmt.Errorf("%d of %d routers are counted, %d of them with the newest revision", watchers, len(o.routers), acknowledged)
+		}
+		return nil
+	})
+}
+
+// The operators' tool puts, lists, shows and takes back documents, and tells who has them in force by the observers alone.
+func TestConfigCommands(t *testing.T) {
+	t.Parallel()
+	o := observe(t, 1, agreeOptions(t))
+	file := filepath.Join(t.TempDir(), "quota.toml")
+	put := func(text string, words ...string) string {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return tool(t, o.agreement, append([]string{"config", "put", "a/quota.toml", file}, words...)...)
+	}
+	put("x = 1\n")
+	if out := put("x = 2\n", "--expect", "1"); !strings.Contains(out, "revision 2") {
+		t.Errorf("%s", out)
+	}
+	for want, words := range map[string][]string{
+		"--expect 2": {"config", "put", "a/quota.toml", file, "--expect", "1"},
+		"isn't kept": {"config", "back", "a/quota.toml", "7"},
+		"is none":    {"config", "get", "a/other"},
+	} {
+		out, err := toolCommand(o.agreement, words...).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) {
+			t.Errorf("%v: %v, %s, want %q", words, err, out, want)
+		}
+	}
+	if out := tool(t, o.agreement, "config", "back", "a/quota.toml", "1"); !strings.Contains(out, "revision 3") {
+		t.Errorf("%s", out)
+	}
+	if out := tool(t, o.agreement, "config", "get", "a/quota.toml"); !strings.Contains(out, "x = 1") {
+		t.Errorf("%s", out)
+	}
+	if out := tool(t, o.agreement, "config", "history", "a/quota.toml"); strings.Count(out, "\n") != 4 {
+		t.Errorf("%s", out)
+	}
+	if out := tool(t, o.agreement, "config", "list", "a/"); !strings.Contains(out, "a/quota.toml") {
+		t.Errorf("%s", out)
+	}
+	var observers []string
+	for _, observer := range o.observers {
+		observers = append(observers, observer.name+"="+observer.api)
+	}
+	want := fmt.Sprintf("revision 3 is in force at %d of %d", rigRouters, rigRouters)
+	o.await("the status", func() error {
+		out := tool(t, o.agreement, "config", "status", "--observers", strings.Join(observers, ","))
+		if !strings.Contains(out, want) {
+			return fmt.Errorf("%s", out)
+		}
+		return nil
+	})
+	if out := tool(t, o.agreement, "config", "delete", "a/quota.toml", "--expect", "3"); !strings.Contains(out, "revision 4") {
+		t.Errorf("%s", out)
+	}
+}
--- /dev/null
+++ b/lab/referee/changes_test.go
@@ -0,0 +1,53 @@
+package referee
+
+import (
+	"strings"
+	"testing"
+)
+
+var (
+	agreedA1 = AgreedChange{Revision: 1, Name: "a/1", Sum: 11}
+	agreedB2 = AgreedChange{Revision: 2, Name: "b/1", Sum: 12}
+	agreedA3 = AgreedChange{Revision: 3, Name: "a/1", Sum: 13}
+	agreedA4 = AgreedChange{Revision: 4, Name: "a/2", Sum: 14}
+	agreedA5 = AgreedChange{Revision: 5, Name: "a/1", Deleted: true}
+	agreed   = []AgreedChange{agreedA1, agreedB2, agreedA3, agreedA4, agreedA5}
+)
+
+// What follows the agreed order holds, and each way of leaving it is told.
+func TestJudgeChanges(t *testing.T) {
+	first := Delivery{Through: 1, Changes: []AgreedChange{agreedA1}, Documents: []AgreedChange{agreedA1}}
+	third := Delivery{After: 2, Through: 3, Changes: []AgreedChange{agreedA3}, Documents: []AgreedChange{agreedA3}}
+	rest := Delivery{After: 3, Through: 5, Changes: []AgreedChange{agreedA4, agreedA5}, Documents: []AgreedChange{agreedA4}}
+	snapshot := Delivery{Through: 4, Snapshot: true, Changes: []AgreedChange{agreedA3, agreedA4}, Documents: []AgreedChange{agreedA3, agreedA4}}
+	last := Delivery{After: 4, Through: 5, Changes: []AgreedChange{agreedA5}, Documents: []AgreedChange{agreedA4}}
+	broken := func(d Delivery, change func(*Delivery)) Delivery {
+		change(&d)
+		return d
+	}
+	for _, one := range []struct {
+		want       string
+		deliveries []Delivery
+	}{
+		{"", nil},
+		{"", []Delivery{first, third, rest}},
+		{"", []Delivery{first, snapshot, last}},
+		{"", []Delivery{first, snapshot, snapshot}},
+		{"went back", []Delivery{snapshot, first}},
+		{"revision 3 was left out", []Delivery{first, broken(third, func(d *Delivery) { d.Changes = nil })}},
+		{"given in place of", []Delivery{first, rest}},
+		{"doesn't follow", []Delivery{first, third, broken(third, func(d *Delivery) {})}},
+		{"left out", []Delivery{first, third, broken(rest, func(d *Delivery) { d.Changes = d.Changes[:1] })}},
+		{"nothing beyond", []Delivery{broken(first, func(d *Delivery) { d.Through = 6 })}},
+		{"was held, and", []Delivery{broken(snapshot, func(d *Delivery) { d.Documents = []AgreedChange{agreedA1, agreedA4} })}},
+		{"documents were held", []Delivery{broken(snapshot, func(d *Delivery) { d.Documents = nil })}},
+	} {
+		got := JudgeChanges(agreed, WatchHistory{Watcher: "w", Prefix: "a/", Deliveries: one.deliveries})
+		if (got == "") != (one.want == "") || !strings.Contains(got, one.want) {
+			t.Errorf("%q, want %q", got, one.want)
+		}
+	}
+	if got := JudgeChanges(agreed[1:], WatchHistory{}); !strings.Contains(got, "in place of") {
+		t.Errorf("%q: a gap in the agreed order", got)
+	}
+}
