Let no command of a session run beyond what the coordinators remember

Eight writers of one session were refused with 'commands of a session under way: 32 at most', though a client has at most 16 under way: one command was sent again and again while the others were answered, and their numbers left the window of 32 beyond it. The client holds the next number back until the oldest command is settled.

TestLateCommandHoldsTheWindow fails without the change with these very words, and holds three times with -race.

--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -70,6 +70,7 @@
 	life    context.Context
 	seq     uint64
 	under   map[uint64]bool // commands whose answer has not come
+	settled chan struct{}   // closed, and replaced, once one of them is settled or the session is another
 	leader  string
 	bytes   int64 // of all that was sent and answered
 }
@@ -85,7 +86,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Client{o: o, room: make(chan struct{}, maxUnderWay), opened: make(chan struct{}), under: map[uint64]bool{},
+	return &Client{o: o, room: make(chan struct{}, maxUnderWay), opened: make(chan struct{}), under: map[uint64]bool{}, settled: make(chan struct{}),
 		http: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 2 * maxUnderWay,
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}}
 }
@@ -114,6 +115,7 @@
 	id := hex.EncodeToString(raw)
 	c.mu.Lock()
 	c.session, c.seq, c.under, c.life = id, 0, map[uint64]bool{}, ctx
+	c.wakeWindow()
 	c.mu.Unlock()
 	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
 		// Each try counts from its own sending: the coordinators count the newest that they carried out.
@@ -294,7 +296,10 @@
 	case <-ctx.Done():
 		return outcome{err: ctx.Err()}
 	}
-	c.mu.Lock()
+	if err := c.lockWindow(ctx); err != nil {
+		<-c.room
+		return outcome{err: err}
+	}
 	if !c.book.Open(c.o.Clock()) {
 		c.mu.Unlock()
 		<-c.room
@@ -334,6 +339,34 @@
 	}
 }
 
+// lockWindow locks mu once the next command's number lies within what the coordinators remember beyond the oldest one whose answer
+// hasn't come: others may have been answered by the dozen while that one is sent again and again. After an error mu isn't locked.
+func (c *Client) lockWindow(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		oldest := c.seq + 1
+		for seq := range c.under {
+			oldest = min(oldest, seq)
+		}
+		if c.seq+1 < oldest+coord.MaxRemembered {
+			return nil
+		}
+		settled := c.settled
+		c.mu.Unlock()
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// wakeWindow has those look again who wait for room in the window. The caller holds mu.
+func (c *Client) wakeWindow() {
+	close(c.settled)
+	c.settled = make(chan struct{})
+}
+
 // settle repeats a command until it is answered or the session is over.
 func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
 	o := outcome{first: c.o.Clock(), in: session}
@@ -357,6 +390,7 @@
 	if c.session == session {
 		delete(c.under, cmd.Seq)
 	}
+	c.wakeWindow()
 	c.mu.Unlock()
 	if o.a.Code != coord.OK {
 		o.err = &RefusedError{o.a}
