Have routers ahead of a stale observer come to it, and keep a short history in tests

The processes met compaction by 4 MiB of large documents only, which took 3 s alone and 26 s beside a load of 58, and no router ever came to an observer that was behind it. A build with the tag faults keeps as few changes as a test says; the observer that is cut off is now what the other one's routers turn to, and it must turn them away (counted as ahead).

--- a/internal/coord/document.go
+++ b/internal/coord/document.go
@@ -31,7 +31,7 @@
 }
 
 func newChanges() *watchlog.Log {
-	return watchlog.NewLog(watchlog.Limits{Changes: MaxHistory, Bytes: MaxHistoryBytes})
+	return watchlog.NewLog(watchlog.Limits{Changes: HistoryLimit(), Bytes: MaxHistoryBytes})
 }
 
 // CheckDocumentName checks a document's name: letters, digits, dots, dashes, underscores and slashes.
--- a/internal/coord/observer/observer.go
+++ b/internal/coord/observer/observer.go
@@ -15,6 +15,7 @@
 	"dockhinge.example/dockhinge/internal/coord/clock"
 	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
 	"dockhinge.example/dockhinge/internal/coord/observer/watchlog"
+	"dockhinge.example/dockhinge/internal/mutant"
 )
 
 // Options are those of one observer.
@@ -43,7 +44,7 @@
 }
 
 // logLimits are those of the coordinators' log: a watcher that an observer can't serve differences, they couldn't either.
-var logLimits = watchlog.Limits{Changes: coord.MaxHistory, Bytes: coord.MaxHistoryBytes}
+var logLimits = watchlog.Limits{Changes: coord.HistoryLimit(), Bytes: coord.MaxHistoryBytes}
 
 // New prepares an observer; Run has it follow the coordinators.
 func New(options Options) *Observer {
@@ -104,7 +105,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	update := protocol.Update{Newest: o.log.Newest(), AgeMillis: o.ageMillis()}
-	if revision < o.log.Compacted() {
+	isStale := mutant.Is("snapshot-older") && revision > o.log.Newest()
+	if revision < o.log.Compacted() || isStale {
 		update.Batch = o.log.Snapshot(prefix)
 		o.watchers.snapshots++
 		return update, o.changed, nil
--- a/internal/coord/observer/protocol/protocol.go
+++ b/internal/coord/observer/protocol/protocol.go
@@ -91,6 +91,7 @@
 	Lagging      []Lagging `json:"lagging"`      // the others, the longest first, MaxLagging at most
 	Snapshots    int64     `json:"snapshots"`    // given to watchers
 	Refused      int64     `json:"refused"`      // joins, as too many came at once or watch
+	Ahead        int64     `json:"ahead"`        // joins turned away, as the watcher had newer state
 	Lies         int64     `json:"lies"`         // acknowledgements of what was not given
 }
 
--- a/internal/coord/observer/watchers.go
+++ b/internal/coord/observer/watchers.go
@@ -14,6 +14,7 @@
 	byName    map[string]*watcher
 	snapshots int64
 	refused   int64
+	ahead     int64
 	lies      int64
 }
 
@@ -84,7 +85,7 @@
 
 // status sums the watchers up.
 func (t *watcherTable) status(newest uint64, now time.Duration) protocol.Status {
-	status := protocol.Status{Revision: newest, Watchers: len(t.byName), Snapshots: t.snapshots, Refused: t.refused, Lies: t.lies, Lagging: []protocol.Lagging{}}
+	status := protocol.Status{Revision: newest, Watchers: len(t.byName), Snapshots: t.snapshots, Refused: t.refused, Ahead: t.ahead, Lies: t.lies, Lagging: []protocol.Lagging{}}
 	for _, w := range t.byName {
 		if !w.isLagging {
 			status.Acknowledged++
--- a/lab/fleet/agree_test.go
+++ b/lab/fleet/agree_test.go
@@ -26,7 +26,7 @@
 		return "", err
 	}
 	builtIn = dir
-	for into, tags := range map[string]string{"": "faults", "next/": "faults,nextversion"} {
+	for into, tags := range map[string]string{"": "faults" + plantable, "next/": "faults,nextversion" + plantable} {
 		if out, err := exec.Command("go", "build", "-tags", tags, "-o", dir+"/"+into, "../../cmd/dockhinge-coord", "../../cmd/dockhinge-lab").CombinedOutput(); err != nil {
 			return "", fmt.Errorf("%w\n%s", err, out)
 		}
@@ -36,6 +36,9 @@
 
 var builtIn string
 
+// plantable is what a test's build with the tag mutants adds to the tags of the programs that it starts.
+var plantable = ""
+
 func agreeOptions(t *testing.T, env ...string) AgreeOptions {
 	t.Helper()
 	dir, err := built()
--- a/lab/fleet/observe_rig_test.go
+++ b/lab/fleet/observe_rig_test.go
@@ -31,6 +31,7 @@
 	rigObservers    = 2
 	rigRouters      = 24
 	rigRegions      = 2
+	rigHistory      = 16          // changes that coordinators and observers keep, so that compaction is met often
 	rigPatience     = time.Minute // a slow machine is no verdict
 )
 
@@ -254,6 +255,7 @@
 func (o *observation) await(what string, f func() error) {
 	o.t.Helper()
 	if err := until(o.t.Context(), rigPatience, f); err != nil {
+		o.judge() // it may tell why
 		o.t.Fatalf("%s: %v", what, err)
 	}
 }
@@ -314,4 +316,4 @@
 	return deliveries, snapshots
 }
 
-var errStillThere = errors.New("not yet")
+var errNotYet = errors.New("not yet")
--- a/lab/fleet/observe_test.go
+++ b/lab/fleet/observe_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/internal/coord/observer/protocol"
 	"dockhinge.example/dockhinge/lab/standin"
@@ -37,7 +36,7 @@
 	for seed := uint64(1); seed <= 3; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			o := observe(t, seed, agreeOptions(t))
+			o := observe(t, seed, agreeOptions(t, fmt.Sprint("DOCKHINGE_MAX_HISTORY=", rigHistory)))
 			o.change(5)
 			o.awaitRouters("at the start", o.routers)
 			for _, i := range o.rng.Perm(len(observerFaults)) {
@@ -83,19 +82,36 @@
 	o.awaitRouters("by the other observer", o.routers)
 }
 
-// cutObserver has an observer tell that its state grows old.
+// cutObserver has an observer tell that its state grows old, and the routers of the other one, which have newer state, come to it:
+// they must be turned away, and go back.
 func (o *observation) cutObserver() {
-	observer := o.one()
-	setRelays(observer.upstream, standin.Net{Cut: true})
-	defer setRelays(observer.upstream, standin.Net{})
+	i := o.rng.IntN(len(o.observers))
+	stale, other := o.observers[i], o.observers[1-i]
+	setRelays(stale.upstream, standin.Net{Cut: true})
+	defer setRelays(stale.upstream, standin.Net{})
+	before, err := stale.status(o.t.Context())
+	if err != nil {
+		o.t.Fatal(err)
+	}
 	o.change(4)
-	o.await("its age", func() error {
-		status, err := observer.status(o.t.Context())
-		if err == nil && status.AgeMillis < 2000 {
-			err = fmt.Errorf("it tells %d ms", status.AgeMillis)
+	newest := o.newest()
+	o.await("a router with newer state", func() error {
+		for _, router := range o.routers {
+			if _, inForce := router.current().Revision(); inForce == newest {
+				return nil
+			}
+		}
+		return errNotYet // where all watched the stale one, they have to find that it is
+	})
+	setRelays(other.regions, standin.Net{Cut: true})
+	o.await("its age, and a router that is ahead of it", func() error {
+		status, err := stale.status(o.t.Context())
+		if err == nil && (status.AgeMillis < 2000 || status.Ahead == before.Ahead) {
+			err = fmt.Errorf("it tells %d ms, and turned %d away", status.AgeMillis, status.Ahead-before.Ahead)
 		}
 		return err
 	})
+	setRelays(other.regions, standin.Net{})
 }
 
 // cutRegion has one region lack more than the log holds; all its routers come back at once.
@@ -106,41 +122,13 @@
 	}
 	setRelays(relays, standin.Net{Cut: true})
 	defer setRelays(relays, standin.Net{})
-	o.burst()
+	o.change(2 * rigHistory)
 	o.awaitRouters("in the other region", o.region(1))
 }
 
-// burst changes more than the coordinators' log holds.
-func (o *observation) burst() {
-	const writers = 8
-	const each = coord.MaxHistoryBytes/coord.MaxDocumentBytes/writers + 2
-	errs := make([]error, writers)
-	var wg sync.WaitGroup
-	for i := range writers {
-		wg.Go(func() {
-			value := make([]byte, coord.MaxDocumentBytes)
-			for j := range each {
-				value[0] = byte(j)
-				if errs[i] = o.put(fmt.Sprint("large/", i), value, false); errs[i] != nil {
-					return
-				}
-			}
-		})
-	}
-	wg.Wait()
-	for _, err := range errs {
-		if err != nil {
-			o.t.Fatal(err)
-		}
-	}
-}
-
 // killLeader kills the leader while changes are under way; the others go on.
 func (o *observation) killLeader() {
-	leader, err := o.agreement.leader(o.t.Context())
-	if err != nil {
-		o.t.Fatal(err)
-	}
+	leader := settled(o.t, o.agreement)
 	var wg sync.WaitGroup
 	wg.Go(leader.kill)
 	o.change(8)
@@ -190,7 +178,7 @@
 		}
 		if age, ok := router.current().Age(); !ok || age >= before {
 			before = age
-			return errStillThere
+			return errNotYet
 		}
 		return nil
 	})
