--- a/internal/coord/observer/watchlog/log.go
+++ b/internal/coord/observer/watchlog/log.go
@@ -21,15 +21,15 @@
 // revision, from which After reads. The zero Log isn't ready; NewLog makes one.
 type Log struct {
 	limits    Limits
-	documents map[string]Change
-	changes   []Change // those after compacted through newest, without a gap
-	bytes     int      // of changes
+	documents map[string]Change // nil until the first
+	changes   []Change          // those after compacted through newest, without a gap
+	bytes     int               // of changes
 	compacted uint64
 	newest    uint64
 }
 
 // NewLog returns an empty log.
-func NewLog(limits Limits) *Log { return &Log{limits: limits, documents: map[string]Change{}} }
+func NewLog(limits Limits) *Log { return &Log{limits: limits} }
 
 // Newest is the revision of the newest change, 0 where there was none.
 func (l *Log) Newest() uint64 { return l.newest }
@@ -70,6 +70,9 @@
 		return &GapError{Held: l.newest, Got: c.Revision}
 	}
 	l.newest = c.Revision
+	if l.documents == nil {
+		l.documents = map[string]Change{}
+	}
 	if c.Deleted {
 		delete(l.documents, c.Name)
 	} else {
@@ -217,7 +220,11 @@
 
 // MarshalJSON writes the log whole. Equal logs give equal bytes.
 func (l *Log) MarshalJSON() ([]byte, error) {
-	return json.Marshal(stored{l.compacted, l.newest, l.documents, l.changes})
+	documents := l.documents
+	if documents == nil {
+		documents = map[string]Change{}
+	}
+	return json.Marshal(stored{l.compacted, l.newest, documents, l.changes})
 }
 
 // UnmarshalJSON reads a log, and refuses one whose changes have a gap. The limits stay as they are.
