Split the laboratory's run of coordinators and holders into files with one job

Change: agree.go keeps the run itself; agree_build.go writes settings and relays, agree_group.go forms the group and finds its leader, agree_faults.go plays the schedule, agree_judge.go reads what was seen. A link is a type in place of [2]int, the kinds of link faults are functions with names, times are named constants. Command names, environment and scenario words stay.

--- /dev/null
+++ b/lab/fleet/agree_build.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+const (
+	// holderIdle and holderHold are how long a holder waits between two tasks, and how long it holds a lease, at most.
+	holderIdle = 300 * time.Millisecond
+	holderHold = 1500 * time.Millisecond
+
+	slowSyncEnv = "DOCKHINGE_SLOW_SYNC=20ms" // of every fifth coordinator
+)
+
+// build makes directories, relays and files.
+func (a *agreement) build() error {
+	for number := range a.scenario.Coordinators {
+		c, err := a.newCoordinator(number)
+		if err != nil {
+			return err
+		}
+		a.coords = append(a.coords, c)
+	}
+	for _, c := range a.coords {
+		if err := a.configureCoordinator(c); err != nil {
+			return err
+		}
+	}
+	resourceAddr, err := FreeAddr()
+	if err != nil {
+		return err
+	}
+	a.resource = &proc{name: "resource", dir: a.options.Dir, env: a.options.Env,
+		command: append(slices.Clone(a.options.Lab), "resource", resourceAddr, a.actsFile())}
+	for number := range a.scenario.Holders {
+		holder, err := a.newHolder(number, resourceAddr)
+		if err != nil {
+			return err
+		}
+		a.holders = append(a.holders, holder)
+	}
+	return nil
+}
+
+// actsFile is where the resource writes what was done with it.
+func (a *agreement) actsFile() string { return filepath.Join(a.options.Dir, "acts") }
+
+// holderLog is where a holder writes what it claimed and asked for.
+func (a *agreement) holderLog(name string) string { return filepath.Join(a.options.Dir, name+".jsonl") }
+
+func holderName(number int) string { return fmt.Sprintf("h%d", number) }
+
+func leaseName(number int) string { return fmt.Sprintf("l%d", number) }
+
+// newCoordinator gives a coordinator its addresses.
+func (a *agreement) newCoordinator(number int) (*coordinator, error) {
+	name := fmt.Sprintf("c%d", number)
+	c := &coordinator{number: number, proc: &proc{name: name, dir: a.options.Dir}, data: filepath.Join(a.options.Dir, name)}
+	var err error
+	if c.listen, err = FreeAddr(); err != nil {
+		return nil, err
+	}
+	if c.api, err = FreeAddr(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// configureCoordinator writes a coordinator's settings, with a relay before each of the others, and sets its command.
+func (a *agreement) configureCoordinator(c *coordinator) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "version = 1\nname = %q\ndir = %q\nlisten = %q\napi = %q\nclock_rate = %v\nsnapshot_every = %d\nlog_level = \"debug\"\n",
+		c.name, c.data, c.listen, c.api, a.scenario.ClockRate, a.scenario.SnapshotEach)
+	if a.options.Beat != "" {
+		fmt.Fprintf(&text, "beat = %q\n", a.options.Beat)
+	}
+	text.WriteString("[peers]\n")
+	for _, peer := range a.coords {
+		if c == peer {
+			continue
+		}
+		relay, err := a.relay(peer.listen)
+		if err != nil {
+			return err
+		}
+		a.raftRelays[link{c.number, peer.number}] = relay
+		fmt.Fprintf(&text, "%s = %q\n", peer.name, relay.Addr())
+	}
+	file := filepath.Join(a.options.Dir, c.name+".toml")
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	c.command = append(slices.Clone(a.options.Coord), "serve", file)
+	c.env = a.coordinatorEnv(c.number)
+	return nil
+}
+
+// coordinatorEnv gives some coordinators a slow disk or a clock that steps, by the seed.
+func (a *agreement) coordinatorEnv(number int) []string {
+	seed := a.scenario.Seed
+	env := append(slices.Clone(a.options.Env), a.clockRate(number))
+	if (uint64(number)+seed)%5 == 0 {
+		env = append(env, slowSyncEnv)
+	}
+	if (uint64(number)+seed)%4 == 1 {
+		step := []string{"1h", "-1h"}[seed%2]
+		env = append(env, fmt.Sprintf("DOCKHINGE_WALL_STEP=%s@%ds", step, 3+number))
+	}
+	return env
+}
+
+// clockRate sets the rate at which a process's clock runs: at an end of the bound, or true.
+func (a *agreement) clockRate(number int) string {
+	direction := []float64{1, -1, 0}[(number+int(a.scenario.Seed))%3]
+	return fmt.Sprintf("DOCKHINGE_CLOCK_RATE=%v", 1+a.scenario.ClockRate*direction)
+}
+
+// newHolder writes a holder's settings, with a relay before each coordinator and before the resource.
+func (a *agreement) newHolder(number int, resourceAddr string) (*proc, error) {
+	name := holderName(number)
+	cfg := HolderConfig{
+		Name:         name,
+		Coordinators: map[string]string{},
+		TTL:          time.Duration(a.scenario.TTLS * float64(time.Second)),
+		Seed:         a.scenario.Seed*1000 + uint64(number),
+		Log:          a.holderLog(name),
+		Idle:         holderIdle,
+		Hold:         holderHold,
+	}
+	for lease := range a.scenario.Leases {
+		cfg.Leases = append(cfg.Leases, leaseName(lease))
+	}
+	for other := range a.scenario.Holders {
+		if other != number {
+			cfg.Others = append(cfg.Others, holderName(other))
+		}
+	}
+	for _, c := range a.coords {
+		relay, err := a.relay(c.api)
+		if err != nil {
+			return nil, err
+		}
+		a.clientRelays[link{number, c.number}] = relay
+		cfg.Coordinators[c.name] = relay.Addr()
+	}
+	relay, err := a.relay(resourceAddr)
+	if err != nil {
+		return nil, err
+	}
+	a.resourceRelays = append(a.resourceRelays, relay)
+	cfg.Resource = relay.Addr()
+	text, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(a.options.Dir, name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return nil, err
+	}
+	return &proc{name: name, dir: a.options.Dir, command: append(slices.Clone(a.options.Lab), "holder", file),
+		env: append(slices.Clone(a.options.Env), a.clockRate(number+1))}, nil
+}
+
+// relay starts one to an address that stays the same over all restarts.
+func (a *agreement) relay(to string) (*standin.Relay, error) {
+	relay, err := standin.NewRelay(func() string { return to })
+	if err == nil {
+		a.relayFaults[relay] = &relayFaults{}
+	}
+	return relay, err
+}
--- /dev/null
+++ b/lab/fleet/agree_faults.go
@@ -0,0 +1,280 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/node"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+const (
+	relayDelayMillis = 60   // one way, of a link with a delay
+	fullDiskBytes    = 4096 // size of a file beyond which a full disk takes no more
+
+	fullDiskEndS      = 0.3 // until a coordinator that can't go on has ended
+	damagedDiskEndS   = 1.0 // until one that finds its disk damaged has
+	emptyDiskWaitS    = 0.5 // in which one with an empty disk must not pass for the voter that it was
+	replaceTimeout    = 60 * time.Second
+	memberCallTimeout = 5 * time.Second
+)
+
+// relayFaults counts what is wrong on a relay, as faults may lie over one another.
+type relayFaults struct{ cut, dropThere, dropBack, delay int }
+
+// network is what the relay does while these faults last.
+func (f *relayFaults) network() standin.Net {
+	return standin.Net{Cut: f.cut > 0, DropThere: f.dropThere > 0, DropBack: f.dropBack > 0, DelayMS: relayDelayMillis * float64(f.delay)}
+}
+
+// relayFault picks the count of one kind of fault.
+type relayFault func(*relayFaults) *int
+
+func cutFault(f *relayFaults) *int       { return &f.cut }
+func dropThereFault(f *relayFaults) *int { return &f.dropThere }
+func dropBackFault(f *relayFaults) *int  { return &f.dropBack }
+func delayFault(f *relayFaults) *int     { return &f.delay }
+
+// faultLinks has a fault on relays and takes it back after a time.
+func (a *agreement) faultLinks(ctx context.Context, forS float64, fault relayFault, relays ...*standin.Relay) {
+	change := func(by int) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, relay := range relays {
+			faults := a.relayFaults[relay]
+			*fault(faults) += by
+			relay.Set(faults.network())
+		}
+	}
+	change(1)
+	wait(ctx, forS)
+	change(-1)
+}
+
+// faultProcess has a process down or stopped for a time, by what comes first and last; faults of one process don't overlap.
+func (a *agreement) faultProcess(ctx context.Context, p *proc, forS float64, first, last func()) {
+	a.mu.Lock()
+	isFaulty := a.processFault[p]
+	a.processFault[p] = true
+	a.mu.Unlock()
+	if isFaulty {
+		return
+	}
+	first()
+	wait(ctx, forS)
+	last()
+	a.mu.Lock()
+	a.processFault[p] = false
+	a.mu.Unlock()
+}
+
+// killAndRestart kills a process and starts it again after a time.
+func (a *agreement) killAndRestart(ctx context.Context, p *proc, forS float64) {
+	a.faultProcess(ctx, p, forS, p.kill, func() { a.up(p) })
+}
+
+// stopAndContinue stops a process and has it go on after a time.
+func (a *agreement) stopAndContinue(ctx context.Context, p *proc, forS float64) {
+	a.faultProcess(ctx, p, forS, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+}
+
+// up starts a process that was down.
+func (a *agreement) up(p *proc) {
+	if err := p.start(); err != nil {
+		a.fail("%v", err)
+	}
+}
+
+// play plays one fault of the schedule.
+func (a *agreement) play(ctx context.Context, t scenario.Trouble) {
+	c := a.coords[t.Who%len(a.coords)]
+	switch t.What {
+	case "kill-coordinator":
+		a.killAndRestart(ctx, c.proc, t.ForS)
+	case "stop-coordinator":
+		a.stopAndContinue(ctx, c.proc, t.ForS)
+	case "kill-holder":
+		a.killAndRestart(ctx, a.holders[t.Who], t.ForS)
+	case "stop-holder":
+		a.stopAndContinue(ctx, a.holders[t.Who], t.ForS)
+	case "disk-full":
+		a.fillDisk(ctx, c, t.ForS)
+	case "restart-all":
+		var wg sync.WaitGroup
+		for _, c := range a.coords {
+			wg.Go(func() { a.killAndRestart(ctx, c.proc, t.ForS) })
+		}
+		wg.Wait()
+	case "damage", "wipe":
+		a.faultProcess(ctx, c.proc, t.ForS, c.kill, func() { a.replace(ctx, c, t) })
+	default:
+		a.playLinkFault(ctx, t)
+	}
+}
+
+// playLinkFault plays a fault of the network between two coordinators, holders and coordinators, or holders and resource.
+func (a *agreement) playLinkFault(ctx context.Context, t scenario.Trouble) {
+	switch t.What {
+	case "cut":
+		a.faultLinks(ctx, t.ForS, cutFault, a.raftRelays[link{t.Who, t.With}], a.raftRelays[link{t.With, t.Who}])
+	case "hold-there":
+		a.faultLinks(ctx, t.ForS, dropThereFault, a.raftRelays[link{t.Who, t.With}])
+	case "delay":
+		a.faultLinks(ctx, t.ForS, delayFault, a.raftRelays[link{t.Who, t.With}], a.raftRelays[link{t.With, t.Who}])
+	case "cut-clients":
+		var relays []*standin.Relay
+		coordinator := t.Who % len(a.coords)
+		for holder := range a.holders {
+			relays = append(relays, a.clientRelays[link{holder, coordinator}])
+		}
+		a.faultLinks(ctx, t.ForS, cutFault, relays...)
+	case "hold-answers":
+		a.faultLinks(ctx, t.ForS, dropBackFault, a.someClientRelays(t)...)
+	case "hold-asks":
+		a.faultLinks(ctx, t.ForS, dropThereFault, a.someClientRelays(t)...)
+	case "slow-then-cut":
+		a.slowThenCut(ctx, t)
+	case "late-acts":
+		a.faultLinks(ctx, t.ForS, dropThereFault, a.resourceRelays[t.Who])
+	}
+}
+
+// someClientRelays are those from a holder to the coordinator that the fault names, or to all, by the number drawn for it.
+func (a *agreement) someClientRelays(t scenario.Trouble) []*standin.Relay {
+	var relays []*standin.Relay
+	meetsAll := t.U < 0.5
+	for coordinator := range a.coords {
+		if meetsAll || coordinator == t.With {
+			relays = append(relays, a.clientRelays[link{t.Who, coordinator}])
+		}
+	}
+	return relays
+}
+
+// slowThenCut has a holder's answers come late, and from a third of the time on its requests not arrive.
+func (a *agreement) slowThenCut(ctx context.Context, t scenario.Trouble) {
+	var relays []*standin.Relay
+	for coordinator := range a.coords {
+		relays = append(relays, a.clientRelays[link{t.Who, coordinator}])
+	}
+	var both sync.WaitGroup
+	both.Go(func() { a.faultLinks(ctx, t.ForS, delayFault, relays...) })
+	both.Go(func() {
+		if wait(ctx, t.ForS/3) {
+			a.faultLinks(ctx, t.ForS, dropThereFault, relays...)
+		}
+	})
+	both.Wait()
+}
+
+// fillDisk has a coordinator's disk full for a time. One that says it can't go on is started again then.
+func (a *agreement) fillDisk(ctx context.Context, c *coordinator, forS float64) {
+	a.faultProcess(ctx, c.proc, forS, func() { limitFile(c.proc, fullDiskBytes) }, func() {
+		limitFile(c.proc, unix.RLIM_INFINITY)
+		wait(context.WithoutCancel(ctx), fullDiskEndS)
+		if up, _ := c.running(); !up {
+			a.up(c.proc)
+		}
+	})
+}
+
+// limitFile bounds the size of the files that a process may write, as a full disk does.
+func limitFile(p *proc, bytes uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}, nil) // it may have ended
+	}
+}
+
+// replace damages or empties a dead coordinator's disk and starts it. One that refuses its disk, or has lost it, comes back with an
+// empty directory as a new member, after the old one has been taken out.
+func (a *agreement) replace(ctx context.Context, c *coordinator, t scenario.Trouble) {
+	ctx = context.WithoutCancel(ctx)
+	if t.What == "damage" && a.survivesDamage(ctx, c, t.U) {
+		return
+	}
+	if err := os.RemoveAll(c.data); err != nil {
+		a.fail("%v", err)
+		return
+	}
+	a.up(c.proc)
+	wait(ctx, emptyDiskWaitS)
+	if err := until(ctx, replaceTimeout, func() error { return a.replaceMember(ctx, c) }); err != nil {
+		a.fail("%s could not be replaced: %v", c.name, err)
+	}
+}
+
+// survivesDamage damages a coordinator's log and starts it. It tells whether no replacement is wanted: the damage met nothing
+// that is in use, or the file could not be damaged. One that ends must say why.
+func (a *agreement) survivesDamage(ctx context.Context, c *coordinator, u float64) bool {
+	if err := a.damage(filepath.Join(c.data, "log.db"), u); err != nil {
+		a.fail("%v", err)
+		return true
+	}
+	a.up(c.proc)
+	wait(ctx, damagedDiskEndS)
+	if up, _ := c.running(); up {
+		return true
+	}
+	if !strings.Contains(c.logTail(20), "damaged") {
+		a.fail("%s with a damaged disk ended without a word of it:\n%s", c.name, c.logTail(10))
+	}
+	return false
+}
+
+// replaceMember takes a coordinator out of the group as the member that it was, and adds it as the one that it is.
+func (a *agreement) replaceMember(ctx context.Context, c *coordinator) error {
+	s, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	leader, err := a.leader(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+	defer cancel()
+	err = client.Call(ctx, http.MethodDelete, leader.api, "/v1/members/"+c.name, nil, nil)
+	if err != nil && !strings.Contains(err.Error(), "is none") {
+		return err
+	}
+	member := node.Member{Name: c.name, Identity: s.Identity, Address: c.listen, Newest: s.Understands}
+	return client.Call(ctx, http.MethodPost, leader.api, "/v1/members", member, nil)
+}
+
+// damage cuts a file off or flips one of its bits.
+func (a *agreement) damage(path string, u float64) error {
+	s, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	at := a.rng.Int64N(s.Size())
+	a.mu.Unlock()
+	if u < 0.5 {
+		return os.Truncate(path, at)
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	b := make([]byte, 1)
+	if _, err := f.ReadAt(b, at); err != nil {
+		return err
+	}
+	b[0] ^= 1 << (at % 8)
+	_, err = f.WriteAt(b, at)
+	return err
+}
--- a/lab/fleet/agree_test.go
+++ b/lab/fleet/agree_test.go
@@ -254,7 +254,7 @@
 	for name, addr := range a.addresses() {
 		all = append(all, name+"="+addr)
 	}
-	cmd := exec.Command(a.o.Coord[0], args...)
+	cmd := exec.Command(a.options.Coord[0], args...)
 	cmd.Env = append(os.Environ(), "DOCKHINGE_COORDINATORS="+strings.Join(all, ","))
 	return cmd
 }
--- a/lab/fleet/agreecost.go
+++ b/lab/fleet/agreecost.go
@@ -46,8 +46,7 @@
 		return nil, err
 	}
 	f.Coordinators, f.Holders, f.Seed, f.ClockRate, f.SnapshotEach = coordinators, 1, 3, coord.DefaultRate, snapshotEach // no slow disk, no stepping clock that matters
-	a := &agreement{f: f, o: o, rng: rand.New(rand.NewPCG(1, 41)), raft: map[[2]int]*standin.Relay{}, api: map[[2]int]*standin.Relay{},
-		nets: map[*standin.Relay]*nets{}, busy: map[*proc]int{}}
+	a := newAgreement(f, o, 1)
 	if err := a.build(); err != nil {
 		a.close()
 		return nil, err
@@ -55,7 +54,7 @@
 	for _, c := range a.coords {
 		c.env = o.Env
 	}
-	a.holders, a.res = nil, nil
+	a.holders, a.resource = nil, nil
 	if err := a.begin(ctx); err != nil {
 		a.close()
 		return nil, err
--- a/lab/fleet/steps.go
+++ b/lab/fleet/steps.go
@@ -63,7 +63,7 @@
 		}
 		c := l
 		if k.Victim == "follower" {
-			c = fl.coords.coords[(l.n+1)%len(fl.coords.coords)]
+			c = fl.coords.coords[(l.number+1)%len(fl.coords.coords)]
 		}
 		c.kill()
 		again = c.start
