Split the laboratory's fleet into files with one job and its judgement into steps

Change: fleet.go keeps options, the Fleet and its life; servers.go, routers.go, routerconfig.go, play.go and result.go have the rest.

--- /dev/null
+++ b/lab/fleet/play.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/admin"
+	"dockhinge.example/dockhinge/internal/admit"
+	"dockhinge.example/dockhinge/lab/load"
+)
+
+// play runs load and faults, and judges what came of it.
+func (fl *Fleet) play(ctx context.Context) (Result, error) {
+	p := fl.File.Load
+	if fl.o.Progress != nil {
+		p.Progress = func(n load.Now) { fl.o.Progress(n, fl) }
+	}
+	l, err := load.New(p, fl.front, fl.clock, fl.journal)
+	if err != nil {
+		return Result{}, err
+	}
+	fl.warm(l)
+	fl.mu.Lock()
+	fl.began = fl.clock.Now()
+	fl.mu.Unlock()
+	running, stop := context.WithTimeout(ctx, time.Duration(fl.File.DurationS*float64(time.Second)))
+	defer stop()
+	var wg sync.WaitGroup
+	over, end := context.WithCancel(context.Background())
+	wg.Go(func() { fl.heartbeat(over) })
+	wg.Go(func() { fl.sample(over) })
+	if fl.File.Fleet.Out.On() {
+		wg.Go(func() { fl.hear(over) })
+	}
+	endLive := context.CancelFunc(func() {})
+	live := running // planned changes, and the faults beside them, may last longer than the load
+	if fl.o.Patience > 0 {
+		live, endLive = context.WithCancel(ctx)
+		defer endLive()
+	}
+	changed := make(chan struct{})
+	var changing sync.WaitGroup
+	for i, f := range fl.File.Faults {
+		if strings.HasPrefix(f.What, "change-") || f.What == "release-routers" {
+			changing.Go(func() { fl.fault(live, fl.File.Faults[i]) })
+		} else {
+			wg.Go(func() { fl.fault(live, fl.File.Faults[i]) })
+		}
+	}
+	wg.Go(func() { changing.Wait(); close(changed) })
+	got := l.Run(running)
+	if fl.o.Patience > 0 {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-time.After(fl.o.Patience):
+		}
+		endLive()
+	}
+	cut := ctx.Err() != nil
+	doors := fl.doors(ctx)
+	end()
+	stop()
+	wg.Wait()
+	res := fl.result(got, cut)
+	res.Doors = doors
+	return res, nil
+}
+
+// doors asks each router how fair admission stands there; nothing of those where it is off.
+func (fl *Fleet) doors(ctx context.Context) map[string]admit.State {
+	all := map[string]admit.State{}
+	for _, r := range fl.allRouters() {
+		var s admit.State
+		if p := r.newest(); p != nil {
+			if text, err := admin.Call(ctx, p.admin, http.MethodGet, "/-/admission"); err == nil && json.Unmarshal(text, &s) == nil {
+				all[r.name] = s
+			}
+		}
+	}
+	return all
+}
+
+// heartbeat watches whether the machine lets the lab run when it should.
+func (fl *Fleet) heartbeat(ctx context.Context) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	last := fl.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := fl.clock.Now()
+		fl.mu.Lock()
+		late := now - last - 10
+		fl.late = max(fl.late, late)
+		fl.mu.Unlock()
+		if late > 100 {
+			fl.mark("the machine was late by %.0f ms", late)
+		}
+		last = now
+	}
+}
+
+// sample reads what all use, twice a second.
+func (fl *Fleet) sample(ctx context.Context) {
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := Sample{Routers: map[string]Use{}, Held: map[string]int{}}
+		for _, r := range fl.allRouters() {
+			s.Routers[r.name] = r.use()
+		}
+		for _, m := range fl.allMembers() {
+			if m.Up() {
+				s.Held[m.ID()], _ = m.Busy()
+			}
+		}
+		s.Held["origin"], _ = fl.origin.Busy()
+		fl.mu.Lock()
+		s.AtS = (fl.clock.Now() - fl.began) / 1000
+		fl.samples = append(fl.samples, s)
+		fl.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/lab/fleet/routerconfig.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"fmt"
+)
+
+// config is what the platform would tell a router.
+func (fl *Fleet) config(r *router) map[string]any {
+	f := fl.File
+	known := fl.discovery.List()
+	kinds := []string{}
+	for i := range known.Servers {
+		known.Servers[i].Addr = fl.addrFor(r, known.Servers[i])
+	}
+	for _, k := range f.Kinds {
+		kinds = append(kinds, k.Name)
+	}
+	kinds = append(kinds, "origin")
+	var classes []map[string]any
+	for _, c := range f.Classes {
+		scope := c.Scope
+		if scope == "" {
+			scope = "all"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "effect": c.Effect, "keyScope": scope, "window": c.WindowMS,
+			"target": c.AimMS, "hardLimit": c.LimitMS, "gain": c.Worth, "lateWorth": 0, "stream": false})
+	}
+	fall, over := 3.0, 2000.0
+	cold, from := 1.0, 1.0
+	for _, k := range f.Kinds { // the rules are told as loosely as the weakest kind is
+		if k.Model.FallMultiple > 0 {
+			fall, over = min(fall, k.Model.FallMultiple), k.Model.FallForMS
+		}
+		if k.Model.ColdFrom > 0 {
+			cold, from = max(cold, k.Model.ColdMS), min(from, k.Model.ColdFrom)
+		}
+	}
+	discovery := "push"
+	if f.Fleet.AskList {
+		discovery = "ask"
+	}
+	how := "none"
+	if f.Fleet.Probes {
+		how = "probe"
+	}
+	return map[string]any{
+		"name": r.name, "listen": r.listen, "discovery": r.discovery, "seed": fmt.Sprintf("%016x", f.Seed*1000+uint64(r.number)+fl.fresh()),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": f.Fleet.MemoryMB, "sockets": f.Fleet.Sockets}, "known": known,
+		"settings": map[string]any{"balancers": f.Fleet.Routers, "myNumber": r.number, "zone": r.zone, "zones": f.Fleet.Zones,
+			"categories": classes, "kinds": kinds, "family": "cache", "familyInfo": map[string]any{"mode": "aside", "originKind": len(kinds) - 1},
+			"discovery": discovery, "weights": "rough", "projects": []any{}, "loadInfo": map[string]any{"columns": []string{"rps", "cpu", "x0"}, "how": how},
+			"caps": map[string]any{"cancel": f.Fleet.Cancel, "connIdle": connIdleMS, "connectTimeout": 250, "cpuUsPerS": 500000, "maxAttempts": f.Fleet.MaxAttempts,
+				"maxRetryAfter": f.Load.MaxAfterMS, "mayProbe": f.Fleet.Probes, "retryAfter": f.Fleet.RetryAfter, "peers": false, "secondCopies": false},
+			"rules": map[string]any{"cold": cold, "coldFrom": from, "drainGrace": f.Fleet.DrainGrace * 1000, "graceToAnswer": 20, "mustAskIn": 10000,
+				"overloadFactor": fall, "overloadFor": over}},
+	}
+}
+
+// fresh is a number for the seed of a start: a router that starts again must not draw what it drew before.
+func (fl *Fleet) fresh() uint64 {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.rng.Uint64() >> 32 << 16
+}
--- /dev/null
+++ b/lab/fleet/routers.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/referee"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// startRouters starts all routers at once and waits until each is ready.
+func (fl *Fleet) startRouters(ctx context.Context) error {
+	n := fl.File.Fleet.Routers
+	fails := make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		listen, err := FreeAddr()
+		if err != nil {
+			return err
+		}
+		r := &router{name: fmt.Sprintf("r%d", i), zone: fl.File.Fleet.Zones[i%len(fl.File.Fleet.Zones)], listen: listen, number: i,
+			dir: filepath.Join(fl.o.Dir, fmt.Sprintf("r%d", i))}
+		if r.discovery, err = fl.discovery.Door(r.name, func(e model.Entry) string { return fl.addrFor(r, e) }); err != nil {
+			return err
+		}
+		if slices.ContainsFunc(fl.File.Faults, func(x scenario.Fault) bool { return x.What == "release-routers" }) {
+			r.label = "v1"
+		}
+		if err := fl.writeOperator(r); err != nil {
+			return err
+		}
+		fl.mu.Lock()
+		fl.routers = append(fl.routers, r)
+		fl.mu.Unlock()
+		wg.Go(func() { fails[i] = fl.startRouter(ctx, r) })
+	}
+	wg.Wait()
+	return errors.Join(fails...)
+}
+
+func (fl *Fleet) operatorFile(r *router) string { return filepath.Join(fl.o.Dir, r.name+".toml") }
+
+// startCoordinators starts those that the scenario has, and writes the operator file that makes routers their clients.
+func (fl *Fleet) startCoordinators(ctx context.Context) (err error) {
+	n := fl.File.Fleet.Coordinators
+	if n == 0 {
+		return nil
+	}
+	if len(fl.o.Coord) == 0 {
+		return errors.New("fleet.coordinators: no command of a coordinator is given")
+	}
+	if fl.coords, err = calm(ctx, n, AgreeOptions{Coord: fl.o.Coord, Dir: fl.o.Dir, Env: fl.o.CoordEnv}); err != nil {
+		return err
+	}
+	if fl.File.Fleet.Out.On() {
+		return fl.setBudgets(ctx)
+	}
+	return nil
+}
+
+// writeOperator writes a router's operator file, which makes it a client of the coordinators. Where there are planned changes, a
+// relay stands before each of them.
+func (fl *Fleet) writeOperator(r *router) error {
+	if fl.coords == nil {
+		return nil
+	}
+	var words []string
+	all := fl.coords.addresses()
+	for i, name := range slices.Sorted(maps.Keys(all)) {
+		addr := all[name]
+		if fl.File.Fleet.Out.On() {
+			if i < len(fl.toCoord[r.name]) { // written before, with another label
+				words = append(words, fmt.Sprintf("%q", name+"="+fl.toCoord[r.name][i].Addr()))
+				continue
+			}
+			target := addr
+			relay, err := standin.NewRelay(func() string { return target })
+			if err != nil {
+				return err
+			}
+			fl.mu.Lock()
+			fl.toCoord[r.name] = append(fl.toCoord[r.name], relay)
+			fl.mu.Unlock()
+			addr = relay.Addr()
+		}
+		words = append(words, fmt.Sprintf("%q", name+"="+addr))
+	}
+	text := fmt.Sprintf("version = 1\n[agreement]\ncoordinators = [%s]\nttl = \"5s\"\nprobes = true\n", strings.Join(words, ", "))
+	if fl.File.Fleet.Out.On() {
+		text += "drains = true\n"
+	}
+	fl.mu.Lock()
+	label := r.label
+	fl.mu.Unlock()
+	if label != "" {
+		text += fmt.Sprintf("label = %q\n", label)
+	}
+	return os.WriteFile(fl.operatorFile(r), []byte(text), 0o600)
+}
+
+// command is that of one router, with the operator file that the scenario names.
+func (fl *Fleet) command(r *router) []string {
+	if fl.coords != nil {
+		return append(slices.Clip(fl.o.Command), "--operator", fl.operatorFile(r))
+	}
+	if fl.File.Fleet.Operator == "" {
+		return fl.o.Command
+	}
+	return append(slices.Clip(fl.o.Command), "--operator", fl.File.Fleet.Operator)
+}
+
+// startRouter starts a process of a router and has the front use it.
+func (fl *Fleet) startRouter(ctx context.Context, r *router) error {
+	config := fl.config(r)
+	for _, e := range fl.discovery.List().Servers { // the configuration tells the list, whatever the process before was told
+		fl.journal.Add(referee.Event{At: fl.clock.Now(), Kind: referee.Told, Router: r.name, Server: e.ID, State: e.State})
+	}
+	command, env := fl.command(r), []string(nil)
+	fl.mu.Lock()
+	if rel := fl.released; rel != nil && r.label == "v2" && plants[rel.Spoil] != "" {
+		command, env = append(slices.Clone(fl.o.Spoilt), command[len(fl.o.Command):]...), []string{"DOCKHINGE_MUTANT=" + plants[rel.Spoil]}
+	}
+	fl.mu.Unlock()
+	if fl.o.Lies != "" && r.number == 0 {
+		command, env = append(slices.Clone(fl.o.Spoilt), command[len(fl.o.Command):]...), []string{"DOCKHINGE_MUTANT=" + fl.o.Lies}
+	}
+	if len(command) == 0 || len(env) > 0 && len(fl.o.Spoilt) == 0 {
+		return errors.New("a bad version of the router: no build of it is given")
+	}
+	if err := r.start(ctx, command, env, config, fl.o.Ready); err != nil {
+		return err
+	}
+	fl.front.Up(r.name, r.zone, r.listen)
+	return nil
+}
+
+// addrFor is the address at which a router reaches a server: a relay of its own where the scenario has them.
+func (fl *Fleet) addrFor(r *router, e model.Entry) string {
+	if !fl.File.Fleet.Relays {
+		return e.Addr
+	}
+	key := r.name + "/" + e.ID
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if relay := fl.relays[key]; relay != nil {
+		return relay.Addr()
+	}
+	target := e.Addr
+	relay, err := standin.NewRelay(func() string { return target })
+	if err != nil {
+		fl.problem = append(fl.problem, err.Error())
+		return e.Addr
+	}
+	fl.relays[key] = relay
+	relay.Set(fl.plainNet(r, e.Zone))
+	return relay.Addr()
+}
+
+// plainNet is the network between a router and a zone when nothing is wrong.
+func (fl *Fleet) plainNet(r *router, zone string) standin.Net {
+	if r.zone != zone {
+		return standin.Net{DelayMS: fl.File.Fleet.ZoneDelayMS}
+	}
+	return standin.Net{}
+}
--- /dev/null
+++ b/lab/fleet/servers.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"dockhinge.example/dockhinge/lab/load"
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/scenario"
+	"dockhinge.example/dockhinge/lab/standin"
+)
+
+// maxMissed bounds the reads of which it is known where they were missing.
+const maxMissed = 1 << 14
+
+// connIdleMS is how long a cache server keeps an idle connection.
+const connIdleMS = 10000
+
+// build starts the stand-ins.
+func (fl *Fleet) build() (err error) {
+	f := fl.File
+	if fl.origin, err = standin.Start(standin.Host(standin.Servers)+":0", standin.Options{ID: "s-0000ffff", Model: f.Origin, Seed: f.Seed + 1, Clock: fl.clock,
+		Journal: fl.journal, Work: fl.work, Asked: fl.originSaid}); err != nil {
+		return err
+	}
+	known := []model.Entry{{ID: fl.origin.ID(), Addr: fl.origin.Addr(), Zone: f.Fleet.Zones[0], Kind: "origin", State: "active", Weight: 1}}
+	for _, k := range f.Kinds {
+		for range k.Count {
+			m, err := fl.newMember(k, false)
+			if err != nil {
+				return err
+			}
+			known = append(known, m.entry)
+		}
+	}
+	fl.discovery = standin.NewDiscovery(f.Discovery, f.Seed, known, fl.clock, fl.journal)
+	return nil
+}
+
+// newMember starts a cache server: one that has run for long, or a new process that is cold.
+func (fl *Fleet) newMember(k scenario.Kind, cold bool) (*member, error) {
+	fl.mu.Lock()
+	n := fl.n
+	fl.n++
+	fl.mu.Unlock()
+	zones := fl.File.Fleet.Zones
+	s, err := standin.Start(standin.Host(standin.Servers)+":0", standin.Options{ID: fmt.Sprintf("s-%08x", 0x1000+n*0x9e37%0xe000), Model: k.Model, Seed: fl.File.Seed + uint64(n)*7 + 100,
+		Clock: fl.clock, Journal: fl.journal, Work: fl.work, Asked: fl.cacheSaid, Probes: fl.File.Fleet.Probes, IdleMS: connIdleMS})
+	if err != nil {
+		return nil, err
+	}
+	m := &member{Server: s, entry: model.Entry{ID: s.ID(), Addr: s.Addr(), Zone: zones[n%len(zones)], Kind: k.Name,
+		Cell: n % max(1, fl.File.Fleet.Cells), State: "active", Weight: 1}}
+	if cold {
+		m.entry.Started = fl.clock.Unix(fl.clock.Now())
+		if err := s.Restart(); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	fl.mu.Lock()
+	fl.members = append(fl.members, m)
+	fl.mu.Unlock()
+	return m, nil
+}
+
+// work is that of a request: by its class and id, so that each attempt costs the same.
+func (fl *Fleet) work(id, key, class string) (float64, int) {
+	for _, c := range fl.File.Classes {
+		if c.Name == class {
+			return load.Work(c, id), load.Size(c, key)
+		}
+	}
+	return 1, 1
+}
+
+// cacheSaid books where a key was missing.
+func (fl *Fleet) cacheSaid(s *standin.Server, _, id string, o model.Outcome, _ bool, _ int) {
+	if o != model.Missed && o != model.Fetching {
+		return
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	at, _ := fl.missed.Get(id)
+	fl.missed.Add(id, append(slices.Clip(at), s))
+}
+
+// originSaid stores what the origin gave where it was missing, at two servers at most, and voids what a write changed.
+func (fl *Fleet) originSaid(_ *standin.Server, key, id string, o model.Outcome, write bool, size int) {
+	if o != model.Served {
+		return
+	}
+	fl.mu.Lock()
+	at, _ := fl.missed.Get(id)
+	fl.missed.Remove(id)
+	if write {
+		at = nil
+		for _, m := range fl.members {
+			at = append(at, m.Server)
+		}
+	}
+	fl.mu.Unlock()
+	for i, s := range at {
+		if write {
+			s.Void(key)
+		} else if i < 2 {
+			s.Store(key, size)
+		}
+	}
+}
+
+// warm puts the most popular keys where a fleet that has run for long would hold them: spread over all servers.
+func (fl *Fleet) warm(l *load.Load) {
+	if !fl.File.Fleet.Warm {
+		return
+	}
+	reads := fl.File.Classes[0]
+	for _, key := range slices.Backward(l.Keys()) { // the most popular last, as the most lately used
+		for range 2 {
+			fl.members[fl.rng.IntN(len(fl.members))].Store(key, load.Size(reads, key))
+		}
+	}
+}
