--- a/lab/fleet/observe_rig_test.go
+++ b/lab/fleet/observe_rig_test.go
@@ -112,8 +112,8 @@
 	if err != nil {
 		o.t.Fatal(err)
 	}
-	dir := o.agreement.o.Dir
-	observer := &observerProcess{api: api, proc: &proc{name: name, dir: dir, env: o.agreement.o.Env}}
+	dir := o.agreement.options.Dir
+	observer := &observerProcess{api: api, proc: &proc{name: name, dir: dir, env: o.agreement.options.Env}}
 	var text strings.Builder
 	fmt.Fprintf(&text, "version = 1\nname = %q\napi = %q\n[coordinators]\n", name, api)
 	for _, c := range o.agreement.coords {
@@ -128,7 +128,7 @@
 	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
 		o.t.Fatal(err)
 	}
-	observer.command = append(slices.Clone(o.agreement.o.Coord), "observe", file)
+	observer.command = append(slices.Clone(o.agreement.options.Coord), "observe", file)
 	if err := observer.start(); err != nil {
 		o.t.Fatal(err)
 	}
