Record in the simulator what cold servers are sent by all routers together

Need: whether all routers together keep a server in slow start within N + 2 sqrt(N) + 2 requests of mean work was not measured: the simulator only counted servers that fell.

--- a/cmd/dockhinge-lab/twin.go
+++ b/cmd/dockhinge-lab/twin.go
@@ -36,7 +36,7 @@
 	cmd := &cobra.Command{Use: "twin DAY [DAY...]", Short: "Play days of hundreds of routers in virtual time",
 		Args: cobra.MinimumNArgs(1),
 		Long: "Plays days of the standing test's kinds with the decision module of this build before modelled servers, in virtual\n" +
-			"time: " + strings.Join(append(slices.Clone(virtual.Days), virtual.Releases...), ", ") + ". --out keeps what was counted; --against compares with what another build kept, seed\n" +
+			"time: " + strings.Join(slices.Concat(virtual.Days, virtual.SlowStarts, virtual.Releases), ", ") + ". --out keeps what was counted; --against compares with what another build kept, seed\n" +
 			"by seed, and tells the mean difference with its 95% confidence interval. docs/twin.md tells how far to trust it.",
 		RunE: func(_ *cobra.Command, days []string) error {
 			var jobs []played
@@ -72,6 +72,9 @@
 					return err
 				}
 			}
+			if err := coldTable(os.Stdout, jobs); err != nil {
+				return err
+			}
 			if bySecond {
 				seconds(os.Stdout, jobs)
 			}
@@ -213,6 +216,23 @@
 	return all
 }
 
+// coldTable prints the fullest slow-start window of each day in which servers were started.
+func coldTable(w io.Writer, jobs []played) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "day\trouters\tservers\tseed\tcold starts\tover\tbroken\tage, ms\tN\tsent\ttold\tbound\tsent by told routers\tits N\tits bound\t")
+	for _, p := range jobs {
+		cold := &p.Sums.Cold
+		if cold.Starts == 0 {
+			continue
+		}
+		most, told := cold.Most, cold.MostTold
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", p.Day, p.Size[0], p.Size[1], p.Seed,
+			cold.Starts, cold.Over, cold.Broken, most.AgeMillis, most.Allowed, most.Sent, most.Told, most.Bound(), told.Sent, told.Allowed, told.Bound())
+	}
+	fmt.Fprintln(t)
+	return t.Flush()
+}
+
 // seconds prints each second of each day.
 func seconds(w io.Writer, jobs []played) {
 	for _, p := range jobs {
--- a/lab/virtual/client.go
+++ b/lab/virtual/client.go
@@ -82,7 +82,11 @@
 	q := &request{wish: w, id: r.last, key: w.key, work: w.work}
 	r.reqs[q.id] = q
 	d.after(left, func() { r.leave(q) })
-	r.b.Request(d.now, decide.Request{ID: q.id, Class: c.Name, Key: q.key, HasKey: true, Left: left, Retry: w.tries > 1, Write: w.write})
+	hint := 0.0
+	if d.p.Hints {
+		hint = w.work
+	}
+	r.b.Request(d.now, decide.Request{ID: q.id, Class: c.Name, Key: q.key, HasKey: true, Left: left, Hint: hint, Retry: w.tries > 1, Write: w.write})
 }
 
 // again has a client whose try was not served wait and ask again, while it has tries and time.
--- a/lab/virtual/ledger.go
+++ b/lab/virtual/ledger.go
@@ -24,6 +24,7 @@
 	Wasted, Work                  float64 // work of attempts whose answer served nobody, and work asked for
 	Calls, Turned                 int     // for the list, and those that discovery turned away
 	Fallen                        int     // cold servers that were pushed over
+	Cold                          ColdSum // what cold servers were sent, beside what they bear
 	Servers                       []ServerSum
 	Bands                         [len(bands)]BandSum
 	Seconds                       []Second
@@ -150,6 +151,8 @@
 	add("ms of a hit there", Share(q[0].MS, float64(q[0].Hits)))
 	add("and at the quick quarter", Share(q[3].MS, float64(q[3].Hits)))
 	add("cold servers pushed over", float64(s.Fallen))
+	add("most sent to a cold server, of its bound", s.Cold.Most.Ratio())
+	add("  by routers told of its start", s.Cold.MostTold.Ratio())
 	return names, values
 }
 
--- a/lab/virtual/params.go
+++ b/lab/virtual/params.go
@@ -29,6 +29,7 @@
 	Work    float64 // mean work of a request,
 	WorkCV  float64 // and its spread, lognormal; 0 = exponential,
 	Noise   float64 // and that of an attempt around its request's
+	Hints   bool    // routers are told the work of a request
 	Keyed   float64 // share of requests that are of the second class, written
 	Once    float64 // and of the third
 	Zones   int     // servers and routers are dealt to them in turn; 0 = 1
--- a/lab/virtual/router.go
+++ b/lab/virtual/router.go
@@ -55,6 +55,7 @@
 	conns   map[*machine][]*conn // idle ones, longest idle first
 	last    uint32
 	version int64
+	starts  map[uint32]float64 // the latest start of each server that the list has told of
 	dead    bool
 }
 
@@ -62,12 +63,12 @@
 func (d *day) router(i int, known model.List) (*router, error) {
 	cfg := d.p.Config
 	cfg.Me, cfg.Zone = i, zone(i%d.p.Zones)
-	r := &router{d: d, zone: cfg.Zone, reqs: map[uint32]*request{}, conns: map[*machine][]*conn{}, version: known.Version}
+	r := &router{d: d, zone: cfg.Zone, reqs: map[uint32]*request{}, conns: map[*machine][]*conn{}, version: known.Version, starts: map[uint32]float64{}}
 	var err error
 	if r.b, err = decide.New(cfg, d.rng.Uint64(), r); err != nil {
 		return nil, err
 	}
-	r.b.Servers(d.now, decide.Remembered, decided(known))
+	r.update(decide.Remembered, known)
 	for _, v := range d.servers { // one that starts in the middle knows it before its first request
 		if d.drained[v.id] {
 			r.b.Disable(d.now, v.id)
@@ -76,6 +77,15 @@
 	return r, nil
 }
 
+// update hands a list to the Balancer, and notes which starts of servers it tells of.
+func (r *router) update(kind decide.ListKind, list model.List) {
+	entries := decided(list)
+	for _, entry := range entries {
+		r.starts[entry.ID] = max(r.starts[entry.ID], entry.Started)
+	}
+	r.b.Servers(r.d.now, kind, entries)
+}
+
 // die ends a router's process. Its clients see their connections reset, and its servers too.
 func (r *router) die() {
 	if r.dead {
@@ -316,6 +326,7 @@
 		d.back(a, decide.Reset, 0)
 	default:
 		d.look(v)
+		d.recordCold(v, a.r, a.work)
 		job := model.Job{ID: a.job, Key: name(a.q.key), Work: a.work, Size: 1, Write: a.q.wish.write}
 		if !v.m.Arrive(d.now, job) {
 			d.back(a, decide.QueueFull, 0)
@@ -420,6 +431,7 @@
 				return
 			}
 			d.look(v)
+			d.recordCold(v, r, v.p.ProbeWork)
 			got, ok := v.m.Probe(d.now)
 			d.look(v)
 			d.after(r.net(v), func() {
@@ -496,7 +508,7 @@
 		if l.Full {
 			kind = decide.Full
 		}
-		r.b.Servers(d.now, kind, decided(l))
+		r.update(kind, l)
 		d.after(0, r.watch)
 	})
 }
--- /dev/null
+++ b/lab/virtual/slowstart.go
@@ -0,0 +1,84 @@
+package virtual
+
+import "math"
+
+// ColdSum is what the whole fleet sent to servers in slow start.
+type ColdSum struct {
+	Starts   int        // servers that were started during the day
+	Over     int        // windows that went over the bound, one a server's process at most
+	Broken   int        // of these, those of which over two thirds came from routers that knew of the start
+	Most     ColdWindow // the window that came nearest to its bound, whoever sent
+	MostTold ColdWindow // the same, of what routers sent that knew of the start
+}
+
+// ColdWindow is one window of the settings' length (FallFor) at one server in slow start. Requests are counted by their
+// work, in units of the mean.
+type ColdWindow struct {
+	Sent      float64 // all that arrived, probes included
+	Told      float64 // of that, what came from routers that knew of the start
+	Allowed   float64 // N: the settings' multiple of the server's true capacity at the end of the window
+	AgeMillis float64 // age of the server's process then
+}
+
+// Bound is what a cold server bears in a window: N and an allowance for chance.
+func (w ColdWindow) Bound() float64 { return w.Allowed + 2*math.Sqrt(w.Allowed) + 2 }
+
+// Ratio is what arrived over the bound.
+func (w ColdWindow) Ratio() float64 { return Share(w.Sent, w.Bound()) }
+
+// coldArrival is work that reached a server in slow start.
+type coldArrival struct {
+	at, requests float64
+	told         bool
+}
+
+// coldWindow holds the latest arrivals at one process of a server.
+type coldWindow struct {
+	boot     int
+	arrivals []coldArrival
+	isOver   bool // has gone over the bound
+}
+
+// recordCold books work from a router that reaches a server, if that is in slow start.
+func (d *day) recordCold(v *machine, from *router, work float64) {
+	if v.origin || v.startedAt == 0 || v.m.Warmth() >= 1 {
+		return
+	}
+	window := d.cold[v]
+	if window == nil || window.boot != v.boot {
+		window = &coldWindow{boot: v.boot}
+		d.cold[v] = window
+	}
+	cfg := &d.p.Config
+	window.arrivals = append(window.arrivals, coldArrival{d.now, work / d.p.Work, from.starts[v.id] >= v.startedAt})
+	for window.arrivals[0].at <= d.now-cfg.FallFor {
+		window.arrivals = window.arrivals[1:]
+	}
+	seen := ColdWindow{Allowed: cfg.FallMult * v.m.Capacity() * cfg.FallFor / d.p.Work, AgeMillis: d.now - v.startedAt}
+	for _, arrival := range window.arrivals {
+		seen.Sent += arrival.requests
+		if arrival.told {
+			seen.Told += arrival.requests
+		}
+	}
+	if seen.Ratio() > 1 && !window.isOver {
+		window.isOver = true
+		d.sums.Cold.Over++
+		d.sums.Cold.Broken += b2i(seen.Told > toldShare*seen.Sent)
+	}
+	d.sums.Cold.add(seen)
+}
+
+// toldShare is the share from which on a fall is the doing of routers that knew of the start.
+const toldShare = 2.0 / 3
+
+// add keeps a window if it is nearer to its bound than those before.
+func (c *ColdSum) add(seen ColdWindow) {
+	if seen.Ratio() > c.Most.Ratio() {
+		c.Most = seen
+	}
+	seen.Sent = seen.Told
+	if seen.Ratio() > c.MostTold.Ratio() {
+		c.MostTold = seen
+	}
+}
--- /dev/null
+++ b/lab/virtual/slowstart_test.go
@@ -0,0 +1,75 @@
+package virtual
+
+import (
+	"slices"
+	"testing"
+
+	"dockhinge.example/dockhinge/decide"
+	"dockhinge.example/dockhinge/lab/model"
+)
+
+// Servers that start, some at once, some one after another, told late and under a burst: no window goes over its bound by
+// what routers sent that knew of the start, whatever their number. Servers work at the speed of their kind: of one that is
+// three times slower no router can know what it bears.
+func TestNoStartedServerFallsToRoutersThatKnow(t *testing.T) {
+	for _, day := range []string{"roll", "throng", "zone"} {
+		for _, routers := range []int{5, 24, 80} {
+			for seed := range uint64(2) {
+				p, err := Twin(day, routers, 24, 41+seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.Kind == Slow })
+				s, err := Play(p)
+				if err != nil {
+					t.Fatal(err)
+				}
+				cold := s.Cold
+				t.Logf("%s, %d routers, seed %d: %+v", day, routers, p.Seed, cold)
+				if cold.Starts == 0 || cold.Most.Sent == 0 {
+					t.Errorf("%s, %d routers, seed %d: nothing was recorded", day, routers, p.Seed)
+				}
+				if cold.Broken > 0 {
+					t.Errorf("%s, %d routers, seed %d: %d of %d starts broken", day, routers, p.Seed, cold.Broken, cold.Starts)
+				}
+			}
+		}
+	}
+}
+
+// The ledger counts the work of one window, forgets what is older, and tells who knew of the start.
+func TestTheLedgerCountsAWindowOfSlowStart(t *testing.T) {
+	const window, start, work = 2000.0, 1e6, 50.0
+	for _, c := range []struct {
+		name         string
+		told, untold int // requests of twice the mean work
+		over, broken int
+	}{{"within the bound", 7, 0, 0, 0}, {"by routers that knew", 10, 2, 1, 1}, {"by routers that did not", 8, 4, 1, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := &day{engine: engine{now: start}, cold: map[*machine]*coldWindow{},
+				p: Params{Work: work, Config: decide.Config{FallMult: 2, FallFor: window}}}
+			params := model.Params{Cores: 1, Speed: 0.25, ColdFrom: 0.4, ColdMS: 1e12} // N is 8, the bound 15.7
+			v := &machine{id: 7, up: true, p: params, m: model.New(params, 1, start-1), startedAt: start}
+			v.m.Restart(start)
+			knows, ignorant := &router{starts: map[uint32]float64{7: start}}, &router{starts: map[uint32]float64{}}
+			send := func(from *router, n int) {
+				for range n {
+					d.recordCold(v, from, 2*work)
+				}
+			}
+			send(knows, 3)
+			d.now = start + window // and these are forgotten
+			send(ignorant, c.untold)
+			send(knows, c.told-c.told/2)
+			d.now += window / 2
+			send(knows, c.told/2)
+			most := d.sums.Cold.Most
+			if want := 2 * float64(c.told+c.untold); most.Sent != want || most.Told != 2*float64(c.told) || most.Allowed < 7.9 || most.Allowed > 8.1 {
+				t.Errorf("the fullest window: %+v, %v sent", most, want)
+			}
+			if cold := d.sums.Cold; cold.Over != c.over || cold.Broken != c.broken {
+				t.Errorf("%d over, %d broken", cold.Over, cold.Broken)
+			}
+		})
+	}
+}
--- a/lab/virtual/twin.go
+++ b/lab/virtual/twin.go
@@ -13,11 +13,14 @@
 // Days are the days that Twin draws.
 var Days = []string{"calm", "herd", "roll", "split", "zone"}
 
+// SlowStarts are further days that Twin draws, of which cold servers may fall to routers that don't know of their start yet.
+var SlowStarts = []string{"throng"}
+
 // Twin draws a day of the standing test's kind at the given size from the seed: the site's machines and classes, a load
 // about two thirds of what the servers can do with all memory as one cache, and the trouble that the day is named after.
 func Twin(kind string, routers, servers int, seed uint64) (Params, error) {
-	if !slices.Contains(Days, kind) && !slices.Contains(Releases, kind) {
-		return Params{}, fmt.Errorf("virtual: no day %q; there are %v and %v", kind, Days, Releases)
+	if !slices.Contains(slices.Concat(Days, SlowStarts, Releases), kind) {
+		return Params{}, fmt.Errorf("virtual: no day %q; there are %v, %v and %v", kind, Days, SlowStarts, Releases)
 	}
 	if routers < 1 || servers < 4 {
 		return Params{}, fmt.Errorf("virtual: %d routers before %d servers: at least 1 and 4", routers, servers)
@@ -38,6 +41,11 @@
 			ChokeMostMS: in(17000, 29000)}
 	}
 	kinds := []model.Params{machine(4, in(1.7, 2.3), in(0.35, 0.53)), machine(5, in(1, 1.4), in(0.41, 0.6)), machine(5, in(0.68, 0.92), in(0.3, 0.59))}
+	if kind == "throng" { // small servers: a cold one bears a few dozen requests in a window
+		for i := range kinds {
+			kinds[i].Queue, kinds[i].Conns, kinds[i].Cores = kinds[i].Queue/kinds[i].Cores, max(1600, 4*routers), 1
+		}
+	}
 	work := in(84, 150)
 	capacity := 0.0 // work a millisecond
 	for i := range servers {
@@ -108,6 +116,10 @@
 	case "split":
 		cut := zoned(p.Servers, lost)
 		p.Faults = append(p.Faults, Fault{At: 7000, Servers: cut, Kind: Silent}, Fault{At: 13000, Servers: cut, Kind: Heard})
+	case "throng":
+		cut := rng.Perm(p.Servers)[:max(1, p.Servers/4)]
+		p.Bursts, p.Hints = []Burst{{At: 7000, For: 5000, Times: 2}}, true
+		p.Faults = append(p.Faults, Fault{At: 4000, Servers: cut, Kind: Kill}, Fault{At: 6000, Servers: cut, Kind: Start})
 	case "zone":
 		cut := zoned(p.Servers, lost)
 		p.Faults = append(p.Faults, Fault{At: 5000, Servers: cut, Kind: Kill}, Fault{At: 10000, Servers: cut, Kind: Start})
--- a/lab/virtual/virtual.go
+++ b/lab/virtual/virtual.go
@@ -48,7 +48,8 @@
 	jobs     uint64
 	out      map[uint64]*attempt
 	drained  map[uint32]bool
-	board    map[uint32]report // what routers have told one another
+	cold     map[*machine]*coldWindow // what cold servers were sent lately
+	board    map[uint32]report        // what routers have told one another
 }
 
 type machine struct {
@@ -59,9 +60,11 @@
 	up     bool
 	silent bool
 	boot   int // of its process
-	at     float64
-	place  int
-	zone   string
+	// startedAt is when its process was started in the middle of the day.
+	startedAt float64
+	at        float64
+	place     int
+	zone      string
 }
 
 // Play plays a day.
@@ -71,7 +74,7 @@
 	}
 	p.Config.Aside, p.Config.OriginKind, p.Config.AskList = true, "origin", true
 	d := &day{engine: engine{now: begin}, p: p, rng: rand.New(rand.NewPCG(p.Seed, 1)), byID: map[uint32]*machine{},
-		fetching: map[uint64]int{}, out: map[uint64]*attempt{}, drained: map[uint32]bool{}, board: map[uint32]report{}}
+		fetching: map[uint64]int{}, out: map[uint64]*attempt{}, drained: map[uint32]bool{}, board: map[uint32]report{}, cold: map[*machine]*coldWindow{}}
 	d.sums.Servers, d.sums.ByCause = make([]ServerSum, p.Servers), map[string]int{}
 	d.sums.Lost = map[string]int{}
 	d.sums.Worth, d.sums.Gained = make([]float64, len(p.Config.Classes)), make([]float64, len(p.Config.Classes))
@@ -292,6 +295,8 @@
 	v.up = true
 	v.m.Advance(d.now)
 	v.m.Restart(d.now)
+	v.startedAt = d.now
+	d.sums.Cold.Starts++
 	d.look(v)
 }
 
