--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -33,6 +33,9 @@
 	TryMS        int                  // one coordinator is given so long to answer; 0: a sixth of TTL, 1 s at most
 	Clock        func() time.Duration // nil: clock.Now
 	Log          *slog.Logger
+
+	// Dial opens a connection; nil: a net.Dialer with a second's timeout. Tools that count bytes wrap it.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Bounds of a client.
@@ -69,6 +72,7 @@
 	seq     uint64
 	under   map[uint64]bool // commands whose answer has not come
 	leader  string
+	refusal error // why there is no session, by the coordinators
 	bytes   int64 // of all that was sent and answered
 }
 
@@ -83,8 +87,11 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: time.Second}).DialContext
+	}
 	return &Client{o: o, room: make(chan struct{}, maxUnderWay), opened: make(chan struct{}), under: map[uint64]bool{},
-		http: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 2 * maxUnderWay,
+		http: &http.Client{Transport: &http.Transport{DialContext: o.Dial, MaxConnsPerHost: 2 * maxUnderWay,
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}}
 }
 
@@ -123,6 +130,7 @@
 			c.book.Opened(c.o.TTL, sent, c.o.Clock())
 			ok := c.book.Open(c.o.Clock())
 			if ok {
+				c.refusal = nil
 				close(c.opened)
 			}
 			c.mu.Unlock()
@@ -132,8 +140,12 @@
 		case err == nil:
 			c.o.Log.Warn("no session", "answer", a.Error())
 			pause = mostPause
+			err = &RefusedError{a}
 		}
-		if !clock.Sleep(ctx, jitter(pause)) {
+		c.mu.Lock()
+		c.refusal = err
+		c.mu.Unlock()
+		if !clock.Sleep(ctx, Pause(err, jitter(pause))) {
 			return false
 		}
 	}
@@ -164,9 +176,12 @@
 			c.o.Log.Warn("session lost", "answer", a.Code, "error", err)
 			return
 		}
-		if next, pause = jitter(every), 0; err != nil || a.Code != coord.OK { // sooner again, but not all at once
+		if err == nil && a.Code != coord.OK {
+			err = &RefusedError{a}
+		}
+		if next, pause = jitter(every), 0; err != nil { // sooner again, but not all at once
 			pause = min(max(2*pause, leastPause), every)
-			next = jitter(pause)
+			next = min(Pause(err, jitter(pause)), every) // later would lose the session
 		}
 	}
 }
@@ -198,6 +213,7 @@
 	}
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	var errs []error
+	full := "" // the one that has reached a bound: it isn't asked again, whoever names it as the leader
 	for tries := 0; tries < 2*len(c.o.Coordinators) && ctx.Err() == nil; tries++ {
 		if c.o.Coordinators[next] == "" {
 			if len(order) == 0 {
@@ -214,6 +230,13 @@
 			return nil
 		}
 		errs = append(errs, fmt.Errorf("%s: %w", next, err))
+		var later *RetryLaterError
+		if errors.As(err, &later) {
+			full = next
+		}
+		if full != "" && hint == full {
+			break
+		}
 		if hint == next {
 			hint = ""
 		}
@@ -256,6 +279,8 @@
 		var x struct{ Leader, Text string }
 		_ = json.Unmarshal(text, &x) // a body that can't be read names nobody
 		return x.Leader, errors.New(x.Text)
+	case http.StatusServiceUnavailable:
+		return "", retryLater(resp.Header, text)
 	}
 	return "", fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(text))
 }
@@ -285,7 +310,7 @@
 	select {
 	case <-opened:
 	case <-ctx.Done():
-		return outcome{err: ErrNoSession}
+		return outcome{err: c.noSession()}
 	}
 	select {
 	case c.room <- struct{}{}:
@@ -332,6 +357,16 @@
 	}
 }
 
+// noSession is ErrNoSession, with what the coordinators said where they refused one.
+func (c *Client) noSession() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusal == nil {
+		return ErrNoSession
+	}
+	return fmt.Errorf("%w: %w", ErrNoSession, c.refusal)
+}
+
 // settle repeats a command until it is answered or the session is over.
 func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
 	o := outcome{first: c.o.Clock(), in: session}
@@ -346,7 +381,7 @@
 		if o.err == nil {
 			break
 		}
-		if !clock.Sleep(life, jitter(pause)) {
+		if !clock.Sleep(life, Pause(o.err, jitter(pause))) {
 			o.err = ErrNoSession
 			return o
 		}
@@ -525,7 +560,7 @@
 		case errors.As(err, &held) && held.Code == coord.Bad:
 			return err
 		}
-		if !clock.Sleep(ctx, jitter(pause)) {
+		if !clock.Sleep(ctx, Pause(err, jitter(pause))) {
 			return errors.Join(err, ctx.Err())
 		}
 		pause = min(2*pause, mostPause)
--- /dev/null
+++ b/internal/coord/client/retry_test.go
@@ -0,0 +1,105 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+)
+
+// Who was told when to come back comes no sooner, and those who were told the same come apart.
+func TestPause(t *testing.T) {
+	const asked = time.Second
+	for _, err := range []error{&RetryLaterError{"full", asked}, errors.Join(errors.New("another"), &RetryLaterError{"full", asked}),
+		&RefusedError{coord.Answer{Code: coord.Full, RetryAfter: asked}}} {
+		seen := map[time.Duration]bool{}
+		for range 100 {
+			d := Pause(err, time.Millisecond)
+			if d < asked || d > asked*3/2 {
+				t.Fatalf("%v: %v", err, d)
+			}
+			seen[d] = true
+		}
+		if len(seen) < 50 {
+			t.Errorf("%v: %d times of 100 differ", err, len(seen))
+		}
+	}
+	if d := Pause(errors.New("another"), time.Millisecond); d != time.Millisecond {
+		t.Errorf("%v after an error that asks for nothing", d)
+	}
+	if d := Pause(&RetryLaterError{"lies", time.Hour}, 0); d > maxRetryAfter*3/2 {
+		t.Errorf("%v is believed", d)
+	}
+	if d := Pause(retryLater(http.Header{"Retry-After": {"2"}}, []byte("no JSON")), 0); d < 2*time.Second {
+		t.Errorf("%v by the header alone", d)
+	}
+}
+
+// A refused session is asked for again no sooner than told, and who waits for it is told why in the coordinators' words.
+func TestSessionRefused(t *testing.T) {
+	const asked = 200 * time.Millisecond
+	var mu sync.Mutex
+	var tries []time.Time
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		tries = append(tries, time.Now())
+		mu.Unlock()
+		_ = json.NewEncoder(w).Encode(coord.Answer{Code: coord.Full, Text: "sessions: 3 at most", RetryAfter: asked})
+	}))
+	defer s.Close()
+	c := New(Options{Coordinators: map[string]string{"c1": s.Listener.Addr().String()}, Client: "r", TTL: 10 * time.Second})
+	ctx, stop := context.WithTimeout(t.Context(), 6*asked)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Run(ctx) })
+	_, err := c.Acquire(ctx, "l", "", 5*time.Second)
+	if !errors.Is(err, ErrNoSession) || !strings.Contains(err.Error(), "sessions: 3 at most") {
+		t.Errorf("%v", err)
+	}
+	wg.Wait()
+	for i := 1; i < len(tries); i++ {
+		if apart := tries[i].Sub(tries[i-1]); apart < asked {
+			t.Errorf("try %d came %v after the one before", i, apart)
+		}
+	}
+	if len(tries) < 2 {
+		t.Errorf("%d tries", len(tries))
+	}
+}
+
+// A leader that has no room for a watcher is asked once, however many others name it.
+func TestFullLeaderAskedOnce(t *testing.T) {
+	var asked atomic.Int64
+	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"text":"watchers: 3 at most","retry_after":1000000000}`))
+	}))
+	defer leader.Close()
+	coordinators := map[string]string{"leader": leader.Listener.Addr().String()}
+	for _, name := range []string{"f1", "f2", "f3", "f4"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			_, _ = w.Write([]byte(`{"leader":"leader","text":"not the leader"}`))
+		}))
+		defer s.Close()
+		coordinators[name] = s.Listener.Addr().String()
+	}
+	c := New(Options{Coordinators: coordinators, Client: "r", TTL: 10 * time.Second})
+	_, err := c.Drains(t.Context(), 0)
+	var later *RetryLaterError
+	if !errors.As(err, &later) || later.RetryAfter != time.Second {
+		t.Errorf("%v", err)
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("it was asked %d times", n)
+	}
+}
--- a/internal/coord/config/config_test.go
+++ b/internal/coord/config/config_test.go
@@ -27,7 +27,7 @@
 		good + good[strings.Index(good, "[["):]:   "budget[2].name: \"a\" is there twice",
 		strings.Replace(good, "0.2", "0", 1):      "it would never let anything out",
 		strings.Replace(good, "server", "cat", 1): "budget[1]: kind: \"cat\"",
-		strings.Replace(good, "= 3", "= -3", 1):   "routers: -3 is not from 0 to 1024",
+		strings.Replace(good, "= 3", "= -3", 1):   "routers: -3 is not from 0 to 8192",
 		strings.Replace(good, "30s", "soon", 1):   "budget[1].warm: \"soon\" is no duration",
 		strings.Replace(good, "\"a\"", "\"a\"\nmatch = \"[\"", 1): "match: \"[\"",
 	} {
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -17,7 +17,7 @@
 
 // The bounds of all tables.
 const (
-	MaxSessions   = 4096
+	MaxSessions   = 8192 // 5,100 routers and over half as many again, for tools and for processes that were replaced
 	MaxLeases     = 8192
 	MaxRemembered = 32              // answers kept for a session's repeated commands; a client has at most so many under way
 	MaxName       = 128             // bytes of a name: session, client or lease
@@ -95,6 +95,9 @@
 	Holder string        `json:"holder,omitempty"` // the client's name
 	Wait   time.Duration `json:"wait,omitempty"`   // Held: until it is free at the latest, unless it is kept
 
+	// RetryAfter, with Full, is when to come back. The coordinator that answers sets it; it is no part of the agreed state.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+
 	// Of a permit (Roll); Text tells why it waits.
 	Stage   rollout.Stage `json:"stage,omitempty"`
 	Drained bool          `json:"drained,omitempty"`
@@ -290,13 +293,28 @@
 	if s.V < 3 && (c.Roll.Quorum > 0 || c.Roll.Busy > 0) {
 		return bad("version: %d is in force, and quorum and busy want 3: once all coordinators run this program, 'members upgrade'", s.V)
 	}
+	if a, awaits := s.AwaitsUpgrade(c); awaits {
+		return a
+	}
 	if s.Rollout == nil {
 		s.Rollout = rollout.New()
 	}
-	a := s.Rollout.Apply(*c.Roll, rollout.From{Clock: s.Clock, Session: c.Session, Client: se.Client, Opened: se.Opened, Token: s.newToken})
+	a := s.Rollout.Apply(*c.Roll, rollout.From{Clock: s.Clock, Session: c.Session, Client: se.Client, Opened: se.Opened, Token: s.newToken, EarlierBounds: s.hasEarlierBounds()})
 	return Answer{Code: Code(a.Code), Text: a.Text, Token: a.Token, Stage: a.Stage, Drained: a.Drained}
 }
 
+// RoutersDrains is what routers go by, with what all coordinators understand; empty until the first command about it.
+func (s *State) RoutersDrains() rollout.Drains {
+	if s.Rollout == nil {
+		return rollout.Drains{}
+	}
+	d := s.Rollout.ForRouters(s.Clock, s.V >= 3)
+	if !s.hasEarlierBounds() {
+		d.MaxSeen = rollout.MaxSeen
+	}
+	return d
+}
+
 // RolloutVersions are those of who is out, and of the set of drained servers; 0 until the first command about it.
 func (s *State) RolloutVersions() (version, drains uint64) {
 	if s.Rollout == nil {
@@ -330,14 +348,50 @@
 		se.Kept = s.Clock
 		return Answer{Code: OK}
 	}
-	if len(s.Sessions) >= MaxSessions {
-		return Answer{Code: Full, Text: fmt.Sprintf("sessions: %d at most", MaxSessions)}
+	if a, refused := s.RefusesSession(c.Session); refused {
+		return a
 	}
 	s.Sessions[c.Session] = &Session{Client: c.Client, TTL: c.TTL, Kept: s.Clock, Opened: s.Applied, Leases: map[string]bool{}}
 	s.next = min(s.next, s.Clock+s.Wait(c.TTL))
 	return Answer{Code: OK}
 }
 
+// boundsVersion is the one from which the bounds of all tables are those of today's program; an older program has lower ones, and
+// all coordinators must refuse alike.
+const boundsVersion = 4
+
+// earlierMaxSessions is the bound before boundsVersion.
+const earlierMaxSessions = 4096
+
+func (s *State) hasEarlierBounds() bool { return s.V < boundsVersion }
+
+// AwaitsUpgrade refuses a command that only the bounds of today's program allow, while an older program's are in force. A leader
+// keeps it out of the log, as an older coordinator would refuse it in other words.
+func (s *State) AwaitsUpgrade(c Command) (a Answer, awaits bool) {
+	if c.Op != Roll || c.Roll == nil || !s.hasEarlierBounds() || !c.Roll.PassesEarlierBounds() {
+		return Answer{}, false
+	}
+	return bad("version: %d is in force, and this wants %d: once all coordinators run this program, 'members upgrade'", s.V, boundsVersion), true
+}
+
+// maxSessions is the bound in force.
+func (s *State) maxSessions() int {
+	if s.hasEarlierBounds() {
+		return earlierMaxSessions
+	}
+	return MaxSessions
+}
+
+// RefusesSession tells whether a session with this id can't be opened now, as the table is full. It changes nothing, so that a
+// leader can refuse without writing to the log.
+func (s *State) RefusesSession(id string) (a Answer, refused bool) {
+	limit := s.maxSessions()
+	if s.Sessions[id] != nil || len(s.Sessions) < limit {
+		return Answer{}, false
+	}
+	return Answer{Code: Full, Text: fmt.Sprintf("sessions: %d at most", limit)}, true
+}
+
 func (s *State) acquire(c Command, se *Session) Answer {
 	if c.TTL < MinTTL || c.TTL > se.TTL {
 		return bad("ttl: %v is not between %v and the session's %v", c.TTL, MinTTL, se.TTL)
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 // command draws one of any kind, over few names, so that they meet.
@@ -83,13 +85,48 @@
 	return a
 }
 
+// Until all coordinators run this program, tables are full where an older one's are, or the two would come to different states.
+func TestBoundsBeforeUpgrade(t *testing.T) {
+	s := New()
+	for i := range earlierMaxSessions {
+		must(t, s, Command{Op: Open, Session: fmt.Sprint(i), Client: rollout.RouterClient + fmt.Sprint(i), TTL: time.Minute}, OK)
+	}
+	more := Command{Op: Open, Session: "more", Client: "c", TTL: time.Minute}
+	if a := must(t, s, more, Full); a.Text != "sessions: 4096 at most" {
+		t.Errorf("%s", a.Text)
+	}
+	must(t, s, Command{Op: Upgrade, Version: 3}, OK)
+	see := func(i int) Command {
+		return Command{Op: Roll, Session: fmt.Sprint(i), Seq: 1, Roll: &rollout.Command{Op: rollout.See, View: &rollout.View{}}}
+	}
+	for i := range rollout.EarlierMaxRouters {
+		must(t, s, see(i), OK)
+	}
+	if a := must(t, s, see(rollout.EarlierMaxRouters), Full); a.Text != "routers: 1024 at most" {
+		t.Errorf("%s", a.Text)
+	}
+	large := Command{Op: Roll, Session: "0", Seq: 2, Roll: &rollout.Command{Op: rollout.See, View: &rollout.View{Servers: make([]rollout.Seen, rollout.EarlierMaxSeen+1)}}}
+	if a := must(t, s, large, Bad); !strings.Contains(a.Text, "members upgrade") {
+		t.Errorf("%s", a.Text)
+	}
+	if n := s.RoutersDrains().MaxSeen; n != 0 {
+		t.Errorf("routers are told of reports of %d servers", n)
+	}
+	must(t, s, Command{Op: Upgrade, Version: boundsVersion}, OK)
+	must(t, s, more, OK)
+	if n := s.RoutersDrains().MaxSeen; n != rollout.MaxSeen {
+		t.Errorf("routers are told of reports of %d servers", n)
+	}
+}
+
 // Each table refuses with the name of its bound, and has room again when something has gone.
 func TestBounds(t *testing.T) {
 	s := New()
+	must(t, s, Command{Op: Upgrade, Version: Version}, OK)
 	for i := range MaxSessions {
 		must(t, s, Command{Op: Open, Session: fmt.Sprint(i), Client: "c", TTL: time.Minute}, OK)
 	}
-	if a := must(t, s, Command{Op: Open, Session: "more", Client: "c", TTL: time.Minute}, Full); !strings.Contains(a.Text, "4096") {
+	if a := must(t, s, Command{Op: Open, Session: "more", Client: "c", TTL: time.Minute}, Full); !strings.Contains(a.Text, fmt.Sprint(MaxSessions)) {
 		t.Errorf("%s", a.Text)
 	}
 	take := func(i int) Command {
--- /dev/null
+++ b/internal/coord/node/admission.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"golang.org/x/sys/unix"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/clock"
+)
+
+// Bounds on when clients that were refused come back.
+const (
+	minRetryAfter    = time.Second
+	maxRetryAfter    = time.Minute
+	returnsPerSecond = 200 // a leader refuses so many with a few percent of a core, see docs/CAPACITY.md
+)
+
+// Bounds on connections.
+const (
+	maxRefusedConnections = 256  // over the bound, kept only until they have been told when to come back
+	reservedDescriptors   = 1024 // of the process: for its log, its snapshots and the other coordinators
+)
+
+// FullError tells that a bound has been reached, and when to come back.
+type FullError struct {
+	Text       string
+	RetryAfter time.Duration
+}
+
+func (e *FullError) Error() string { return e.Text }
+
+// returnSchedule gives those who are refused times to come back that lie apart, so that their number doesn't decide how many
+// come at once.
+type returnSchedule struct {
+	mu   sync.Mutex
+	free time.Duration // the first time that was not given away yet, on the coordinator's clock
+}
+
+// next is after how long one more client is to come back.
+func (r *returnSchedule) next(now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.free = min(max(r.free+time.Second/returnsPerSecond, now+minRetryAfter), now+maxRetryAfter)
+	return r.free - now
+}
+
+// full counts an answer that refuses by a bound, and adds when to come back.
+func (n *Node) full(a coord.Answer) coord.Answer {
+	n.refused.Add(1)
+	a.RetryAfter = n.returns.next(clock.Now())
+	return a
+}
+
+// refusesSession refuses a session for which there is no room before it gets into the log: a fleet over the bound that tries
+// again costs the other coordinators nothing. Only a leader knows the state well enough to do so.
+func (n *Node) refusesSession(c coord.Command) (coord.Answer, bool) {
+	if c.Op != coord.Open || n.raft.State() != raft.Leader {
+		return coord.Answer{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.RefusesSession(c.Session)
+}
+
+// retryAfterSeconds is a time to come back as HTTP's header has it: whole seconds, rounded up.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// connectionBound is how many connections of clients are served at once, by the constant and by what the process may open.
+func connectionBound() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return MaxConnections
+	}
+	room := int(min(limit.Cur, math.MaxInt32)) - reservedDescriptors - maxRefusedConnections
+	return max(1, min(MaxConnections, room))
+}
+
+// connectionLimit answers what comes over a connection beyond the bound with when to come back, and closes it.
+type connectionLimit struct {
+	bound   int
+	returns returnSchedule
+
+	mu   sync.Mutex
+	open map[net.Conn]bool // whether it counts against the bound
+	used int
+}
+
+func newConnectionLimit(bound int) *connectionLimit {
+	return &connectionLimit{bound: bound, open: map[net.Conn]bool{}}
+}
+
+// overBound is the key under which a connection's context has whether it lies beyond the bound.
+type overBound struct{}
+
+// opened counts a new connection.
+func (l *connectionLimit) opened(ctx context.Context, c net.Conn) context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	within := l.used < l.bound
+	if within {
+		l.used++
+	}
+	l.open[c] = within
+	return context.WithValue(ctx, overBound{}, !within)
+}
+
+// changed counts a connection that ended.
+func (l *connectionLimit) changed(c net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[c] {
+		l.used--
+	}
+	delete(l.open, c)
+}
+
+// handler serves connections within the bound by h.
+func (l *connectionLimit) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if over, _ := r.Context().Value(overBound{}).(bool); !over {
+			h.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		giveFull(w, &FullError{Text: "connections: " + strconv.Itoa(l.bound) + " at most", RetryAfter: l.returns.next(clock.Now())})
+	})
+}
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -22,8 +22,9 @@
 
 // Bounds of the clients' side.
 const (
-	MaxConnections = 16384
-	maxBody        = 64 << 10
+	// MaxConnections of clients are served at once, or fewer where the process may open fewer descriptors: three for each session.
+	MaxConnections = 24576
+	maxBody        = 256 << 10 // a report of rollout.MaxSeen servers whose names are as long as they may be
 	maxWatch       = 30 * time.Second
 )
 
@@ -126,10 +127,11 @@
 	return got
 }
 
-// errAgain is the body with which a coordinator that doesn't lead turns a client away.
+// errAgain is the body with which a coordinator that doesn't lead, or has reached a bound, turns a client away.
 type errAgain struct {
-	Leader string `json:"leader"`
-	Text   string `json:"text"`
+	Leader     string        `json:"leader"`
+	Text       string        `json:"text"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
 // Handler serves clients and operators: JSON over HTTP.
@@ -146,7 +148,12 @@
 		}
 		n.mu.Lock()
 		version := n.state.V
+		early, awaits := n.state.AwaitsUpgrade(c)
 		n.mu.Unlock()
+		if awaits {
+			n.give(w, early, nil)
+			return
+		}
 		if c.Op == coord.Roll && version < 2 { // not into the log: an older coordinator would answer it in other words
 			n.give(w, coord.Answer{Code: coord.Bad, Text: fmt.Sprintf("version: %d is in force, and this wants 2: once all coordinators run this program, 'members upgrade'", version)}, nil)
 			return
@@ -209,11 +216,7 @@
 			return
 		}
 		var d rollout.Drains
-		err := n.Read(func(s *coord.State) {
-			if s.Rollout != nil {
-				d = s.Rollout.ForRouters(s.Clock, s.V >= 3)
-			}
-		})
+		err := n.Read(func(s *coord.State) { d = s.RoutersDrains() })
 		n.give(w, d, err)
 	})
 	m.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { n.give(w, n.Status(), nil) })
@@ -255,10 +258,14 @@
 
 func (n *Node) give(w http.ResponseWriter, v any, err error) {
 	w.Header().Set("Content-Type", "application/json")
+	var full *FullError
 	switch {
+	case errors.As(err, &full):
+		giveFull(w, full)
+		return
 	case errors.Is(err, ErrNotLeader):
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		v = errAgain{n.Leader(), err.Error()}
+		v = errAgain{Leader: n.Leader(), Text: err.Error()}
 	case err != nil:
 		w.WriteHeader(http.StatusConflict)
 		v = errAgain{Text: err.Error()}
@@ -266,6 +273,14 @@
 	_ = json.NewEncoder(w).Encode(v) // a client that has gone needs no answer
 }
 
+// giveFull answers with a bound that was reached.
+func giveFull(w http.ResponseWriter, full *FullError) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Retry-After", retryAfterSeconds(full.RetryAfter))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(errAgain{Text: full.Text, RetryAfter: full.RetryAfter}) // a client that has gone needs no answer
+}
+
 // Figures serves who watches a coordinator: GET /-/metrics is its Status, and GET /-/ready says with 200 that it belongs to a group
 // and knows its leader, else 503. No command gets in here.
 func (n *Node) Figures() http.Handler {
@@ -281,10 +296,11 @@
 
 // Serve answers with the handler until ctx ends.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10,
-		BaseContext: func(net.Listener) context.Context { return ctx }}
+	limit := newConnectionLimit(connectionBound())
+	s := &http.Server{Handler: limit.handler(h), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10,
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: limit.opened, ConnState: limit.changed}
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(netutil.LimitListener(ln, MaxConnections)) }()
+	go func() { done <- s.Serve(netutil.LimitListener(ln, limit.bound+maxRefusedConnections)) }()
 	select {
 	case err := <-done:
 		return err
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -48,8 +48,8 @@
 
 // Bounds and times of a coordinator.
 const (
-	MaxCommands = 4096                   // of clients, under way at once
-	MaxWatchers = 8192                   // clients that wait for a change
+	MaxCommands = 8192                   // of clients, under way at once: as many as sessions, as all may come at once
+	MaxWatchers = 16384                  // clients that wait for a change: two for each session
 	tickEvery   = 200 * time.Millisecond // time passes in the agreed state at least this often
 	maxAdvance  = time.Second            // at most so much passes with one command: a leader that was stopped ends nobody at once
 	applyWithin = 2 * time.Second        // a command is taken over by the library
@@ -83,6 +83,7 @@
 	}
 	under   atomic.Int64 // commands under way
 	refused atomic.Int64 // as a bound was reached
+	returns returnSchedule
 
 	figures sync.Mutex
 	commits *hdrhistogram.Histogram // of commands, from when they came to their answer, in microseconds
@@ -295,11 +296,13 @@
 func (n *Node) Do(c coord.Command) (coord.Answer, error) {
 	if n.under.Add(1) > MaxCommands {
 		n.under.Add(-1)
-		n.refused.Add(1)
-		return coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}, nil
+		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}), nil
 	}
 	defer n.under.Add(-1)
 	began := time.Now()
+	if a, refused := n.refusesSession(c); refused {
+		return n.full(a), nil
+	}
 	n.mu.Lock()
 	c.V = n.state.V
 	n.mu.Unlock()
@@ -315,7 +318,7 @@
 		return a, fmt.Errorf("no answer: %v", f.Response())
 	}
 	if a.Code == coord.Full {
-		n.refused.Add(1)
+		a = n.full(a)
 	}
 	n.figures.Lock()
 	_ = n.commits.RecordValue(min(time.Since(began).Microseconds(), 60_000_000)) // within the bound
@@ -405,7 +408,7 @@
 	if n.count >= MaxWatchers {
 		n.mu.Unlock()
 		n.refused.Add(1)
-		return fmt.Errorf("watchers: %d at most", MaxWatchers)
+		return &FullError{Text: fmt.Sprintf("watchers: %d at most", MaxWatchers), RetryAfter: n.returns.next(clock.Now())}
 	}
 	c := n.waiting[lease]
 	if c == nil {
--- a/internal/rollout/follow/follow.go
+++ b/internal/rollout/follow/follow.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -49,11 +50,12 @@
 	figures bool              // what is answered is told,
 	speed   bool              // and how fast
 	quick   bool              // what is found out of servers is told at once
+	maxSeen int               // servers in one report
 }
 
 // Run takes part until ctx ends.
 func Run(ctx context.Context, o Options) {
-	f := &follower{o: o, drained: map[string]string{}, news: make(chan struct{}, 1)}
+	f := &follower{o: o, drained: map[string]string{}, news: make(chan struct{}, 1), maxSeen: rollout.EarlierMaxSeen}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, name := range o.Held(ctx) {
@@ -113,7 +115,7 @@
 		}
 		is := f.o.Ready()
 		f.mu.Lock()
-		figures, fast := f.figures, f.speed
+		figures, fast, maxSeen := f.figures, f.speed, f.maxSeen
 		f.mu.Unlock()
 		var good, bad int64
 		var speed []int64
@@ -124,11 +126,12 @@
 			speed = nil
 		}
 		for fresh || figures && (good > lastGood || bad > lastBad) && clock.Now()-at >= tellFigures || len(changed) > 0 || is != ready {
-			part := changed[:min(len(changed), rollout.MaxSeen)]
+			part := changed[:min(len(changed), maxSeen)]
 			// What is answered to a process that a newer one has replaced is no error.
 			_, err := f.o.Client.Roll(ctx, rollout.Command{Op: rollout.See, View: &rollout.View{Zone: f.o.Zone, Version: f.o.Label, Ready: is, Servers: part, Good: good, Bad: bad, Speed: speed}})
 			if err != nil {
 				f.log("what the router sees could not be told", err)
+				clock.Sleep(ctx, client.Pause(err, 0))
 				break
 			}
 			for _, s := range part {
@@ -147,6 +150,7 @@
 		if in == session && done > acked {
 			if _, err := f.o.Client.Roll(ctx, rollout.Command{Op: rollout.Ack, Drains: done}); err != nil {
 				f.log("what is drained could not be acknowledged", err)
+				clock.Sleep(ctx, client.Pause(err, 0))
 				in = "" // as it may be that this session was never told of
 				continue
 			}
@@ -169,7 +173,7 @@
 		// Asked for at once at the beginning, then whenever it changes.
 		d, err := f.o.Client.Drains(ctx, version)
 		if err != nil {
-			if !clock.Sleep(ctx, every+rand.N(every)) {
+			if !clock.Sleep(ctx, client.Pause(err, every+rand.N(every))) {
 				return
 			}
 			continue
@@ -191,6 +195,7 @@
 		}
 		f.mu.Lock()
 		f.quick = d.Quorum > 0
+		f.maxSeen = cmp.Or(d.MaxSeen, rollout.EarlierMaxSeen)
 		f.mu.Unlock()
 		version = d.Version
 		if first && f.o.First != nil {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -19,15 +19,18 @@
 // The bounds of all tables.
 const (
 	MaxBudgets = 64
-	MaxRouters = 1024
-	MaxServers = 1024
-	MaxPermits = 256 // that wait or are given
-	MaxSeen    = 128 // servers in one report
-	MaxName    = 128 // bytes
-	MaxText    = 256 // bytes of a purpose or reason
-	MaxWarm    = time.Hour
-	MaxWait    = 24 * time.Hour // of a deadline
-	MinGrace   = time.Second
+	MaxRouters = 8192 // 5,100 and over half as many again
+	MaxServers = 4096 // 2,500 and over half as many again
+	MaxPermits = 256  // that wait or are given
+	MaxSeen    = 512  // servers in one report
+	// MaxSightings of a server by a router: 13 regions of 392 routers that see 192 servers each, twice. All routers that see all
+	// servers would be six times as many.
+	MaxSightings = 2 << 20
+	MaxName      = 128 // bytes
+	MaxText      = 256 // bytes of a purpose or reason
+	MaxWarm      = time.Hour
+	MaxWait      = 24 * time.Hour // of a deadline
+	MinGrace     = time.Second
 
 	ForgetAfter = 10 // times the grace: then a server that is on no list is forgotten
 )
@@ -198,10 +201,12 @@
 	Speed   []int64       `json:"speed,omitempty"`
 
 	// A server's.
-	Saw     map[string]Sight         `json:"saw,omitempty"`     // by router, as long as its session lasts
+	Saw     map[string]Sight         `json:"saw,omitempty"`     // by router, as long as its session lasts; changed by State.sight alone
 	Listed  time.Duration            `json:"listed,omitempty"`  // since when discovery's list takes it out, by a router; -1 = it doesn't
 	Found   map[string]time.Duration `json:"found,omitempty"`   // by router: since when it finds the server bad by itself
 	Suspect *Suspicion               `json:"suspect,omitempty"` // the newest
+
+	counts sightCounts // of Saw
 }
 
 // Stage is how far a permit is.
@@ -260,6 +265,10 @@
 	next   time.Duration // nothing changes by time alone before this
 	dirty  bool          // what is seen of servers may have changed since it was weighed,
 	forget time.Duration // or changes by time from here on
+
+	sightings int                     // of all servers
+	touched   []*Thing                // routers that may have become up or down in this command
+	sees      map[string]*sightCounts // by router, of all servers
 }
 
 // DefaultGrace is that of a new state.
@@ -267,7 +276,8 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{Grace: DefaultGrace, Routers: map[string]*Thing{}, Servers: map[string]*Thing{}, next: math.MaxInt64, forget: math.MaxInt64}
+	return &State{Grace: DefaultGrace, Routers: map[string]*Thing{}, Servers: map[string]*Thing{}, next: math.MaxInt64, forget: math.MaxInt64,
+		sees: map[string]*sightCounts{}}
 }
 
 // Code says how a command ended.
@@ -299,6 +309,9 @@
 	Client  string
 	Opened  uint64        // the order in which sessions came
 	Token   func() uint64 // a new one
+
+	// EarlierBounds tells that a coordinator may have an older program, whose tables have lower bounds.
+	EarlierBounds bool
 }
 
 func bad(form string, v ...any) Answer { return Answer{Code: Refused, Text: fmt.Sprintf(form, v...)} }
@@ -422,8 +435,8 @@
 	}
 	r := s.Routers[name]
 	if r == nil {
-		if len(s.Routers) >= MaxRouters {
-			return Answer{Code: Full, Text: fmt.Sprintf("routers: %d at most", MaxRouters)}
+		if limit := f.bounds().routers; len(s.Routers) >= limit {
+			return Answer{Code: Full, Text: fmt.Sprintf("routers: %d at most", limit)}
 		}
 		r = &Thing{Since: f.Clock}
 		s.Routers[name] = r
@@ -439,6 +452,7 @@
 	s.figures(r, name, c.View, f.Clock)
 	same := r.Zone == c.View.Zone && r.Version == c.View.Version && r.Ready == c.View.Ready && len(c.View.Servers) == 0
 	r.Zone, r.Version, r.Ready = c.View.Zone, c.View.Version, c.View.Ready
+	s.touched = append(s.touched, r)
 	s.dirty = s.dirty || len(c.View.Servers) > 0
 	for _, x := range c.View.Servers {
 		t := s.Servers[x.Name]
@@ -446,19 +460,19 @@
 			if x.Is == Gone {
 				continue
 			}
-			if len(s.Servers) >= MaxServers {
-				return Answer{Code: Full, Text: fmt.Sprintf("servers: %d at most", MaxServers)}
+			if limit := f.bounds().servers; len(s.Servers) >= limit {
+				return Answer{Code: Full, Text: fmt.Sprintf("servers: %d at most", limit)}
 			}
 			t = &Thing{Since: f.Clock, Listed: -1}
 			s.Servers[x.Name] = t
 		}
+		if _, known := t.Saw[name]; !known && s.sightings >= MaxSightings {
+			return Answer{Code: Full, Text: fmt.Sprintf("sightings of servers by routers: %d at most", MaxSightings)}
+		}
 		if x.Is != Gone {
 			t.Zone, t.Run = x.Zone, x.Run
 		}
-		if t.Saw == nil {
-			t.Saw = map[string]Sight{}
-		}
-		t.Saw[name] = x.Is
+		s.sight(t, name, x.Is)
 		t.found(name, x.Is, f.Clock)
 	}
 	return Answer{Code: OK, same: same}
@@ -481,7 +495,7 @@
 func (s *State) blind(name string) {
 	s.dirty = true
 	for _, t := range s.Servers {
-		delete(t.Saw, name)
+		s.unsight(t, name)
 		delete(t.Found, name)
 	}
 }
@@ -492,6 +506,7 @@
 	if name, ok := router(From{Client: client}); ok {
 		if r := s.Routers[name]; r != nil && r.Session == session {
 			r.Session, r.Ready, r.Ended = "", false, clock
+			s.touched = append(s.touched, r)
 			s.blind(name)
 			touched = true
 		}
@@ -581,7 +596,11 @@
 		if slices.ContainsFunc(s.Permits, func(p *Permit) bool { return p.Kind == c.Kind && p.Name == c.Name && p.Stage == Begun }) {
 			return bad("%s/%s: a permit of it is used: clear that first", c.Kind, c.Name)
 		}
-		delete(s.things(c.Kind), c.Name)
+		if c.Kind == Server {
+			s.forgetServer(c.Name)
+		} else {
+			delete(s.Routers, c.Name)
+		}
 		s.drop(func(p *Permit) bool { return p.Kind == c.Kind && p.Name == c.Name })
 		return Answer{Code: OK}
 	}
@@ -670,6 +689,7 @@
 // Clone is a copy that shares nothing.
 func (s *State) Clone() *State {
 	c := *s
+	c.touched = nil // each command that touches one weighs it
 	c.Budgets, c.Permits = slices.Clone(s.Budgets), make([]*Permit, len(s.Permits))
 	for i, p := range s.Permits {
 		one := *p
@@ -691,6 +711,11 @@
 	}
 	c.Release = s.Release.clone()
 	c.Routers, c.Servers = copied(s.Routers), copied(s.Servers)
+	c.sees = make(map[string]*sightCounts, len(s.sees))
+	for name, n := range s.sees {
+		one := *n
+		c.sees[name] = &one
+	}
 	if s.Halted != nil {
 		one := *s.Halted
 		c.Halted = &one
@@ -699,7 +724,13 @@
 }
 
 // Restored makes a state whole that was read from a snapshot.
-func (s *State) Restored() { s.next, s.dirty = 0, true }
+func (s *State) Restored() {
+	s.next, s.dirty = 0, true
+	for _, r := range s.Routers {
+		s.touched = append(s.touched, r)
+	}
+	s.recount()
+}
 
 // order is that in which permits are weighed.
 func order(a, b *Permit) int {
--- a/internal/rollout/settle.go
+++ b/internal/rollout/settle.go
@@ -49,9 +49,10 @@
 			s.Version++
 		}
 	}
-	for _, r := range s.Routers {
+	for _, r := range s.touched {
 		turn(r, r.Session != "" && r.Ready)
 	}
+	s.touched = nil
 	if !s.dirty && clock < s.forget { // hundreds of routers see hundreds of servers: only where something may have changed
 		s.wake(s.forget)
 		return
@@ -59,20 +60,8 @@
 	s.dirty, s.forget = false, math.MaxInt64
 	s.suspect(clock)
 	for name, t := range s.Servers {
-		saw, against, listed, gone := 0, 0, false, 0
-		for _, is := range t.Saw {
-			saw++
-			switch is {
-			case Up:
-			case Gone:
-				gone++
-				against, listed = against+1, true
-			case Leaving:
-				against, listed = against+1, true
-			default:
-				against++
-			}
-		}
+		saw, against, gone := t.counts.all, t.counts.against(), t.counts.gone
+		listed := gone+t.counts.leaving > 0
 		// More than half of those that see it must agree: one router with a bad link neither takes a server out nor hides that it is.
 		out := saw == 0 || 2*against > saw
 		if mutant.Is("evidence-of-one") {
@@ -92,7 +81,7 @@
 		if at := max(t.Since, t.Listed) + ForgetAfter*s.Grace; at > clock && !mutant.Is("gone-is-forgotten") {
 			s.forget = min(s.forget, at)
 		} else if !slices.ContainsFunc(s.Permits, func(p *Permit) bool { return p.Kind == Server && p.Name == name }) {
-			delete(s.Servers, name)
+			s.forgetServer(name)
 			s.Version++
 		}
 	}
@@ -138,44 +127,68 @@
 		if p.Kind != Server || p.Stage != Begun || p.Drained {
 			continue
 		}
-		var missing []string
+		var missing fewNames
 		t := s.Servers[p.Name]
 		for name, r := range s.Routers {
 			switch {
 			case mutant.Is("drain-unacknowledged"):
 			case r.Session != "":
 				if r.Acked < p.Drain {
-					missing = append(missing, name)
+					missing.add(name)
 				}
 			case t == nil || t.Listed < 0:
-				missing = append(missing, name+" (no session, and discovery's list doesn't say that the server leaves)")
+				missing.add(name + " (no session, and discovery's list doesn't say that the server leaves)")
 			default:
 				if at := max(r.Ended, t.Listed, p.Began) + s.Grace; at > clock {
 					s.wake(at)
-					missing = append(missing, name+" (no session)")
+					missing.add(name + " (no session)")
 				}
 			}
 		}
-		if len(missing) == 0 {
+		if missing.all == 0 {
 			p.Drained, p.Waits = true, ""
 			s.Version++
 			continue
 		}
-		slices.Sort(missing)
 		if p.Session != "" {
-			p.Waits = fmt.Sprintf("until nothing more is sent to it by %s", Few(missing))
+			p.Waits = fmt.Sprintf("until nothing more is sent to it by %s", missing.text())
 		}
 	}
 }
 
+// named is how many of many things a text names.
+const named = 3
+
 // Few names some of many.
 func Few(names []string) string {
-	if len(names) > 3 {
-		return fmt.Sprintf("%s and %d more", strings.Join(names[:3], ", "), len(names)-3)
+	return fewText(names[:min(len(names), named)], len(names))
+}
+
+func fewText(first []string, all int) string {
+	if all > len(first) {
+		return fmt.Sprintf("%s and %d more", strings.Join(first, ", "), all-len(first))
+	}
+	return strings.Join(first, ", ")
+}
+
+// fewNames gathers the first names of many in their order without keeping them all: thousands of routers may be asked for.
+type fewNames struct {
+	first []string // sorted
+	all   int
+}
+
+func (f *fewNames) add(name string) {
+	f.all++
+	at, _ := slices.BinarySearch(f.first, name)
+	if at == named {
+		return
 	}
-	return strings.Join(names, ", ")
+	f.first = slices.Insert(f.first, at, name)
+	f.first = f.first[:min(len(f.first), named)]
 }
 
+func (f *fewNames) text() string { return fewText(f.first, f.all) }
+
 // warm is how long a thing that is back counts as out.
 func (s *State) warm(k Kind, name string) (d time.Duration) {
 	for i := range s.Budgets {
@@ -436,6 +449,8 @@
 
 	Quorum   int       `json:"quorum,omitempty"`   // of routers that find a server bad; 0 = each goes by itself
 	Suspects []Suspect `json:"suspects,omitempty"` // what it found
+
+	MaxSeen int `json:"max_seen,omitempty"` // servers in one report; 0 = EarlierMaxSeen
 }
 
 // ForRouters is what routers go by; speed tells whether all coordinators understand how fast they are.
--- /dev/null
+++ b/internal/rollout/sightings_test.go
@@ -0,0 +1,92 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Sightings have a bound of their own, which all routers that see all servers would pass; one that goes makes room.
+func TestSightingsBound(t *testing.T) {
+	w := newWorld()
+	const routers = MaxSightings / MaxServers
+	report := func(router string, from, n int) Answer {
+		v := &View{Ready: true}
+		for i := range n {
+			v.Servers = append(v.Servers, Seen{Name: fmt.Sprint("s", from+i), Is: Up})
+		}
+		return w.do(Command{Op: See, View: v}, RouterClient+router)
+	}
+	for r := range routers {
+		for from := 0; from < MaxServers; from += MaxSeen {
+			if a := report(fmt.Sprint("r", r), from, MaxSeen); a.Code != OK {
+				t.Fatalf("router %d, servers from %d: %+v", r, from, a)
+			}
+		}
+	}
+	if a := report("more", 0, 1); a.Code != Full || !strings.Contains(a.Text, "sightings") {
+		t.Errorf("one more: %+v", a)
+	}
+	if a := report("r0", 0, 1); a.Code != OK {
+		t.Errorf("one that is known already: %+v", a)
+	}
+	w.end(RouterClient + "r1")
+	if a := report("more", 0, 1); a.Code != OK {
+		t.Errorf("after a router has gone: %+v", a)
+	}
+}
+
+// The counts that are kept are those that a look at all sightings gives, whatever is told, ends, or is forgotten.
+func TestSightCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(Budget{Name: "s", Kind: Server, Most: 1})
+		names := []string{"a1", "b2", "c3"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			router := rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "router")
+			if rapid.IntRange(0, 5).Draw(t, "end") == 0 {
+				w.end(RouterClient + router)
+			} else {
+				is := rapid.SampledFrom([]Sight{Up, Bad, Leaving, Gone}).Draw(t, "is")
+				w.router(router, "z", rapid.SampledFrom(names).Draw(t, "server")+":"+string(is))
+			}
+			w.pass(DefaultGrace)
+			again := w.s.Clone()
+			again.recount()
+			if again.sightings != w.s.sightings || len(again.sees) != len(w.s.sees) {
+				t.Fatalf("%d sightings by %d routers are counted, there are %d by %d", w.s.sightings, len(w.s.sees), again.sightings, len(again.sees))
+			}
+			for router, n := range again.sees {
+				if *w.s.sees[router] != *n {
+					t.Fatalf("router %s: %+v is counted, there are %+v", router, *w.s.sees[router], *n)
+				}
+			}
+			for _, name := range names {
+				if s := again.Servers[name]; s != nil && s.counts != w.s.Servers[name].counts {
+					t.Fatalf("server %s: %+v is counted, there are %+v", name, w.s.Servers[name].counts, s.counts)
+				}
+			}
+		}
+	})
+}
+
+// Naming the first few of many gives the same text as sorting all of them.
+func TestFewNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfNDistinct(rapid.StringMatching("[a-c]{1,3}"), 1, 8, rapid.ID[string]).Draw(t, "names")
+		set := map[string]bool{}
+		var few fewNames
+		for _, name := range all {
+			few.add(name)
+			set[name] = true
+		}
+		if want := Few(sorted(set)); few.text() != want {
+			t.Fatalf("%q, want %q", few.text(), want)
+		}
+	})
+}
+
+func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/internal/rollout/suspect.go
+++ b/internal/rollout/suspect.go
@@ -63,28 +63,17 @@
 
 // credible tells which routers' evidence counts: one that finds many servers bad is cut off or broken itself.
 func (s *State) credible() map[string]bool {
-	bad, sees := map[string]int{}, map[string]int{}
-	for _, t := range s.Servers {
-		for r, is := range t.Saw {
-			sees[r]++
-			if is == Bad {
-				bad[r]++
-			}
-		}
-	}
 	ok := map[string]bool{}
-	for r, n := range sees {
-		ok[r] = bad[r] <= max(1, n/credibleOne) || mutant.Is("liar-believed")
+	for r, n := range s.sees {
+		ok[r] = n.bad <= max(1, n.all/credibleOne) || mutant.Is("liar-believed")
 	}
 	return ok
 }
 
 // suspect weighs what routers found. It is a function of the state and the clock.
 func (s *State) suspect(clock time.Duration) {
-	names := slices.Sorted(maps.Keys(s.Servers))
 	held := 0
-	for _, name := range names {
-		t := s.Servers[name]
+	for _, t := range s.Servers {
 		x := t.Suspect
 		if x == nil || x.Over {
 			continue
@@ -101,6 +90,7 @@
 	if s.Quorum == 0 {
 		return
 	}
+	names := slices.Sorted(maps.Keys(s.Servers))
 	quorum, most := s.Quorum, max(1, len(names)/suspectsOne)
 	if mutant.Is("quorum-of-one") {
 		quorum = 1
--- a/lab/fleet/agreecost.go
+++ b/lab/fleet/agreecost.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	P50, P99        time.Duration // of those
 	IdleBytes       float64       // a second and client, bodies of keep-alives and answers
 	Failed          int
+	Refused         int    // clients that had no session within the patience,
+	Why             string // and what one of them was told
 }
 
 // AgreeUse is what the leader and the busiest other use.
@@ -60,9 +63,31 @@
 		a.close()
 		return nil, err
 	}
+	if err := a.upgrade(ctx); err != nil {
+		a.close()
+		return nil, err
+	}
 	return a, nil
 }
 
+// upgrade has all commands and bounds of this program in force.
+func (a *agreement) upgrade(ctx context.Context) error {
+	return until(ctx, 20*time.Second, func() error {
+		l, err := a.leader(ctx)
+		if err != nil {
+			return err
+		}
+		var answer coord.Answer
+		if err := client.Call(ctx, http.MethodPost, l.api, "/v1/upgrade", coord.Command{Version: coord.Version}, &answer); err != nil {
+			return err
+		}
+		if answer.Code != coord.OK {
+			return answer
+		}
+		return nil
+	})
+}
+
 // use measures the coordinators over a time.
 func (a *agreement) use(ctx context.Context, over time.Duration) (u AgreeUse, err error) {
 	l, err := a.leader(ctx)
@@ -121,17 +146,21 @@
 	began := time.Now()
 	var mu sync.Mutex
 	var held sync.WaitGroup
+	patience, endPatience := context.WithTimeout(ctx, opensWithin)
+	defer endPatience()
 	for i := range clients { // each takes its share of the leases
 		held.Go(func() {
 			for n := i; n < max(leases, clients); n += clients {
 				if n >= leases { // one that holds none waits for its session all the same
-					_, _ = all[i].Acquire(ctx, "nobody's", "", time.Minute) // refused: longer than the session
+					_, err := all[i].Acquire(patience, "nobody's", "", time.Minute) // refused: longer than the session
+					m.refused(&mu, err)
 					break
 				}
-				if _, err := all[i].Acquire(ctx, fmt.Sprintf("lease-%d", n), "", 10*time.Second); err != nil {
+				if _, err := all[i].Acquire(patience, fmt.Sprintf("lease-%d", n), "", 10*time.Second); err != nil {
 					mu.Lock()
 					m.Failed++
 					mu.Unlock()
+					m.refused(&mu, err)
 				}
 			}
 		})
@@ -184,6 +213,20 @@
 	return m, nil
 }
 
+// opensWithin bounds how long clients wait for a session: one over a bound of the coordinators never gets one.
+const opensWithin = 30 * time.Second
+
+// refused counts a client that has no session.
+func (m *AgreeCost) refused(mu *sync.Mutex, err error) {
+	if !errors.Is(err, client.ErrNoSession) {
+		return
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	m.Refused++
+	m.Why = err.Error()
+}
+
 // FailOver kills the leader again and again, and tells how long it took each time until a client acquired a lease again.
 func FailOver(ctx context.Context, coordinators, kills int, o AgreeOptions) (took []time.Duration, err error) {
 	a, err := calm(ctx, coordinators, o)
--- /dev/null
+++ b/lab/hollow/coordinators.go
@@ -0,0 +1,201 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"os/exec"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/coord/node"
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// Times of a group of coordinators.
+const (
+	startWithin  = 20 * time.Second
+	endWithin    = 5 * time.Second
+	statusWithin = 5 * time.Second
+	askAgain     = 50 * time.Millisecond
+)
+
+// coordinator is one process.
+type coordinator struct {
+	name, listen, api string
+	cmd               *exec.Cmd
+	done              chan struct{} // closed at its end
+}
+
+// group is a group of coordinators that are real processes, without faults.
+type group struct{ all []*coordinator }
+
+// startGroup starts so many coordinators in a directory, has them form a group and brings this program's version in force.
+func startGroup(ctx context.Context, command []string, n int, dir string) (g *group, err error) {
+	g = &group{}
+	defer func() {
+		if err != nil {
+			g.close()
+		}
+	}()
+	for i := range n {
+		c, err := startCoordinator(command, fmt.Sprintf("c%d", i), dir)
+		if err != nil {
+			return nil, err
+		}
+		g.all = append(g.all, c)
+	}
+	var members []node.Member
+	for _, c := range g.all {
+		var s node.Status
+		if err := repeat(ctx, startWithin, func() error { s, err = c.status(ctx); return err }); err != nil {
+			return nil, fmt.Errorf("coordinator %s: %w", c.name, err)
+		}
+		members = append(members, node.Member{Name: c.name, Identity: s.Identity, Address: c.listen})
+	}
+	if err := client.Call(ctx, http.MethodPost, g.all[0].api, "/v1/init", members, nil); err != nil {
+		return nil, fmt.Errorf("forming the group: %w", err)
+	}
+	return g, repeat(ctx, startWithin, func() error { return g.upgrade(ctx) })
+}
+
+// startCoordinator starts one process.
+func startCoordinator(command []string, name, dir string) (*coordinator, error) {
+	c := &coordinator{name: name, done: make(chan struct{})}
+	var err error
+	if c.listen, err = fleet.FreeAddr(); err != nil {
+		return nil, err
+	}
+	if c.api, err = fleet.FreeAddr(); err != nil {
+		return nil, err
+	}
+	file := filepath.Join(dir, name+".toml")
+	text := fmt.Sprintf("version = 1\nname = %q\ndir = %q\nlisten = %q\napi = %q\n", name, filepath.Join(dir, name), c.listen, c.api)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	if c.cmd, err = fleet.Spawn(append(append([]string{}, command...), "serve", file), nil, filepath.Join(dir, name+".log")); err != nil {
+		return nil, fmt.Errorf("coordinator %s: %w", name, err)
+	}
+	go func() { // ended by the end of the process, which close waits for
+		_ = c.cmd.Wait() // what became of it is seen by its answers
+		close(c.done)
+	}()
+	return c, nil
+}
+
+// upgrade brings the commands and bounds of this program in force.
+func (g *group) upgrade(ctx context.Context) error {
+	l, _, err := g.leader(ctx)
+	if err != nil {
+		return err
+	}
+	var a coord.Answer
+	if err := client.Call(ctx, http.MethodPost, l.api, "/v1/upgrade", coord.Command{Version: coord.Version}, &a); err != nil {
+		return err
+	}
+	if a.Code != coord.OK {
+		return a
+	}
+	return nil
+}
+
+// status asks a coordinator how it stands.
+func (c *coordinator) status(ctx context.Context) (s node.Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusWithin)
+	defer cancel()
+	err = client.Call(ctx, http.MethodGet, c.api, "/v1/status", nil, &s)
+	return s, err
+}
+
+var errNoLeader = errors.New("no coordinator leads")
+
+// leader finds the one that leads in the highest term.
+func (g *group) leader(ctx context.Context) (l *coordinator, status node.Status, err error) {
+	for _, c := range g.all {
+		if s, err := c.status(ctx); err == nil && s.State == "Leader" && s.Term > status.Term {
+			l, status = c, s
+		}
+	}
+	if l == nil {
+		return nil, status, errNoLeader
+	}
+	return l, status, nil
+}
+
+// addresses are those for clients, by name.
+func (g *group) addresses() map[string]string {
+	all := map[string]string{}
+	for _, c := range g.all {
+		all[c.name] = c.api
+	}
+	return all
+}
+
+// close ends all processes and waits for them.
+func (g *group) close() {
+	for _, c := range g.all {
+		_ = c.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+	}
+	over := time.After(endWithin)
+	for _, c := range g.all {
+		select {
+		case <-c.done:
+		case <-over:
+			_ = c.cmd.Process.Kill()
+			<-c.done
+		}
+	}
+}
+
+// use is what a process has used since its start, and holds now.
+type use struct {
+	cpu         time.Duration
+	residentMB  float64
+	descriptors int
+	readBytes   int64 // by read calls: sockets, as the log and the state's files are mapped or only written
+}
+
+// processUse reads it from /proc.
+func processUse(pid int) (u use, err error) {
+	p, err := fleet.ProcessUse(pid)
+	if err != nil {
+		return u, err
+	}
+	u = use{cpu: time.Duration(p.CPUMS * float64(time.Millisecond)), residentMB: p.RSSMB, descriptors: p.FDs}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return u, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "rchar: "); ok {
+			u.readBytes, err = strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		}
+	}
+	return u, err
+}
+
+// repeat tries until f succeeds or the time is over.
+func repeat(ctx context.Context, within time.Duration, f func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(askAgain):
+		}
+	}
+}
--- /dev/null
+++ b/lab/hollow/ladder.go
@@ -0,0 +1,390 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+// Options say what is played.
+type Options struct {
+	Coordinators  int           // processes
+	Command       []string      // that starts one
+	Dir           string        // for their files; it must be there
+	RegionRouters int           // routers of a region,
+	RegionServers int           // and the servers that each of them sees
+	TTL           time.Duration // of the routers' sessions
+	Idle          time.Duration // over which the fleet at rest is measured
+	Drains        int           // drains of a server whose latency is measured
+	Patience      time.Duration // for all routers to have what they wait for
+}
+
+// Usage is what one process costs.
+type Usage struct {
+	Name       string  `json:"name"`
+	Leader     bool    `json:"leader"`
+	Cores      float64 `json:"cores"`       // of processor time a second
+	ResidentMB float64 `json:"resident_mb"` // at the end of the measurement
+	Open       int     `json:"open"`        // descriptors
+	ReadPerS   float64 `json:"read_per_s"`  // bytes read, of sockets
+}
+
+// Step is a ladder's step: what so many hollow routers cost.
+type Step struct {
+	Routers   int     `json:"routers"`
+	Sightings int     `json:"sightings"` // pairs of a router and a server that it reports
+	SessionS  float64 `json:"session_s"` // all at once: until all have a session,
+	FirstS    float64 `json:"first_s"`   // until all have what is drained,
+	ReportedS float64 `json:"reported_s"`
+	// Join is what the leader and the busiest other voter used until then, in seconds of processor time.
+	JoinLeaderCPUS float64 `json:"join_leader_cpu_s"`
+	JoinVoterCPUS  float64 `json:"join_voter_cpu_s"`
+	// A router's bytes until then.
+	JoinRouterIn  float64 `json:"join_router_in"`
+	JoinRouterOut float64 `json:"join_router_out"`
+
+	Idle           []Usage `json:"idle"` // of the coordinators,
+	HollowCores    float64 `json:"hollow_cores"`
+	HollowMB       float64 `json:"hollow_mb"`      // of the process that plays all routers
+	RouterInPerS   float64 `json:"router_in_s"`    // bytes a second and router at rest
+	RouterOutPerS  float64 `json:"router_out_s"`   // likewise
+	Connections    float64 `json:"connections"`    // a router
+	EntriesPerS    float64 `json:"entries_s"`      // of the log, at rest
+	CommitP99MS    float64 `json:"commit_p99_ms"`  // of commands, by the leader's own figures over its life
+	Drains         int     `json:"drains"`         // that were measured
+	DrainP50MS     float64 `json:"drain_p50_ms"`   // from when the drain was sent until a router had it
+	DrainP99MS     float64 `json:"drain_p99_ms"`   // likewise
+	DrainLastMS    float64 `json:"drain_last_ms"`  // the last router of the slowest drain
+	DrainAckedMS   float64 `json:"drain_acked_ms"` // the slowest drain, until all had acknowledged it
+	DrainLeaderCPU float64 `json:"drain_leader_cpu_s"`
+	DrainRouterIn  float64 `json:"drain_router_in"` // bytes a router and drain, its end included
+
+	Failed string `json:"failed,omitempty"` // why the step was not finished
+}
+
+// Play plays one step: coordinators start, so many routers join all at once, rest, and follow drains.
+func Play(ctx context.Context, routers int, o Options) (step Step, err error) {
+	step.Routers, step.Sightings = routers, routers*o.RegionServers
+	g, err := startGroup(ctx, o.Command, o.Coordinators, o.Dir)
+	if err != nil {
+		return step, err
+	}
+	defer g.close()
+	f := newFleet(routers, g.addresses(), o)
+	run, stop := context.WithCancel(ctx)
+	defer f.wg.Wait()
+	defer stop()
+	operator := f.operator(run, g.addresses())
+	if err := f.budget(ctx, operator); err != nil {
+		return step, err
+	}
+	for _, measure := range []func(context.Context) error{
+		func(ctx context.Context) error { return f.join(ctx, run, g, operator, &step) },
+		func(ctx context.Context) error { return f.rest(ctx, g, &step) },
+		func(ctx context.Context) error { return f.follow(ctx, g, operator, &step) }} {
+		if err := measure(ctx); err != nil {
+			step.Failed = err.Error()
+			return step, err
+		}
+	}
+	return step, nil
+}
+
+// hollowFleet is all routers of a step.
+type hollowFleet struct {
+	o       Options
+	routers []*router
+	traffic Traffic
+	drains  chan drainSeen
+	first   sync.WaitGroup // until all have what is drained
+	started atomic.Int64   // routers that have
+	wg      sync.WaitGroup
+}
+
+func newFleet(n int, coordinators map[string]string, o Options) *hollowFleet {
+	f := &hollowFleet{o: o, drains: make(chan drainSeen, n)}
+	f.first.Add(n)
+	var servers []rollout.Seen
+	for i := range n {
+		region := i / o.RegionRouters
+		if i%o.RegionRouters == 0 {
+			servers = regionServers(region, o.RegionServers)
+		}
+		first := func() {
+			f.started.Add(1)
+			f.first.Done()
+		}
+		f.routers = append(f.routers, newRouter(fmt.Sprintf("router-%05d", i), zoneName(region, i%zonesPerRegion), servers, coordinators, o.TTL, &f.traffic, f.drains, first))
+	}
+	return f
+}
+
+// operator is a session of the operators' tool.
+func (f *hollowFleet) operator(ctx context.Context, coordinators map[string]string) *client.Client {
+	c := client.New(client.Options{Coordinators: coordinators, Client: "operator", TTL: f.o.TTL})
+	f.wg.Go(func() { c.Run(ctx) })
+	return c
+}
+
+// budget allows one server at a time to be out.
+func (f *hollowFleet) budget(ctx context.Context, operator *client.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
+	defer cancel()
+	_, err := operator.Roll(ctx, rollout.Command{Op: rollout.Set, Grace: 2 * f.o.TTL, Budgets: []rollout.Budget{{Name: "servers", Kind: rollout.Server, Most: 1}}})
+	return err
+}
+
+// waitFor waits for a group of routers, within the patience.
+func (f *hollowFleet) waitFor(ctx context.Context, what string, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() { // ends with the group, at the latest when the step's routers have ended
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-time.After(f.o.Patience):
+		return fmt.Errorf("%s: not all of %d routers within %v (%d have what is drained)", what, len(f.routers), f.o.Patience, f.started.Load())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// join starts all routers at once and waits until they have a session, what is drained, and have reported what they see.
+func (f *hollowFleet) join(ctx, run context.Context, g *group, operator *client.Client, step *Step) error {
+	before, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	for _, r := range f.routers {
+		f.wg.Go(func() { r.run(run) })
+	}
+	if err := f.sessions(ctx); err != nil {
+		return err
+	}
+	step.SessionS = time.Since(began).Seconds()
+	if err := f.waitFor(ctx, "what is drained", &f.first); err != nil {
+		return err
+	}
+	step.FirstS = time.Since(began).Seconds()
+	if err := f.reported(ctx, operator); err != nil {
+		return err
+	}
+	step.ReportedS = time.Since(began).Seconds()
+	after, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	step.JoinLeaderCPUS, step.JoinVoterCPUS = after.since(before)
+	n := float64(len(f.routers))
+	step.JoinRouterIn, step.JoinRouterOut = float64(f.traffic.In.Load())/n, float64(f.traffic.Out.Load())/n
+	return nil
+}
+
+// sessions waits until all routers have one.
+func (f *hollowFleet) sessions(ctx context.Context) error {
+	missing := f.routers
+	return repeat(ctx, f.o.Patience, func() error {
+		missing = slices.DeleteFunc(slices.Clone(missing), func(r *router) bool { return r.client.Session() != "" })
+		if len(missing) > 0 {
+			return fmt.Errorf("sessions: %d of %d routers have none within %v", len(missing), len(f.routers), f.o.Patience)
+		}
+		return nil
+	})
+}
+
+// errNotReported tells that some have not reported yet.
+var errNotReported = errors.New("not all routers have reported what they see")
+
+// reported waits until the coordinators count all routers, and no server's state is unknown: its last router has told of it.
+func (f *hollowFleet) reported(ctx context.Context, operator *client.Client) error {
+	regions := (len(f.routers) + f.o.RegionRouters - 1) / f.o.RegionRouters
+	return repeat(ctx, f.o.Patience, func() error {
+		report, err := operator.Rollout(ctx, 0)
+		if err != nil {
+			return err
+		}
+		if report.Routers < len(f.routers) || report.Servers < regions*f.o.RegionServers {
+			return errNotReported
+		}
+		return nil
+	})
+}
+
+// groupUse is what the coordinators use, with the leader's name.
+type groupUse struct {
+	leader  string
+	process map[string]use
+	at      time.Time
+	last    uint64 // entry of the leader's log
+	p99MS   float64
+}
+
+// use reads what all coordinators use.
+func (g *group) use(ctx context.Context) (u groupUse, err error) {
+	l, status, err := g.leader(ctx)
+	if err != nil {
+		return u, err
+	}
+	u = groupUse{leader: l.name, process: map[string]use{}, at: time.Now(), last: status.Last, p99MS: status.CommitP99MS}
+	for _, c := range g.all {
+		if u.process[c.name], err = processUse(c.cmd.Process.Pid); err != nil {
+			return u, err
+		}
+	}
+	return u, nil
+}
+
+// since is the processor time in seconds that the leader and the busiest other voter have used.
+func (u groupUse) since(before groupUse) (leader, voter float64) {
+	for name, p := range u.process {
+		cpu := (p.cpu - before.process[name].cpu).Seconds()
+		if name == u.leader {
+			leader = cpu
+		} else {
+			voter = max(voter, cpu)
+		}
+	}
+	return leader, voter
+}
+
+// rest measures the fleet while nothing happens.
+func (f *hollowFleet) rest(ctx context.Context, g *group, step *Step) error {
+	own, err := processUse(os.Getpid())
+	if err != nil {
+		return err
+	}
+	before, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	in, out := f.traffic.In.Load(), f.traffic.Out.Load()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(f.o.Idle):
+	}
+	after, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	ownAfter, err := processUse(os.Getpid())
+	if err != nil {
+		return err
+	}
+	over := after.at.Sub(before.at).Seconds()
+	n := float64(len(f.routers))
+	step.RouterInPerS = float64(f.traffic.In.Load()-in) / over / n
+	step.RouterOutPerS = float64(f.traffic.Out.Load()-out) / over / n
+	step.Connections = float64(f.traffic.Connections.Load()) / n
+	step.HollowCores, step.HollowMB = (ownAfter.cpu-own.cpu).Seconds()/over, ownAfter.residentMB
+	step.EntriesPerS = float64(after.last-before.last) / over
+	step.CommitP99MS = after.p99MS
+	for _, c := range g.all {
+		a, b := after.process[c.name], before.process[c.name]
+		step.Idle = append(step.Idle, Usage{Name: c.name, Leader: c.name == after.leader, Cores: (a.cpu - b.cpu).Seconds() / over, ResidentMB: a.residentMB,
+			Open: a.descriptors, ReadPerS: float64(a.readBytes-b.readBytes) / over})
+	}
+	return nil
+}
+
+// follow drains servers of the first region one after the other, and measures until each router has it.
+func (f *hollowFleet) follow(ctx context.Context, g *group, operator *client.Client, step *Step) error {
+	before, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	in := f.traffic.In.Load()
+	var latency []time.Duration
+	for i := range f.o.Drains {
+		took, acked, err := f.drain(ctx, operator, serverName(0, i%f.o.RegionServers))
+		if err != nil {
+			return fmt.Errorf("drain %d: %w", i, err)
+		}
+		latency = append(latency, took...)
+		step.DrainAckedMS = max(step.DrainAckedMS, millis(acked))
+	}
+	after, err := g.use(ctx)
+	if err != nil {
+		return err
+	}
+	if f.o.Drains == 0 {
+		return nil
+	}
+	slices.Sort(latency)
+	step.Drains = f.o.Drains
+	step.DrainP50MS, step.DrainP99MS, step.DrainLastMS = millis(latency[len(latency)/2]), millis(latency[len(latency)*99/100]), millis(latency[len(latency)-1])
+	leader, _ := after.since(before)
+	step.DrainLeaderCPU = leader / float64(f.o.Drains)
+	step.DrainRouterIn = float64(f.traffic.In.Load()-in) / float64(f.o.Drains) / float64(len(f.routers))
+	return nil
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// drain takes a server out and back. It tells how long each router took to have it, and how long until all had acknowledged.
+func (f *hollowFleet) drain(ctx context.Context, operator *client.Client, server string) (took []time.Duration, acked time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
+	defer cancel()
+	thing := rollout.Command{Op: rollout.Ask, Kind: rollout.Server, Name: server}
+	var token uint64
+	if err := repeat(ctx, f.o.Patience, func() error {
+		a, err := operator.Roll(ctx, thing)
+		if err == nil && a.Stage != rollout.Granted {
+			err = errors.New("waits: " + a.Text)
+		}
+		token = a.Token
+		return err
+	}); err != nil {
+		return nil, 0, err
+	}
+	began := time.Now()
+	thing.Op, thing.Token = rollout.Begin, token
+	if _, err := operator.Roll(ctx, thing); err != nil {
+		return nil, 0, err
+	}
+	if took, err = f.all(ctx, server, true, began); err != nil {
+		return nil, 0, err
+	}
+	if err := repeat(ctx, f.o.Patience, func() error {
+		a, err := operator.Roll(ctx, thing) // repeated it tells how the permit stands
+		if err == nil && !a.Drained {
+			err = errors.New("not drained: " + a.Text)
+		}
+		return err
+	}); err != nil {
+		return nil, 0, err
+	}
+	acked = time.Since(began)
+	thing.Op = rollout.Back
+	if _, err := operator.Roll(ctx, thing); err != nil {
+		return nil, 0, err
+	}
+	_, err = f.all(ctx, server, false, time.Now())
+	return took, acked, err
+}
+
+// all waits until each router has a server out, or back in.
+func (f *hollowFleet) all(ctx context.Context, server string, out bool, began time.Time) (took []time.Duration, err error) {
+	for len(took) < len(f.routers) {
+		select {
+		case seen := <-f.drains:
+			if seen.server == server && seen.out == out {
+				took = append(took, seen.at.Sub(began))
+			}
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%d of %d routers have %s (out: %v): %w", len(took), len(f.routers), server, out, ctx.Err())
+		}
+	}
+	return took, nil
+}
--- /dev/null
+++ b/lab/hollow/run.go
@@ -0,0 +1,69 @@
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/slope"
+)
+
+// Run is a ladder that was played, as its file has it.
+type Run struct {
+	Why           string  `json:"why,omitempty"`
+	At            string  `json:"at"` // UTC
+	Cores         int     `json:"cores"`
+	Coordinators  int     `json:"coordinators"`
+	RegionRouters int     `json:"region_routers"`
+	RegionServers int     `json:"region_servers"`
+	TTLS          float64 `json:"ttl_s"`
+	IdleS         float64 `json:"idle_s"`
+	Steps         []Step  `json:"steps"`
+
+	Slopes []slope.Line `json:"slopes,omitempty"`
+}
+
+// NewRun begins a ladder.
+func NewRun(why string, o Options) *Run {
+	return &Run{Why: why, At: time.Now().UTC().Format("2006-01-02 15:04"), Cores: runtime.NumCPU(), Coordinators: o.Coordinators,
+		RegionRouters: o.RegionRouters, RegionServers: o.RegionServers, TTLS: o.TTL.Seconds(), IdleS: o.Idle.Seconds()}
+}
+
+// Leader is what the leader costs at rest.
+func (s *Step) Leader() (u Usage) {
+	for _, one := range s.Idle {
+		if one.Leader {
+			u = one
+		}
+	}
+	return u
+}
+
+// Voter is the most that another voter costs at rest, figure by figure.
+func (s *Step) Voter() (u Usage) {
+	for _, one := range s.Idle {
+		if one.Leader {
+			continue
+		}
+		u.Cores, u.ResidentMB = max(u.Cores, one.Cores), max(u.ResidentMB, one.ResidentMB)
+		u.Open, u.ReadPerS = max(u.Open, one.Open), max(u.ReadPerS, one.ReadPerS)
+	}
+	return u
+}
+
+// Head writes the table's head.
+func (r *Run) Head(w io.Writer) {
+	fmt.Fprintln(w, "| routers | sessions, drains, all reported after s | join: leader, voter CPU s | at rest: leader cores, MB, descriptors, KB/s read | other voter | log entries a s | router: bytes/s in, out, connections | drain: p50, p99, last, all acknowledged ms | leader CPU s a drain | this process: cores, MB |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+}
+
+// Row writes a step's row.
+func (r *Run) Row(w io.Writer, s Step) {
+	usage := func(u Usage) string {
+		return fmt.Sprintf("%.2f, %.0f, %d, %.0f", u.Cores, u.ResidentMB, u.Open, u.ReadPerS/1000)
+	}
+	fmt.Fprintf(w, "| %d | %.2f, %.2f, %.2f | %.2f, %.2f | %s | %s | %.0f | %.0f, %.0f, %.1f | %.0f, %.0f, %.0f, %.0f | %.2f | %.2f, %.0f |\n", s.Routers,
+		s.SessionS, s.FirstS, s.ReportedS, s.JoinLeaderCPUS, s.JoinVoterCPUS, usage(s.Leader()), usage(s.Voter()), s.EntriesPerS,
+		s.RouterInPerS, s.RouterOutPerS, s.Connections, s.DrainP50MS, s.DrainP99MS, s.DrainLastMS, s.DrainAckedMS, s.DrainLeaderCPU, s.HollowCores, s.HollowMB)
+}
--- /dev/null
+++ b/lab/hollow/slopes.go
@@ -0,0 +1,66 @@
+package hollow
+
+import (
+	"errors"
+	"fmt"
+
+	"dockhinge.example/dockhinge/lab/slope"
+)
+
+// figure is one that a ladder gives over the number of routers.
+type figure struct {
+	name, unit string
+	of         func(*Step) float64
+}
+
+// figures are all of them. docs/CAPACITY.md cites them by name.
+var figures = []figure{
+	{"join.sessions", "s", func(s *Step) float64 { return s.SessionS }},
+	{"join.first", "s", func(s *Step) float64 { return s.FirstS }},
+	{"join.reported", "s", func(s *Step) float64 { return s.ReportedS }},
+	{"join.leader.cpu", "CPU s", func(s *Step) float64 { return s.JoinLeaderCPUS }},
+	{"join.voter.cpu", "CPU s", func(s *Step) float64 { return s.JoinVoterCPUS }},
+	{"join.router.in", "bytes", func(s *Step) float64 { return s.JoinRouterIn }},
+	{"join.router.out", "bytes", func(s *Step) float64 { return s.JoinRouterOut }},
+	{"rest.leader.cores", "cores", func(s *Step) float64 { return s.Leader().Cores }},
+	{"rest.leader.memory", "MB", func(s *Step) float64 { return s.Leader().ResidentMB }},
+	{"rest.leader.descriptors", "descriptors", func(s *Step) float64 { return float64(s.Leader().Open) }},
+	{"rest.leader.read", "bytes/s", func(s *Step) float64 { return s.Leader().ReadPerS }},
+	{"rest.voter.cores", "cores", func(s *Step) float64 { return s.Voter().Cores }},
+	{"rest.voter.memory", "MB", func(s *Step) float64 { return s.Voter().ResidentMB }},
+	{"rest.voter.descriptors", "descriptors", func(s *Step) float64 { return float64(s.Voter().Open) }},
+	{"rest.voter.read", "bytes/s", func(s *Step) float64 { return s.Voter().ReadPerS }},
+	{"rest.entries", "entries/s", func(s *Step) float64 { return s.EntriesPerS }},
+	{"rest.router.in", "bytes/s", func(s *Step) float64 { return s.RouterInPerS }},
+	{"rest.router.out", "bytes/s", func(s *Step) float64 { return s.RouterOutPerS }},
+	{"rest.router.connections", "connections", func(s *Step) float64 { return s.Connections }},
+	{"rest.hollow.cores", "cores", func(s *Step) float64 { return s.HollowCores }},
+	{"rest.hollow.memory", "MB", func(s *Step) float64 { return s.HollowMB }},
+	{"drain.p50", "ms", func(s *Step) float64 { return s.DrainP50MS }},
+	{"drain.p99", "ms", func(s *Step) float64 { return s.DrainP99MS }},
+	{"drain.last", "ms", func(s *Step) float64 { return s.DrainLastMS }},
+	{"drain.acknowledged", "ms", func(s *Step) float64 { return s.DrainAckedMS }},
+	{"drain.leader.cpu", "CPU s", func(s *Step) float64 { return s.DrainLeaderCPU }},
+	{"drain.router.in", "bytes", func(s *Step) float64 { return s.DrainRouterIn }},
+}
+
+// Fit works out the run's slopes from the steps that were finished. A run of fewer steps than a line wants has none.
+func (r *Run) Fit() error {
+	r.Slopes = nil
+	var errs []error
+	for _, f := range figures {
+		var points []slope.Point
+		for i := range r.Steps {
+			if s := &r.Steps[i]; s.Failed == "" {
+				points = append(points, slope.Point{Size: float64(s.Routers), Value: f.of(s)})
+			}
+		}
+		line, err := slope.Fit(f.name, f.unit, "router", fmt.Sprintf("hollow, %s UTC", r.At), points)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		r.Slopes = append(r.Slopes, line)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/lab/slope/slope_test.go
@@ -0,0 +1,50 @@
+package slope
+
+import (
+	"math"
+	"testing"
+)
+
+func points(f func(float64) float64) (all []Point) {
+	for _, x := range []float64{5100, 100, 1000, 300, 2000} {
+		all = append(all, Point{x, f(x)})
+	}
+	return all
+}
+
+// A line is found exactly, with its range and no error.
+func TestLine(t *testing.T) {
+	l, err := Fit("cores", "cores", "router", "run", points(func(x float64) float64 { return 0.1 + 0.0002*x }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if math.Abs(l.Slope-0.0002) > 1e-9 || math.Abs(l.Intercept-0.1) > 1e-9 || l.From != 100 || l.To != 5100 || l.Error > 1e-9 || !l.Straight() {
+		t.Errorf("%+v", l)
+	}
+	if got := l.At(10200); math.Abs(got-2.14) > 1e-9 {
+		t.Errorf("at 10,200: %v", got)
+	}
+	if l.Beyond(5100) != 1 || l.Beyond(10200) != 2 {
+		t.Errorf("beyond: %v, %v", l.Beyond(5100), l.Beyond(10200))
+	}
+}
+
+// A square is no line, and a constant is one.
+func TestBent(t *testing.T) {
+	if l, err := Fit("s", "s", "router", "run", points(func(x float64) float64 { return x * x })); err != nil || l.Straight() {
+		t.Errorf("%+v, %v", l, err)
+	}
+	if l, err := Fit("s", "s", "router", "run", points(func(float64) float64 { return 3 })); err != nil || !l.Straight() || l.At(7) != 3 || l.R2 != 1 {
+		t.Errorf("%+v, %v", l, err)
+	}
+}
+
+// Too few points, or points of one size alone, are no line.
+func TestTooFew(t *testing.T) {
+	if _, err := Fit("s", "s", "router", "run", []Point{{1, 1}, {2, 2}}); err == nil {
+		t.Error("two points gave a line")
+	}
+	if _, err := Fit("s", "s", "router", "run", []Point{{1, 1}, {1, 2}, {1, 3}}); err == nil {
+		t.Error("one size gave a line")
+	}
+}
