Have routers wait for the first drain, and readers at a leader share a barrier

Seen in the first ladder of hollow routers: at 100 routers that did nothing, a leader at 1.17 cores and 4,112 entries of the log a second; at 300, 1.44 and 7,139. While nothing was ever drained the version is 0, for which the coordinators answer at once, and each router asked again after 0 to 20 ms, each time with a barrier in the log. With that mended, 1,000 routers had a drain after 200 ms (p50) and 5.7 s (last), 2.5 CPU s of the leader each, and of 2,000 that joined at once 137 had no session after 40 s: thousands of watchers wake at once, each with a barrier of its own, commands pass their second, and clients send them again while the first still waits (8,192 under way with 1,000 routers). So there the leader does fall over its own load.

Change: a router asks with wait=true for what follows version 0, and pauses longer each time where a coordinator of an older program answers at once; readers that come while a barrier is under way share the next one; only suspected servers are sorted for an answer. The refusals' texts tell when to come back.

--- a/cmd/dockhinge-lab/agreecost.go
+++ b/cmd/dockhinge-lab/agreecost.go
@@ -15,7 +15,7 @@
 func agreeCost() *cobra.Command {
 	var clients []int
 	var beat string
-	var leases, coordinators, kills, deaths int
+	var leases, coordinators, kills, deaths, version int
 	cmd := &cobra.Command{Use: "agree-cost", Short: "What coordinators cost, and how long a fail-over takes", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			dir, err := faultsBuild(cmd.Context())
@@ -24,7 +24,7 @@
 			}
 			options := func() (fleet.AgreeOptions, error) {
 				into, err := fleet.LogDir(os.TempDir(), "agree-cost")
-				return fleet.AgreeOptions{Coord: []string{dir + "/dockhinge-coord"}, Lab: []string{dir + "/dockhinge-lab"}, Dir: into, Beat: beat}, err
+				return fleet.AgreeOptions{Coord: []string{dir + "/dockhinge-coord"}, Lab: []string{dir + "/dockhinge-lab"}, Dir: into, Beat: beat, Version: version}, err
 			}
 			if len(clients) > 0 {
 				fmt.Println("| clients | leases | all held after s | commands a s | p50 ms | p99 ms | fsync p50, p99 ms | leader: cores, MB (idle) | (busy) | other: cores, MB (idle) | (busy) | keep-alive bytes a s and client |")
@@ -77,6 +77,7 @@
 	cmd.Flags().IntSliceVar(&clients, "clients", nil, "measure the cost with these numbers of clients, as 30,300,3000")
 	cmd.Flags().IntVar(&leases, "leases", 1000, "leases that they hold")
 	cmd.Flags().IntVar(&coordinators, "coordinators", 5, "coordinators")
+	cmd.Flags().IntVar(&version, "version", 0, "the version of commands and bounds in force, as 3, whose bound is 4,096 sessions (default: this program's)")
 	cmd.Flags().StringVar(&beat, "beat", "", "the coordinators' beat, as 300ms (default: their own)")
 	cmd.Flags().IntVar(&kills, "kills", 0, "kill the leader so many times")
 	cmd.Flags().IntVar(&deaths, "deaths", 0, "cut off so many holders")
--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -513,6 +513,12 @@
 	return d, err
 }
 
+// NextDrains waits as Drains does, also for the first version after 0: while nothing was ever drained nobody asks again and again.
+func (c *Client) NextDrains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
+	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/drains?after=%d&wait=true", after), nil, &d)
+	return d, err
+}
+
 // Session is the id of the session that is there; "" where none is.
 func (c *Client) Session() string {
 	c.mu.Lock()
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -104,7 +104,13 @@
 }
 
 // Error is the answer as an error; nil where it is OK.
-func (a Answer) Error() string { return fmt.Sprintf("%s: %s", a.Code, a.Text) }
+func (a Answer) Error() string {
+	text := fmt.Sprintf("%s: %s", a.Code, a.Text)
+	if a.RetryAfter > 0 {
+		text += ", retry after " + a.RetryAfter.Round(time.Millisecond).String()
+	}
+	return text
+}
 
 // Session is one client's.
 type Session struct {
--- a/internal/coord/node/admission_test.go
+++ b/internal/coord/node/admission_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/rollout"
 )
 
 // single starts a coordinator that is a group by itself and leads it.
@@ -157,3 +158,34 @@
 		code, _, _ = ask(second)
 	}
 }
+
+// A watch for what follows version 0 waits like any other, where it is asked to; without that word it is answered at once.
+func TestWatchFromNothing(t *testing.T) {
+	n := single(t)
+	answered := make(chan int, 1)
+	go func() { // ends with the watch, at the latest when its time is over
+		w := httptest.NewRecorder()
+		n.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/drains?after=0&wait=true", nil))
+		answered <- w.Code
+	}()
+	for watchers := 0; watchers == 0; watchers = n.Status().Watchers {
+		select {
+		case code := <-answered:
+			t.Fatalf("answered with %d and did not wait", code)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	w := httptest.NewRecorder()
+	n.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/drains?after=0", nil))
+	if w.Code != http.StatusOK {
+		t.Errorf("%d %s", w.Code, w.Body)
+	}
+	command(t, n.Handler(), coord.Command{Op: coord.Open, Session: "s", Client: "ann", TTL: time.Minute})
+	budgets := &rollout.Command{Op: rollout.Set, Grace: time.Minute, Quorum: rollout.LeastQuorum} // changes what routers go by
+	if a := command(t, n.Handler(), coord.Command{Op: coord.Roll, Session: "s", Seq: 1, Roll: budgets}); a.Code != coord.OK {
+		t.Fatalf("%+v", a)
+	}
+	if code := <-answered; code != http.StatusOK {
+		t.Errorf("%d", code)
+	}
+}
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -189,7 +189,8 @@
 			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 			return false
 		}
-		if after > 0 && n.raft.State() == raft.Leader {
+		waits := after > 0 || r.URL.Query().Get("wait") == "true"
+		if waits && n.raft.State() == raft.Leader {
 			ctx, cancel := context.WithTimeout(r.Context(), maxWatch/6)
 			defer cancel()
 			if err := n.WatchRollout(ctx, drains, after); err != nil {
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -84,6 +84,7 @@
 	under   atomic.Int64 // commands under way
 	refused atomic.Int64 // as a bound was reached
 	returns returnSchedule
+	barrier sharedBarrier // of readers
 
 	figures sync.Mutex
 	commits *hdrhistogram.Histogram // of commands, from when they came to their answer, in microseconds
@@ -136,6 +137,7 @@
 	if n.raft, err = raft.NewRaft(c, (*machine)(n), n.disk, n.disk, snaps, n.trans); err != nil {
 		return nil, errors.Join(fmt.Errorf("raft: %w", err), n.trans.Close())
 	}
+	n.barrier.propose = func() error { return n.raft.Barrier(applyWithin).Error() }
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.wg.Go(func() { n.tick(ctx) })
@@ -360,7 +362,7 @@
 		if n.raft.State() != raft.Leader {
 			return ErrNotLeader
 		}
-		if err := n.raft.Barrier(applyWithin).Error(); err != nil {
+		if err := n.barrier.wait(); err != nil {
 			return fmt.Errorf("%w: %w", ErrNotLeader, err)
 		}
 	}
--- a/internal/rollout/follow/follow.go
+++ b/internal/rollout/follow/follow.go
@@ -37,6 +37,9 @@
 	soon        = 40 * time.Millisecond  // and where others wait for it
 	tellFigures = time.Second            // between two reports of what was answered
 	settling    = 20 * time.Millisecond  // between two looks at whether attempts are back
+
+	answeredAtOnce = time.Second // a call for news that was answered sooner without any did not wait
+	mostStalePause = time.Second // before the next call after several of these
 )
 
 // follower is a router's part.
@@ -169,9 +172,15 @@
 // obey leaves out what is drained, for as long as it is.
 func (f *follower) obey(ctx context.Context) {
 	var version uint64
+	pause := settling
 	for first := true; ctx.Err() == nil; {
 		// Asked for at once at the beginning, then whenever it changes.
-		d, err := f.o.Client.Drains(ctx, version)
+		asked := clock.Now()
+		ask := f.o.Client.NextDrains
+		if first {
+			ask = f.o.Client.Drains
+		}
+		d, err := ask(ctx, version)
 		if err != nil {
 			if !clock.Sleep(ctx, client.Pause(err, every+rand.N(every))) {
 				return
@@ -179,11 +188,16 @@
 			continue
 		}
 		if !first && d.Version <= version {
-			if !clock.Sleep(ctx, rand.N(settling)) { // a coordinator that has just come to lead answers at once
+			if clock.Now()-asked >= answeredAtOnce {
+				pause = settling
+			}
+			if !clock.Sleep(ctx, rand.N(pause)) { // a coordinator that has just come to lead answers at once
 				return
 			}
+			pause = min(2*pause, mostStalePause) // and one of an older program does so until something was drained
 			continue
 		}
+		pause = settling
 		if !f.take(ctx, d) {
 			if !clock.Sleep(ctx, every) {
 				return
--- /dev/null
+++ b/internal/rollout/follow/follow_test.go
@@ -0,0 +1,68 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	"dockhinge.example/dockhinge/internal/rollout"
+)
+
+// calls is a coordinator that counts how often it is asked what is drained.
+type calls struct {
+	mu    sync.Mutex
+	first int // asked for at once
+	waits int // asked for once it changes
+}
+
+func (c *calls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/drains" {
+		_ = json.NewEncoder(w).Encode(coord.Answer{Code: coord.OK})
+		return
+	}
+	c.mu.Lock()
+	if r.URL.Query().Get("wait") == "true" {
+		c.waits++
+	} else {
+		c.first++
+	}
+	c.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(rollout.Drains{}) // at once, as a coordinator of an older program does at version 0
+}
+
+// While nothing was ever drained a router waits for news instead of asking again and again, also before a coordinator that
+// answers at once.
+func TestWaitsForTheFirstDrain(t *testing.T) {
+	var c calls
+	s := httptest.NewServer(&c)
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	one := client.New(client.Options{Coordinators: map[string]string{"c1": s.Listener.Addr().String()}, Client: "router/r", TTL: 10 * time.Second})
+	var wg sync.WaitGroup
+	wg.Go(func() { one.Run(ctx) })
+	Run(ctx, Options{
+		Client:  one,
+		Ready:   func() bool { return true },
+		Counts:  func() (int64, int64, []int64) { return 0, 0, nil },
+		Seen:    func(context.Context) ([]rollout.Seen, error) { return nil, nil },
+		Drain:   func(context.Context, string, bool) error { return nil },
+		Open:    func(context.Context, []string) (int, error) { return 0, nil },
+		Held:    func(context.Context) []string { return nil },
+		Suspect: func(context.Context, []rollout.Suspect) error { return nil },
+	})
+	wg.Wait()
+	if c.first != 1 || c.waits == 0 {
+		t.Errorf("asked at once %d times, and for news %d times", c.first, c.waits)
+	}
+	// Pauses between 0 and 20 ms, doubled up to 1 s: without that they would be some 200.
+	if c.waits > 40 {
+		t.Errorf("asked for news %d times in 2 s", c.waits)
+	}
+}
--- a/internal/rollout/suspect.go
+++ b/internal/rollout/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"dockhinge.example/dockhinge/internal/mutant"
@@ -39,11 +40,12 @@
 
 // Suspects are the servers that are left out as others found them bad, by name.
 func (s *State) Suspects(clock time.Duration) (all []Suspect) {
-	for _, name := range slices.Sorted(maps.Keys(s.Servers)) {
-		if x := s.Servers[name].Suspect; x != nil && !x.Over && x.Until > clock {
+	for name, t := range s.Servers { // few of thousands are suspected: only these are sorted
+		if x := t.Suspect; x != nil && !x.Over && x.Until > clock {
 			all = append(all, Suspect{name, x.Until - clock})
 		}
 	}
+	slices.SortFunc(all, func(a, b Suspect) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
--- /dev/null
+++ b/lab/capacity/dataplane.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"dockhinge.example/dockhinge/lab/model"
+)
+
+func serverTable() Table {
+	return Table{Role: "Cache server, as routers load it", Rows: []Row{
+		{Event: "at the peak", What: "requests", CarriedBy: "the routers' choice of servers (decide)",
+			Figure: func(m *Model) Figure { return bySizes(m.RequestsPerS/m.Servers, "requests/s") }},
+		{Event: "at the peak", What: "bits out", CarriedBy: "the routers' choice of servers (decide)",
+			Figure: func(m *Model) Figure { return bySizes(m.BitsPerS/m.Servers, "bits/s") }},
+		{Event: "at rest", What: "connections, if all routers connect to all servers", CarriedBy: byRegions,
+			Figure: func(m *Model) Figure { return bySizes(m.Routers, "connections") }},
+		{Event: "at rest", What: "connections, by region", CarriedBy: byRegions,
+			Figure: func(m *Model) Figure { return bySizes(m.RegionRouters, "connections") }},
+		{Event: "at rest", What: "probes", CarriedBy: byProbeLease, Figure: func(*Model) Figure { return notMeasured("probes/s") }},
+		{Event: "a start, cold", What: "what all routers may send it at first (cold budgets)", CarriedBy: "a budget of each router (decide)",
+			Figure: func(*Model) Figure { return notMeasured("requests/s") }},
+	}}
+}
+
+func dataPlaneTable() Table {
+	return Table{Role: "Data plane", Rows: []Row{
+		{Event: "at rest", What: "connections, all routers to all servers", CarriedBy: byRegions, Figure: func(m *Model) Figure { return bySizes(m.Routers*m.Servers, "connections") }},
+		{Event: "at rest", What: "connections, by region", CarriedBy: byRegions, Figure: func(m *Model) Figure { return bySizes(m.Regions*m.RegionRouters*m.RegionServers, "connections") }},
+		{Event: "at rest", What: "connections of a router, by region", CarriedBy: byRegions, Figure: func(m *Model) Figure { return bySizes(m.RegionServers, "connections") }},
+		{Event: "a zone lost and back", What: "handshakes of its routers, by region", CarriedBy: byRegions,
+			Figure: func(m *Model) Figure { return bySizes(m.ZoneRouters*m.RegionServers, "handshakes") }},
+		{Event: "a region lost its servers", What: "servers left to its routers", CarriedBy: byRegions, Figure: func(*Model) Figure { return notMeasured("servers") }},
+		{Event: "at the peak", What: "requests of a router", CarriedBy: "the router's one loop (internal/router)",
+			Figure: func(m *Model) Figure { return bySizes(m.RequestsPerS/m.Routers, "requests/s") }},
+		{Event: "at the peak", What: "a mean answer, against the largest value: a question to the operators", CarriedBy: "values of at most 64 KiB (the protocol)",
+			Budget: func(m *Model) float64 { return m.ValueBytesMax },
+			Figure: func(m *Model) Figure { return bySizes(m.BitsPerS/bitsPerByte/m.RequestsPerS, "bytes") }},
+		{Event: "at the peak", What: "retries over the fleet", CarriedBy: "a budget of each router (decide)", Figure: func(*Model) Figure { return notMeasured("requests/s") }},
+		{Event: "at rest", What: "key statistics of a router", CarriedBy: "bounded tables of each router (decide)", Figure: func(*Model) Figure { return notMeasured("MB") }},
+	}}
+}
+
+// listEntries is over how many entries the bytes of one are averaged.
+const listEntries = 1000
+
+// ListEntryBytes is what one server takes on discovery's list, as JSON and uncompressed: measured on a list made for it.
+func ListEntryBytes() float64 {
+	list := model.List{Version: 1, Full: true}
+	for i := range listEntries {
+		list.Servers = append(list.Servers, model.Entry{ID: fmt.Sprintf("s-%08d", i), Addr: fmt.Sprintf("10.1.%d.%d:11211", i/200, i%200), Zone: "region-01-a",
+			Kind: "box", Cell: i % 8, State: "active", Weight: 1, Started: 1764651600000})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // plain data
+	}
+	return float64(len(text)) / listEntries
+}
--- /dev/null
+++ b/lab/capacity/table.go
@@ -0,0 +1,147 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"dockhinge.example/dockhinge/lab/slope"
+)
+
+// Row is one figure of a role at one event.
+type Row struct {
+	Event     string
+	What      string
+	Figure    func(*Model) Figure
+	Budget    func(*Model) float64 // nil: nobody gave one
+	CarriedBy string               // the mechanism, with its issue where it is missing
+	Breaks    string               // what does first when the size doubles
+}
+
+// Table is all rows of a role.
+type Table struct {
+	Role string
+	Rows []Row
+}
+
+// State is how a row stands.
+type State string
+
+// The states.
+const (
+	Fits        State = "fits"
+	Red         State = "RED"
+	NotMeasured State = "not measured"
+	NoBudget    State = "no budget"
+)
+
+// State tells how a row stands for a model.
+func (r *Row) State(m *Model) State {
+	f := r.Figure(m)
+	switch {
+	case !f.Known:
+		return NotMeasured
+	case r.Budget == nil:
+		return NoBudget
+	case f.Value > r.Budget(m):
+		return Red
+	}
+	return Fits
+}
+
+// margin is how much of the budget is left.
+func (r *Row) margin(m *Model) string {
+	state := r.State(m)
+	if state == NotMeasured || state == NoBudget {
+		return ""
+	}
+	left := 100 * (1 - r.Figure(m).Value/r.Budget(m))
+	text := fmt.Sprintf("%.0f%%", left)
+	if state == Red {
+		return "**RED** " + text
+	}
+	return text
+}
+
+// budget is it in words.
+func (r *Row) budget(m *Model) string {
+	if r.Budget == nil {
+		return ""
+	}
+	return number(r.Budget(m)) + " " + r.Figure(m).Unit
+}
+
+// twice is the figure at twice the size, red where it then is.
+func (r *Row) twice(m *Model) string {
+	double := m.doubled()
+	f := r.Figure(double)
+	if !f.Known {
+		return r.Breaks
+	}
+	text := number(f.Value)
+	if r.State(double) == Red {
+		text = "**RED** " + text
+	}
+	if r.Breaks != "" {
+		text += ": " + r.Breaks
+	}
+	return text
+}
+
+// Write writes the table.
+func (t *Table) Write(w io.Writer, m *Model) {
+	fmt.Fprintf(w, "### %s\n\n", t.Role)
+	fmt.Fprintln(w, "| event | figure | value | from | budget | margin | carried by | at twice the size |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for i := range t.Rows {
+		r := &t.Rows[i]
+		f := r.Figure(m)
+		cells := []string{r.Event, r.What, f.text(), f.source(), r.budget(m), r.margin(m), r.CarriedBy, r.twice(m)}
+		fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+	}
+	fmt.Fprintln(w)
+}
+
+// WriteAll writes what the page has between its markers: all red rows, the tables, and the lines that they rest on.
+func WriteAll(w io.Writer, m *Model, lines []slope.Line) {
+	tables := Tables()
+	writeRed(w, m, tables)
+	for i := range tables {
+		tables[i].Write(w, m)
+	}
+	writeLines(w, lines)
+}
+
+// writeRed names the rows that don't fit and counts the others.
+func writeRed(w io.Writer, m *Model, tables []Table) {
+	count := map[State]int{}
+	fmt.Fprintf(w, "### Red rows, for %s routers before %s cache servers\n\n", number(m.Routers), number(m.Servers))
+	for _, t := range tables {
+		for i := range t.Rows {
+			r := &t.Rows[i]
+			state := r.State(m)
+			count[state]++
+			if state == Red {
+				fmt.Fprintf(w, "- %s, %s, %s: %s of %s. %s.\n", t.Role, r.Event, r.What, r.Figure(m).text(), r.budget(m), r.CarriedBy)
+			}
+		}
+	}
+	fmt.Fprintf(w, "\n%d rows are red, %d fit, %d have no budget, %d were not measured.\n\n", count[Red], count[Fits], count[NoBudget], count[NotMeasured])
+}
+
+// writeLines writes the lines with the runs that gave them.
+func writeLines(w io.Writer, lines []slope.Line) {
+	fmt.Fprintln(w, "### Slopes")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| line | unit | run | from, to | at none | for each 1,000 | misses: root mean square, worst | R² | straight |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, l := range lines {
+		straight := "yes"
+		if !l.Straight() {
+			straight = "no"
+		}
+		fmt.Fprintf(w, "| %s | %s over %ss | %s | %s, %s | %s | %s | %s, %.0f%% | %.3f | %s |\n", l.Name, l.Unit, l.Per, l.Run, number(l.From), number(l.To),
+			number(l.Intercept), number(1000*l.Slope), number(l.Error), 100*l.Worst, l.R2, straight)
+	}
+	fmt.Fprintln(w)
+}
--- a/lab/fleet/agree.go
+++ b/lab/fleet/agree.go
@@ -32,6 +32,7 @@
 	Env      []string // for all processes
 	Patience time.Duration
 	Beat     string // of the coordinators; "" = their default
+	Version  int    // of commands and bounds in force where costs are measured; 0 = this program's
 	Say      func(form string, v ...any)
 }
 
--- a/lab/fleet/agreecost.go
+++ b/lab/fleet/agreecost.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/lab/scenario"
@@ -63,22 +66,22 @@
 		a.close()
 		return nil, err
 	}
-	if err := a.upgrade(ctx); err != nil {
+	if err := a.upgrade(ctx, cmp.Or(o.Version, coord.Version)); err != nil {
 		a.close()
 		return nil, err
 	}
 	return a, nil
 }
 
-// upgrade has all commands and bounds of this program in force.
-func (a *agreement) upgrade(ctx context.Context) error {
+// upgrade has the commands and bounds of a version in force.
+func (a *agreement) upgrade(ctx context.Context, version int) error {
 	return until(ctx, 20*time.Second, func() error {
 		l, err := a.leader(ctx)
 		if err != nil {
 			return err
 		}
 		var answer coord.Answer
-		if err := client.Call(ctx, http.MethodPost, l.api, "/v1/upgrade", coord.Command{Version: coord.Version}, &answer); err != nil {
+		if err := client.Call(ctx, http.MethodPost, l.api, "/v1/upgrade", coord.Command{Version: version}, &answer); err != nil {
 			return err
 		}
 		if answer.Code != coord.OK {
@@ -129,6 +132,9 @@
 // MeasureAgreement plays so many clients that hold so many leases in all before coordinators without faults.
 func MeasureAgreement(ctx context.Context, coordinators, clients, leases int, o AgreeOptions) (m AgreeCost, err error) {
 	m.Clients, m.Leases = clients, leases
+	if err := EnoughDescriptors(clients); err != nil {
+		return m, err
+	}
 	a, err := calm(ctx, coordinators, o)
 	if err != nil {
 		return m, err
@@ -213,6 +219,23 @@
 	return m, nil
 }
 
+// descriptorsPerClient are those that a client may open while all of them look for the leader; the relays between coordinators, which
+// are in this process too, must get theirs.
+const descriptorsPerClient = 3
+
+// EnoughDescriptors tells whether this process may open what so many clients need. Where it may not, the coordinators would lose
+// one another by the laboratory's fault.
+func EnoughDescriptors(clients int) error {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	if want := uint64(clients * descriptorsPerClient); want > limit.Cur {
+		return fmt.Errorf("%d clients may need %d descriptors, and this process may open %d (ulimit -n)", clients, want, limit.Cur)
+	}
+	return nil
+}
+
 // opensWithin bounds how long clients wait for a session: one over a bound of the coordinators never gets one.
 const opensWithin = 30 * time.Second
 
--- a/lab/hollow/coordinators.go
+++ b/lab/hollow/coordinators.go
@@ -6,14 +6,14 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
-	"os/exec"
-
 	"dockhinge.example/dockhinge/internal/coord"
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/internal/coord/node"
@@ -31,6 +31,8 @@
 // coordinator is one process.
 type coordinator struct {
 	name, listen, api string
+	command           []string
+	log               string
 	cmd               *exec.Cmd
 	done              chan struct{} // closed at its end
 }
@@ -67,9 +69,9 @@
 	return g, repeat(ctx, startWithin, func() error { return g.upgrade(ctx) })
 }
 
-// startCoordinator starts one process.
+// startCoordinator starts one process with addresses and a directory of its own.
 func startCoordinator(command []string, name, dir string) (*coordinator, error) {
-	c := &coordinator{name: name, done: make(chan struct{})}
+	c := &coordinator{name: name, log: filepath.Join(dir, name+".log")}
 	var err error
 	if c.listen, err = fleet.FreeAddr(); err != nil {
 		return nil, err
@@ -82,14 +84,37 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	if c.cmd, err = fleet.Spawn(append(append([]string{}, command...), "serve", file), nil, filepath.Join(dir, name+".log")); err != nil {
-		return nil, fmt.Errorf("coordinator %s: %w", name, err)
+	c.command = append(slices.Clone(command), "serve", file)
+	return c, c.start()
+}
+
+// start starts the process, also again after its end.
+func (c *coordinator) start() error {
+	cmd, err := fleet.Spawn(c.command, nil, c.log)
+	if err != nil {
+		return fmt.Errorf("coordinator %s: %w", c.name, err)
 	}
+	done := make(chan struct{})
+	c.cmd, c.done = cmd, done
 	go func() { // ended by the end of the process, which close waits for
-		_ = c.cmd.Wait() // what became of it is seen by its answers
-		close(c.done)
+		_ = cmd.Wait() // what became of it is seen by its answers
+		close(done)
 	}()
-	return c, nil
+	return nil
+}
+
+// restart kills all coordinators at once and starts them again with their directories.
+func (g *group) restart() error {
+	for _, c := range g.all {
+		_ = c.cmd.Process.Kill() // it may have ended
+	}
+	for _, c := range g.all {
+		<-c.done
+		if err := c.start(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // upgrade brings the commands and bounds of this program in force.
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -25,8 +25,8 @@
 func TestPlay(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Second)
 	defer cancel()
-	o := Options{Coordinators: 3, Command: coordCommand(t), RegionRouters: 20, RegionServers: 150, TTL: 10 * time.Second,
-		Idle: time.Second, Drains: 2, Patience: 40 * time.Second}
+	o := Options{Coordinators: 3, Command: coordCommand(t), RegionRouters: 20, RegionServers: 150, TTL: 3 * time.Second,
+		Idle: 2 * time.Second, Drains: 2, Patience: 40 * time.Second}
 	run := NewRun("test", o)
 	for _, n := range []int{10, 25, 50} {
 		o.Dir = t.TempDir()
@@ -44,7 +44,7 @@
 		if step.RouterInPerS <= 0 || step.RouterOutPerS <= 0 || step.Connections < 1 || step.JoinRouterOut <= 0 || step.DrainRouterIn <= 0 {
 			t.Errorf("%+v", step)
 		}
-		if step.SessionS > step.ReportedS || step.DrainP50MS > step.DrainP99MS || step.DrainP99MS > step.DrainLastMS || step.DrainLastMS > step.DrainAckedMS {
+		if step.SessionS > step.ReportedS || step.DrainP50MS > step.DrainP99MS || step.DrainP99MS > step.DrainLastMS || step.DrainLastMS > step.DrainAckedMS || step.RestartS <= 0 {
 			t.Errorf("times out of order: %+v", step)
 		}
 		run.Steps = append(run.Steps, step)
--- a/lab/hollow/ladder.go
+++ b/lab/hollow/ladder.go
@@ -12,6 +12,7 @@
 
 	"dockhinge.example/dockhinge/internal/coord/client"
 	"dockhinge.example/dockhinge/internal/rollout"
+	"dockhinge.example/dockhinge/lab/fleet"
 )
 
 // Options say what is played.
@@ -56,6 +57,7 @@
 	HollowMB       float64 `json:"hollow_mb"`      // of the process that plays all routers
 	RouterInPerS   float64 `json:"router_in_s"`    // bytes a second and router at rest
 	RouterOutPerS  float64 `json:"router_out_s"`   // likewise
+	ReportBytes    float64 `json:"report_bytes"`   // of what 'fleet' shows
 	Connections    float64 `json:"connections"`    // a router
 	EntriesPerS    float64 `json:"entries_s"`      // of the log, at rest
 	CommitP99MS    float64 `json:"commit_p99_ms"`  // of commands, by the leader's own figures over its life
@@ -67,12 +69,20 @@
 	DrainLeaderCPU float64 `json:"drain_leader_cpu_s"`
 	DrainRouterIn  float64 `json:"drain_router_in"` // bytes a router and drain, its end included
 
+	// RestartS is from when all coordinators were killed and started again until the last router had a drain that was set as soon as
+	// they took one.
+	RestartS float64 `json:"restart_s"`
+
 	Failed string `json:"failed,omitempty"` // why the step was not finished
 }
 
 // Play plays one step: coordinators start, so many routers join all at once, rest, and follow drains.
 func Play(ctx context.Context, routers int, o Options) (step Step, err error) {
 	step.Routers, step.Sightings = routers, routers*o.RegionServers
+	if err := fleet.EnoughDescriptors(routers); err != nil {
+		step.Failed = err.Error()
+		return step, err
+	}
 	g, err := startGroup(ctx, o.Command, o.Coordinators, o.Dir)
 	if err != nil {
 		return step, err
@@ -89,7 +99,8 @@
 	for _, measure := range []func(context.Context) error{
 		func(ctx context.Context) error { return f.join(ctx, run, g, operator, &step) },
 		func(ctx context.Context) error { return f.rest(ctx, g, &step) },
-		func(ctx context.Context) error { return f.follow(ctx, g, operator, &step) }} {
+		func(ctx context.Context) error { return f.follow(ctx, g, operator, &step) },
+		func(ctx context.Context) error { return f.restart(ctx, g, operator, &step) }} {
 		if err := measure(ctx); err != nil {
 			step.Failed = err.Error()
 			return step, err
@@ -177,7 +188,7 @@
 		return err
 	}
 	step.FirstS = time.Since(began).Seconds()
-	if err := f.reported(ctx, operator); err != nil {
+	if err := f.reported(ctx, operator, step); err != nil {
 		return err
 	}
 	step.ReportedS = time.Since(began).Seconds()
@@ -203,18 +214,24 @@
 	})
 }
 
+// reportShare is how many times as long as a report took nobody asks for the next.
+const reportShare = 10
+
 // errNotReported tells that some have not reported yet.
 var errNotReported = errors.New("not all routers have reported what they see")
 
 // reported waits until the coordinators count all routers, and no server's state is unknown: its last router has told of it.
-func (f *hollowFleet) reported(ctx context.Context, operator *client.Client) error {
+func (f *hollowFleet) reported(ctx context.Context, operator *client.Client, step *Step) error {
 	regions := (len(f.routers) + f.o.RegionRouters - 1) / f.o.RegionRouters
 	return repeat(ctx, f.o.Patience, func() error {
+		began, bytes := time.Now(), operator.Bytes()
 		report, err := operator.Rollout(ctx, 0)
 		if err != nil {
 			return err
 		}
+		step.ReportBytes = float64(operator.Bytes() - bytes)
 		if report.Routers < len(f.routers) || report.Servers < regions*f.o.RegionServers {
+			time.Sleep(reportShare * time.Since(began)) // the leader copies its whole state for each
 			return errNotReported
 		}
 		return nil
@@ -311,7 +328,9 @@
 		if err != nil {
 			return fmt.Errorf("drain %d: %w", i, err)
 		}
-		latency = append(latency, took...)
+		for _, one := range took {
+			latency = append(latency, one.latency)
+		}
 		step.DrainAckedMS = max(step.DrainAckedMS, millis(acked))
 	}
 	after, err := g.use(ctx)
@@ -330,10 +349,26 @@
 	return nil
 }
 
+// restart has all coordinators end and start at once.
+func (f *hollowFleet) restart(ctx context.Context, g *group, operator *client.Client, step *Step) error {
+	began := time.Now()
+	if err := g.restart(); err != nil {
+		return err
+	}
+	took, _, err := f.drain(ctx, operator, serverName(0, f.o.Drains%f.o.RegionServers))
+	if err != nil {
+		return fmt.Errorf("after all coordinators were restarted: %w", err)
+	}
+	for _, one := range took {
+		step.RestartS = max(step.RestartS, one.at.Sub(began).Seconds())
+	}
+	return nil
+}
+
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // drain takes a server out and back. It tells how long each router took to have it, and how long until all had acknowledged.
-func (f *hollowFleet) drain(ctx context.Context, operator *client.Client, server string) (took []time.Duration, acked time.Duration, err error) {
+func (f *hollowFleet) drain(ctx context.Context, operator *client.Client, server string) (took []reached, acked time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
 	defer cancel()
 	thing := rollout.Command{Op: rollout.Ask, Kind: rollout.Server, Name: server}
@@ -374,13 +409,19 @@
 	return took, acked, err
 }
 
+// reached is when a router had a drain, and how long after it was sent.
+type reached struct {
+	at      time.Time
+	latency time.Duration
+}
+
 // all waits until each router has a server out, or back in.
-func (f *hollowFleet) all(ctx context.Context, server string, out bool, began time.Time) (took []time.Duration, err error) {
+func (f *hollowFleet) all(ctx context.Context, server string, out bool, began time.Time) (took []reached, err error) {
 	for len(took) < len(f.routers) {
 		select {
 		case seen := <-f.drains:
 			if seen.server == server && seen.out == out {
-				took = append(took, seen.at.Sub(began))
+				took = append(took, reached{seen.at, seen.at.Sub(began)})
 			}
 		case <-ctx.Done():
 			return nil, fmt.Errorf("%d of %d routers have %s (out: %v): %w", len(took), len(f.routers), server, out, ctx.Err())
--- a/lab/hollow/run.go
+++ b/lab/hollow/run.go
@@ -54,8 +54,8 @@
 
 // Head writes the table's head.
 func (r *Run) Head(w io.Writer) {
-	fmt.Fprintln(w, "| routers | sessions, drains, all reported after s | join: leader, voter CPU s | at rest: leader cores, MB, descriptors, KB/s read | other voter | log entries a s | router: bytes/s in, out, connections | drain: p50, p99, last, all acknowledged ms | leader CPU s a drain | this process: cores, MB |")
-	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(w, "| routers | sessions, drains, all reported after s | join: leader, voter CPU s | at rest: leader cores, MB, descriptors, KB/s read | other voter | log entries a s | router: bytes/s in, out, connections | drain: p50, p99, last, all acknowledged ms | leader CPU s a drain | all restarted: last has a drain after s | this process: cores, MB |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 }
 
 // Row writes a step's row.
@@ -63,7 +63,7 @@
 	usage := func(u Usage) string {
 		return fmt.Sprintf("%.2f, %.0f, %d, %.0f", u.Cores, u.ResidentMB, u.Open, u.ReadPerS/1000)
 	}
-	fmt.Fprintf(w, "| %d | %.2f, %.2f, %.2f | %.2f, %.2f | %s | %s | %.0f | %.0f, %.0f, %.1f | %.0f, %.0f, %.0f, %.0f | %.2f | %.2f, %.0f |\n", s.Routers,
+	fmt.Fprintf(w, "| %d | %.2f, %.2f, %.2f | %.2f, %.2f | %s | %s | %.0f | %.0f, %.0f, %.1f | %.0f, %.0f, %.0f, %.0f | %.2f | %.2f | %.2f, %.0f |\n", s.Routers,
 		s.SessionS, s.FirstS, s.ReportedS, s.JoinLeaderCPUS, s.JoinVoterCPUS, usage(s.Leader()), usage(s.Voter()), s.EntriesPerS,
-		s.RouterInPerS, s.RouterOutPerS, s.Connections, s.DrainP50MS, s.DrainP99MS, s.DrainLastMS, s.DrainAckedMS, s.DrainLeaderCPU, s.HollowCores, s.HollowMB)
+		s.RouterInPerS, s.RouterOutPerS, s.Connections, s.DrainP50MS, s.DrainP99MS, s.DrainLastMS, s.DrainAckedMS, s.DrainLeaderCPU, s.RestartS, s.HollowCores, s.HollowMB)
 }
--- a/lab/hollow/slopes.go
+++ b/lab/hollow/slopes.go
@@ -34,6 +34,7 @@
 	{"rest.router.in", "bytes/s", func(s *Step) float64 { return s.RouterInPerS }},
 	{"rest.router.out", "bytes/s", func(s *Step) float64 { return s.RouterOutPerS }},
 	{"rest.router.connections", "connections", func(s *Step) float64 { return s.Connections }},
+	{"rest.report", "bytes", func(s *Step) float64 { return s.ReportBytes }},
 	{"rest.hollow.cores", "cores", func(s *Step) float64 { return s.HollowCores }},
 	{"rest.hollow.memory", "MB", func(s *Step) float64 { return s.HollowMB }},
 	{"drain.p50", "ms", func(s *Step) float64 { return s.DrainP50MS }},
@@ -41,6 +42,7 @@
 	{"drain.last", "ms", func(s *Step) float64 { return s.DrainLastMS }},
 	{"drain.acknowledged", "ms", func(s *Step) float64 { return s.DrainAckedMS }},
 	{"drain.leader.cpu", "CPU s", func(s *Step) float64 { return s.DrainLeaderCPU }},
+	{"restart.last", "s", func(s *Step) float64 { return s.RestartS }},
 	{"drain.router.in", "bytes", func(s *Step) float64 { return s.DrainRouterIn }},
 }
 
