Ask a coordinator that gave no answer once in a call, whoever names it as the leader

A client whose command wasn't answered in a second asked a follower, was sent back to the same leader and asked again, up to ten times in a call, while the first command still waited there. Now it asks the next time, after its pause.

--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -213,7 +213,7 @@
 	}
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	var errs []error
-	full := "" // the one that has reached a bound: it isn't asked again, whoever names it as the leader
+	failed := map[string]bool{} // these gave no answer, or have reached a bound: they aren't asked again, whoever names them as the leader
 	for tries := 0; tries < 2*len(c.o.Coordinators) && ctx.Err() == nil; tries++ {
 		if c.o.Coordinators[next] == "" {
 			if len(order) == 0 {
@@ -230,12 +230,10 @@
 			return nil
 		}
 		errs = append(errs, fmt.Errorf("%s: %w", next, err))
-		var later *RetryLaterError
-		if errors.As(err, &later) {
-			full = next
-		}
-		if full != "" && hint == full {
-			break
+		var elsewhere *elsewhereError
+		failed[next] = !errors.As(err, &elsewhere)
+		if hint != "" && failed[hint] {
+			break // a command that is sent again while it waits there only adds to what has to wait
 		}
 		if hint == next {
 			hint = ""
@@ -248,6 +246,11 @@
 	return errors.Join(append(errs, ctx.Err())...)
 }
 
+// elsewhereError is what a coordinator says that doesn't lead.
+type elsewhereError struct{ text string }
+
+func (e *elsewhereError) Error() string { return e.text }
+
 // ask asks one coordinator. It returns the leader's name where that one knows another.
 func (c *Client) ask(ctx context.Context, name, method, path string, body []byte, into any) (leader string, err error) {
 	within := time.Duration(c.o.TryMS) * time.Millisecond
@@ -278,7 +281,7 @@
 	case http.StatusMisdirectedRequest:
 		var x struct{ Leader, Text string }
 		_ = json.Unmarshal(text, &x) // a body that can't be read names nobody
-		return x.Leader, errors.New(x.Text)
+		return x.Leader, &elsewhereError{x.Text}
 	case http.StatusServiceUnavailable:
 		return "", retryLater(resp.Header, text)
 	}
--- a/internal/coord/client/retry_test.go
+++ b/internal/coord/client/retry_test.go
@@ -103,3 +103,34 @@
 		t.Errorf("it was asked %d times", n)
 	}
 }
+
+// A leader that doesn't answer in time is asked once in a call, however many others name it: what it has waits there already.
+func TestSilentLeaderAskedOnce(t *testing.T) {
+	var asked atomic.Int64
+	ended := make(chan struct{})
+	leader := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		select {
+		case <-ended:
+		case <-r.Context().Done():
+		}
+	}))
+	defer leader.Close()
+	defer close(ended)
+	coordinators := map[string]string{"leader": leader.Listener.Addr().String()}
+	for _, name := range []string{"f1", "f2", "f3", "f4"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			_, _ = w.Write([]byte(`{"leader":"leader","text":"not the leader"}`))
+		}))
+		defer s.Close()
+		coordinators[name] = s.Listener.Addr().String()
+	}
+	c := New(Options{Coordinators: coordinators, Client: "r", TTL: 10 * time.Second, TryMS: 50})
+	if _, err := c.once(t.Context(), coord.Command{Op: coord.Keep}); err == nil {
+		t.Error("it was answered")
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("it was asked %d times", n)
+	}
+}
