Refuse no command by a version that a coordinator may not have read yet

Seen in the ladder: after all coordinators were restarted routers were told 'version: 1 is in force', for good where the command is not repeated. A coordinator answered from its own state before it had read its log, also where it doesn't lead. Now it answers so only as the leader, behind a barrier. Who finds too many commands under way is told to come back within 5 s, not a minute, as these are carried out in seconds.

--- a/cmd/dockhinge-lab/hollow.go
+++ b/cmd/dockhinge-lab/hollow.go
@@ -18,6 +18,7 @@
 func hollowCommand() *cobra.Command {
 	var routers []int
 	var out, why string
+	var onto bool
 	o := hollow.Options{}
 	cmd := &cobra.Command{Use: "hollow", Short: "What the control plane costs with so many hollow routers", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -25,7 +26,10 @@
 				return err
 			}
 			o.Command = coordCommand()
-			run := hollow.NewRun(why, o)
+			run, err := beginRun(why, o, out, onto)
+			if err != nil {
+				return err
+			}
 			w := cmd.OutOrStdout()
 			run.Head(w)
 			for _, n := range routers {
@@ -52,10 +56,24 @@
 	cmd.Flags().IntVar(&o.Drains, "drains", 3, "drains of a server whose latency is measured")
 	cmd.Flags().DurationVar(&o.Patience, "patience", 40*time.Second, "for all routers to have what they wait for")
 	cmd.Flags().StringVar(&out, "out", "", "write the run to this file, JSON, for 'capacity --slopes'")
+	cmd.Flags().BoolVar(&onto, "onto", false, "add the steps to those that the file has")
 	cmd.Flags().StringVar(&why, "why", "", "what the run is for, kept in the file")
 	return cmd
 }
 
+// beginRun begins a ladder, or goes on with the one that a file has.
+func beginRun(why string, o hollow.Options, path string, onto bool) (*hollow.Run, error) {
+	run := hollow.NewRun(why, o)
+	if !onto {
+		return run, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return run, json.Unmarshal(text, run)
+}
+
 // hollowStep plays one step with directories of its own.
 func hollowStep(cmd *cobra.Command, n int, o hollow.Options) (hollow.Step, error) {
 	dir, err := fleet.LogDir(os.TempDir(), "hollow")
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -366,18 +366,29 @@
 // all coordinators must refuse alike.
 const boundsVersion = 4
 
+// rolloutVersion is the one from which the agreed state knows of internal/rollout.
+const rolloutVersion = 2
+
 // earlierMaxSessions is the bound before boundsVersion.
 const earlierMaxSessions = 4096
 
 func (s *State) hasEarlierBounds() bool { return s.V < boundsVersion }
 
-// AwaitsUpgrade refuses a command that only the bounds of today's program allow, while an older program's are in force. A leader
-// keeps it out of the log, as an older coordinator would refuse it in other words.
+// AwaitsUpgrade refuses a command that an older program doesn't know, or whose bounds don't allow it, while that one's version is in
+// force. A leader keeps it out of the log, as an older coordinator would refuse it in other words.
 func (s *State) AwaitsUpgrade(c Command) (a Answer, awaits bool) {
-	if c.Op != Roll || c.Roll == nil || !s.hasEarlierBounds() || !c.Roll.PassesEarlierBounds() {
+	wants := 0
+	switch {
+	case c.Op != Roll || c.Roll == nil:
+	case s.V < rolloutVersion:
+		wants = rolloutVersion
+	case s.hasEarlierBounds() && c.Roll.PassesEarlierBounds():
+		wants = boundsVersion
+	}
+	if wants == 0 {
 		return Answer{}, false
 	}
-	return bad("version: %d is in force, and this wants %d: once all coordinators run this program, 'members upgrade'", s.V, boundsVersion), true
+	return bad("version: %d is in force, and this wants %d: once all coordinators run this program, 'members upgrade'", s.V, wants), true
 }
 
 // maxSessions is the bound in force.
--- a/internal/coord/node/admission.go
+++ b/internal/coord/node/admission.go
@@ -18,9 +18,15 @@
 
 // Bounds on when clients that were refused come back.
 const (
-	minRetryAfter    = time.Second
-	maxRetryAfter    = time.Minute
-	returnsPerSecond = 200 // a leader refuses so many with a few percent of a core, see docs/CAPACITY.md
+	minRetryAfter = time.Second
+
+	// Who finds a table full is told to come back at times that lie 5 ms apart: there may be no room for long.
+	tableReturnsPerSecond = 200
+	maxTableRetryAfter    = time.Minute
+
+	// Who finds too many commands under way, at times half a millisecond apart: they are carried out within seconds.
+	commandReturnsPerSecond = 2000
+	maxCommandRetryAfter    = 5 * time.Second
 )
 
 // Bounds on connections.
@@ -40,25 +46,50 @@
 // returnSchedule gives those who are refused times to come back that lie apart, so that their number doesn't decide how many
 // come at once.
 type returnSchedule struct {
+	perSecond int           // come back
+	longest   time.Duration // after it was told
+
 	mu   sync.Mutex
 	free time.Duration // the first time that was not given away yet, on the coordinator's clock
 }
 
+// tableReturns is the schedule of those who find a table full.
+func tableReturns() *returnSchedule {
+	return &returnSchedule{perSecond: tableReturnsPerSecond, longest: maxTableRetryAfter}
+}
+
+// commandReturns is the schedule of those who find too many commands under way.
+func commandReturns() *returnSchedule {
+	return &returnSchedule{perSecond: commandReturnsPerSecond, longest: maxCommandRetryAfter}
+}
+
 // next is after how long one more client is to come back.
 func (r *returnSchedule) next(now time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.free = min(max(r.free+time.Second/returnsPerSecond, now+minRetryAfter), now+maxRetryAfter)
+	r.free = min(max(r.free+time.Second/time.Duration(r.perSecond), now+minRetryAfter), now+r.longest)
 	return r.free - now
 }
 
 // full counts an answer that refuses by a bound, and adds when to come back.
-func (n *Node) full(a coord.Answer) coord.Answer {
+func (n *Node) full(a coord.Answer, returns *returnSchedule) coord.Answer {
 	n.refused.Add(1)
-	a.RetryAfter = n.returns.next(clock.Now())
+	a.RetryAfter = returns.next(clock.Now())
 	return a
 }
 
+// awaitsUpgrade refuses a command for which the version in force is too old. A coordinator that has just started may not have
+// read it yet: only what the leader has from all others counts.
+func (n *Node) awaitsUpgrade(c coord.Command) (a coord.Answer, awaits bool, err error) {
+	n.mu.Lock()
+	a, awaits = n.state.AwaitsUpgrade(c)
+	n.mu.Unlock()
+	if awaits {
+		err = n.Read(func(s *coord.State) { a, awaits = s.AwaitsUpgrade(c) })
+	}
+	return a, awaits, err
+}
+
 // refusesSession refuses a session for which there is no room before it gets into the log: a fleet over the bound that tries
 // again costs the other coordinators nothing. Only a leader knows the state well enough to do so.
 func (n *Node) refusesSession(c coord.Command) (coord.Answer, bool) {
@@ -88,7 +119,7 @@
 // connectionLimit answers what comes over a connection beyond the bound with when to come back, and closes it.
 type connectionLimit struct {
 	bound   int
-	returns returnSchedule
+	returns *returnSchedule
 
 	mu   sync.Mutex
 	open map[net.Conn]bool // whether it counts against the bound
@@ -96,7 +127,7 @@
 }
 
 func newConnectionLimit(bound int) *connectionLimit {
-	return &connectionLimit{bound: bound, open: map[net.Conn]bool{}}
+	return &connectionLimit{bound: bound, returns: tableReturns(), open: map[net.Conn]bool{}}
 }
 
 // overBound is the key under which a connection's context has whether it lies beyond the bound.
--- a/internal/coord/node/api.go
+++ b/internal/coord/node/api.go
@@ -146,16 +146,8 @@
 			http.Error(w, fmt.Sprintf("op: %s is the coordinators' own", c.Op), http.StatusBadRequest)
 			return
 		}
-		n.mu.Lock()
-		version := n.state.V
-		early, awaits := n.state.AwaitsUpgrade(c)
-		n.mu.Unlock()
-		if awaits {
-			n.give(w, early, nil)
-			return
-		}
-		if c.Op == coord.Roll && version < 2 { // not into the log: an older coordinator would answer it in other words
-			n.give(w, coord.Answer{Code: coord.Bad, Text: fmt.Sprintf("version: %d is in force, and this wants 2: once all coordinators run this program, 'members upgrade'", version)}, nil)
+		if a, awaits, err := n.awaitsUpgrade(c); awaits || err != nil {
+			n.give(w, a, err)
 			return
 		}
 		a, err := n.Do(c)
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -81,10 +81,11 @@
 		term uint64
 		last time.Duration
 	}
-	under   atomic.Int64 // commands under way
-	refused atomic.Int64 // as a bound was reached
-	returns returnSchedule
-	barrier sharedBarrier // of readers
+	under    atomic.Int64    // commands under way
+	refused  atomic.Int64    // as a bound was reached
+	tables   *returnSchedule // of clients that found a table full,
+	commands *returnSchedule // or too many commands under way
+	barrier  sharedBarrier   // of readers
 
 	figures sync.Mutex
 	commits *hdrhistogram.Histogram // of commands, from when they came to their answer, in microseconds
@@ -104,7 +105,8 @@
 	if o.Fatal == nil {
 		o.Fatal = func(err error) { panic(err) }
 	}
-	n = &Node{o: o, state: coord.New(), waiting: map[string]chan struct{}{}, commits: hdrhistogram.New(1, 60_000_000, 2)}
+	n = &Node{o: o, state: coord.New(), waiting: map[string]chan struct{}{}, commits: hdrhistogram.New(1, 60_000_000, 2),
+		tables: tableReturns(), commands: commandReturns()}
 	log := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{o.Log}, DisableTime: true})
 	snaps, floor, err := snapshots(o.Dir, log)
 	if err != nil {
@@ -298,12 +300,12 @@
 func (n *Node) Do(c coord.Command) (coord.Answer, error) {
 	if n.under.Add(1) > MaxCommands {
 		n.under.Add(-1)
-		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}), nil
+		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}, n.commands), nil
 	}
 	defer n.under.Add(-1)
 	began := time.Now()
 	if a, refused := n.refusesSession(c); refused {
-		return n.full(a), nil
+		return n.full(a, n.tables), nil
 	}
 	n.mu.Lock()
 	c.V = n.state.V
@@ -320,7 +322,7 @@
 		return a, fmt.Errorf("no answer: %v", f.Response())
 	}
 	if a.Code == coord.Full {
-		a = n.full(a)
+		a = n.full(a, n.tables)
 	}
 	n.figures.Lock()
 	_ = n.commits.RecordValue(min(time.Since(began).Microseconds(), 60_000_000)) // within the bound
@@ -410,7 +412,7 @@
 	if n.count >= MaxWatchers {
 		n.mu.Unlock()
 		n.refused.Add(1)
-		return &FullError{Text: fmt.Sprintf("watchers: %d at most", MaxWatchers), RetryAfter: n.returns.next(clock.Now())}
+		return &FullError{Text: fmt.Sprintf("watchers: %d at most", MaxWatchers), RetryAfter: n.tables.next(clock.Now())}
 	}
 	c := n.waiting[lease]
 	if c == nil {
