Carry out a command that is sent again once while the first still waits at the leader

A command that isn't answered within a second is sent again, with its 12 KB of reports, and each became an entry of the log: the longer the queue, the more came into it. Excluded: the agreed state (BenchmarkJoin: 0.3 ms a router). Now a repeated command with a number waits with the first. Keep-alives and openings aren't joined, as what a client may count on begins when that very one was sent.

--- a/cmd/dockhinge-lab/capacity.go
+++ b/cmd/dockhinge-lab/capacity.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
@@ -13,7 +15,7 @@
 // capacityCommand writes the tables of docs/CAPACITY.md from sizes and measured slopes.
 func capacityCommand() *cobra.Command {
 	var set []string
-	var sizesFile, slopesFile, page string
+	var sizesFile, slopesFile, page, plotInto string
 	cmd := &cobra.Command{Use: "capacity", Short: "What a fleet of a given size costs, by measured slopes", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			sizes, err := readSizes(sizesFile)
@@ -31,6 +33,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", slopesFile, err)
 			}
+			if plotInto != "" {
+				return plotLines(plotInto, lines)
+			}
 			m := capacity.NewModel(sizes, lines)
 			if page != "" {
 				return capacity.UpdatePage(page, m, lines)
@@ -41,10 +46,18 @@
 	cmd.Flags().StringArrayVar(&set, "set", nil, "another size, KEY=VALUE")
 	cmd.Flags().StringVar(&sizesFile, "sizes", "", "another file of sizes (default: lab/capacity/sizes.toml)")
 	cmd.Flags().StringVar(&slopesFile, "slopes", "lab/capacity/slopes.json", "the file that 'hollow --out' wrote")
+	cmd.Flags().StringVar(&plotInto, "plot", "", "draw the lines into SVG files in this directory instead")
 	cmd.Flags().StringVar(&page, "page", "", "write the tables into this page between its markers")
 	return cmd
 }
 
+// plotLines draws what the page shows.
+func plotLines(dir string, lines []slope.Line) error {
+	return errors.Join(
+		capacity.Plot(filepath.Join(dir, "capacity-rest.svg"), "Processor time of coordinators at rest", lines, "rest.leader.cores", "rest.voter.cores"),
+		capacity.Plot(filepath.Join(dir, "capacity-drain.svg"), "Time until routers have a drain", lines, "drain.p50", "drain.p99", "drain.last"))
+}
+
 // readSizes reads a file of sizes, or those that are shipped.
 func readSizes(path string) (capacity.Sizes, error) {
 	if path == "" {
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -86,6 +86,7 @@
 	tables   *returnSchedule // of clients that found a table full,
 	commands *returnSchedule // or too many commands under way
 	barrier  sharedBarrier   // of readers
+	repeats  repeats         // of commands under way
 
 	figures sync.Mutex
 	commits *hdrhistogram.Histogram // of commands, from when they came to their answer, in microseconds
@@ -303,10 +304,15 @@
 		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}, n.commands), nil
 	}
 	defer n.under.Add(-1)
-	began := time.Now()
 	if a, refused := n.refusesSession(c); refused {
 		return n.full(a, n.tables), nil
 	}
+	return n.repeats.do(c, func() (coord.Answer, error) { return n.agree(c) })
+}
+
+// agree has a command written to the log and waits until it is carried out.
+func (n *Node) agree(c coord.Command) (coord.Answer, error) {
+	began := time.Now()
 	n.mu.Lock()
 	c.V = n.state.V
 	n.mu.Unlock()
