Give a leader with a queue longer to answer each time it was late

A client gave each coordinator a second, for ever: a leader whose queue is longer than that answers nobody in time. What is sent until it is answered (openings of sessions, numbered commands) now waits twice as long after each answer that was late, up to half of the session's time; keep-alives and reads are as before.

--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -120,10 +120,12 @@
 	c.mu.Lock()
 	c.session, c.seq, c.under, c.life = id, 0, map[uint64]bool{}, ctx
 	c.mu.Unlock()
+	within := c.patience()
 	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
 		// Each try counts from its own sending: the coordinators count the newest that they carried out.
 		sent := c.o.Clock()
-		a, err := c.once(ctx, coord.Command{Op: coord.Open, Session: id, Client: c.o.Client, TTL: c.o.TTL})
+		a, err := c.onceWithin(ctx, within.now, coord.Command{Op: coord.Open, Session: id, Client: c.o.Client, TTL: c.o.TTL})
+		within.after(err)
 		switch {
 		case err == nil && a.Code == coord.OK:
 			c.mu.Lock()
@@ -158,7 +160,7 @@
 	next := jitter(every)
 	for {
 		if !clock.Sleep(ctx, next) {
-			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.try())
 			_, _ = c.once(over, coord.Command{Op: coord.Close, Session: c.session}) // else it ends by its time
 			cancel()
 			return
@@ -193,17 +195,22 @@
 
 // once sends a command to the leader as far as it is known, following those who name another, until one has carried it out or
 // all have been asked.
-func (c *Client) once(ctx context.Context, cmd coord.Command) (a coord.Answer, err error) {
+func (c *Client) once(ctx context.Context, cmd coord.Command) (coord.Answer, error) {
+	return c.onceWithin(ctx, c.try(), cmd)
+}
+
+// onceWithin does so with another time for each coordinator to answer.
+func (c *Client) onceWithin(ctx context.Context, within time.Duration, cmd coord.Command) (a coord.Answer, err error) {
 	text, err := json.Marshal(cmd)
 	if err != nil {
 		return a, err
 	}
-	err = c.call(ctx, http.MethodPost, "/v1/command", text, &a)
+	err = c.call(ctx, within, http.MethodPost, "/v1/command", text, &a)
 	return a, err
 }
 
 // call asks coordinators in turn, the leader first, until one answers for all.
-func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) call(ctx context.Context, within time.Duration, method, path string, body []byte, into any) error {
 	c.mu.Lock()
 	next := c.leader
 	c.mu.Unlock()
@@ -222,7 +229,7 @@
 			next = order[0]
 		}
 		order = slices.DeleteFunc(order, func(s string) bool { return s == next })
-		hint, err := c.ask(ctx, next, method, path, body, into)
+		hint, err := c.ask(ctx, within, next, method, path, body, into)
 		if err == nil {
 			c.mu.Lock()
 			c.leader = next
@@ -252,8 +259,7 @@
 func (e *elsewhereError) Error() string { return e.text }
 
 // ask asks one coordinator. It returns the leader's name where that one knows another.
-func (c *Client) ask(ctx context.Context, name, method, path string, body []byte, into any) (leader string, err error) {
-	within := time.Duration(c.o.TryMS) * time.Millisecond
+func (c *Client) ask(ctx context.Context, within time.Duration, name, method, path string, body []byte, into any) (leader string, err error) {
 	if method == http.MethodGet {
 		within += watchFor
 	}
@@ -373,6 +379,7 @@
 // settle repeats a command until it is answered or the session is over.
 func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
 	o := outcome{first: c.o.Clock(), in: session}
+	within := c.patience()
 	for pause := leastPause; ; pause = min(2*pause, mostPause) {
 		c.mu.Lock()
 		cmd.Acked = c.seq
@@ -380,7 +387,8 @@
 			cmd.Acked = min(cmd.Acked, q-1)
 		}
 		c.mu.Unlock()
-		o.a, o.err = c.once(life, cmd)
+		o.a, o.err = c.onceWithin(life, within.now, cmd)
+		within.after(o.err)
 		if o.err == nil {
 			break
 		}
@@ -488,13 +496,13 @@
 
 // Rows are the leases that are held, of one name or all (""), not older than the call.
 func (c *Client) Rows(ctx context.Context, name string) (rows []coord.Row, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/leases?name="+url.QueryEscape(name), nil, &rows)
+	err = c.call(ctx, c.try(), http.MethodGet, "/v1/leases?name="+url.QueryEscape(name), nil, &rows)
 	return rows, err
 }
 
 // Under are the leases whose names begin so, not older than the call.
 func (c *Client) Under(ctx context.Context, prefix string) (rows []coord.Row, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/leases?prefix="+url.QueryEscape(prefix), nil, &rows)
+	err = c.call(ctx, c.try(), http.MethodGet, "/v1/leases?prefix="+url.QueryEscape(prefix), nil, &rows)
 	return rows, err
 }
 
@@ -506,19 +514,19 @@
 
 // Rollout tells who is out, once it is newer than the version after or some seconds have passed; at once for 0.
 func (c *Client) Rollout(ctx context.Context, after uint64) (r rollout.Report, err error) {
-	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/rollout?after=%d", after), nil, &r)
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/rollout?after=%d", after), nil, &r)
 	return r, err
 }
 
 // Drains tells which servers are drained, once that is newer than the version after or some seconds have passed; at once for 0.
 func (c *Client) Drains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
-	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/drains?after=%d", after), nil, &d)
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/drains?after=%d", after), nil, &d)
 	return d, err
 }
 
 // NextDrains waits as Drains does, also for the first version after 0: while nothing was ever drained nobody asks again and again.
 func (c *Client) NextDrains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
-	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/drains?after=%d&wait=true", after), nil, &d)
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/drains?after=%d&wait=true", after), nil, &d)
 	return d, err
 }
 
@@ -537,7 +545,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchFor)
 	defer cancel()
 	var a coord.Answer
-	return c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?lease=%s&token=%d", url.QueryEscape(name), token), nil, &a)
+	return c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/watch?lease=%s&token=%d", url.QueryEscape(name), token), nil, &a)
 }
 
 // Hold waits until the lease is held, runs f under it, and gives it back; f's context ends margin before the lease's time is
@@ -549,7 +557,7 @@
 			inner, end := l.Context(ctx, margin)
 			err := f(inner, l)
 			end()
-			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.try())
 			defer cancel()
 			_ = l.Release(over) // else it ends by its time
 			return err
--- /dev/null
+++ b/internal/coord/client/patience_test.go
@@ -0,0 +1,57 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+)
+
+// Patience grows with answers that don't come in time alone, up to half of the session's time.
+func TestPatience(t *testing.T) {
+	p := New(Options{TTL: 10 * time.Second}).patience()
+	if p.now != time.Second {
+		t.Errorf("it begins with %v", p.now)
+	}
+	p.after(nil)
+	p.after(errors.New("connection refused"))
+	if p.now != time.Second {
+		t.Errorf("%v after other errors", p.now)
+	}
+	for range 5 {
+		p.after(errors.Join(context.DeadlineExceeded))
+	}
+	if p.now != 5*time.Second {
+		t.Errorf("%v after many", p.now)
+	}
+}
+
+// A leader that answers later than clients wait at first gets a session open all the same.
+func TestSlowLeader(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	var mu sync.Mutex
+	opens := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		opens++
+		mu.Unlock()
+		time.Sleep(slow)
+		_ = json.NewEncoder(w).Encode(coord.Answer{Code: coord.OK})
+	}))
+	defer s.Close()
+	c := New(Options{Coordinators: map[string]string{"c1": s.Listener.Addr().String()}, Client: "r", TTL: 10 * time.Second, TryMS: 50})
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	if !c.open(ctx) {
+		t.Error("no session")
+	}
+	if opens > 5 { // 50, 100, 200, 400 ms
+		t.Errorf("asked %d times", opens)
+	}
+}
