Write the capacity page from measured slopes, and let a leader take in 1,024 joining commands at once

docs/CAPACITY.md: the sizes of two years from now (lab/capacity/sizes.toml) against the slopes of a ladder (lab/capacity/slopes.json), role by role and event by event, with what was measured, how far beyond it a figure lies, its budget, what carries it and what twice the size would do; a test holds the page to `dockhinge-lab capacity`.

Seen: the ladder with 2,000 routers joins with 20 CPU s of the leader, 5,100 that join at once were not reached (514 without a session after 60 s): 8,192 commands under way are many seconds of a leader's work, and clients give up after one. Now at most 1,024 that keep no session are under way; who comes beyond that is told when to come back, and keep-alives have the rest.

--- a/internal/coord/node/admission_test.go
+++ b/internal/coord/node/admission_test.go
@@ -106,6 +106,14 @@
 	if a := command(t, n.Handler(), coord.Command{Op: coord.Keep, Session: "s"}); a.Code != coord.Full || a.RetryAfter < minRetryAfter || a.RetryAfter > maxCommandRetryAfter {
 		t.Errorf("%+v", a)
 	}
+	n.under.Store(MaxOtherCommands)
+	open := coord.Command{Op: coord.Open, Session: "s", Client: "c", TTL: time.Minute}
+	if a := command(t, n.Handler(), open); a.Code != coord.Full || a.RetryAfter < minRetryAfter || a.RetryAfter > maxCommandRetryAfter {
+		t.Errorf("%+v", a)
+	}
+	if a := command(t, n.Handler(), coord.Command{Op: coord.Keep, Session: "s"}); a.Code != coord.NoSession {
+		t.Errorf("a keep-alive: %+v", a)
+	}
 	n.under.Store(0)
 }
 
--- a/internal/coord/node/node.go
+++ b/internal/coord/node/node.go
@@ -48,11 +48,14 @@
 
 // Bounds and times of a coordinator.
 const (
-	MaxCommands = 8192                   // of clients, under way at once: as many as sessions, as all may come at once
-	MaxWatchers = 16384                  // clients that wait for a change: two for each session
-	tickEvery   = 200 * time.Millisecond // time passes in the agreed state at least this often
-	maxAdvance  = time.Second            // at most so much passes with one command: a leader that was stopped ends nobody at once
-	applyWithin = 2 * time.Second        // a command is taken over by the library
+	MaxCommands = 8192 // of clients, under way at once: as many as sessions, as all may keep theirs at once
+	// MaxOtherCommands are under way at once that keep no session: no more than a busy leader carries out in the second for which
+	// clients wait. Beyond it who comes is told when to come back, and sessions that are there are kept.
+	MaxOtherCommands = 1024
+	MaxWatchers      = 16384                  // clients that wait for a change: two for each session
+	tickEvery        = 200 * time.Millisecond // time passes in the agreed state at least this often
+	maxAdvance       = time.Second            // at most so much passes with one command: a leader that was stopped ends nobody at once
+	applyWithin      = 2 * time.Second        // a command is taken over by the library
 )
 
 const defaultEpochEvery = 10 * time.Second
@@ -299,9 +302,10 @@
 
 // Do has a command agreed on and carried out.
 func (n *Node) Do(c coord.Command) (coord.Answer, error) {
-	if n.under.Add(1) > MaxCommands {
+	limit := int64(maxCommands(c.Op))
+	if n.under.Add(1) > limit {
 		n.under.Add(-1)
-		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", MaxCommands)}, n.commands), nil
+		return n.full(coord.Answer{Code: coord.Full, Text: fmt.Sprintf("commands under way: %d at most", limit)}, n.commands), nil
 	}
 	defer n.under.Add(-1)
 	if a, refused := n.refusesSession(c); refused {
@@ -310,6 +314,14 @@
 	return n.repeats.do(c, func() (coord.Answer, error) { return n.agree(c) })
 }
 
+// maxCommands is how many commands may be under way where one more is to be carried out.
+func maxCommands(op coord.Op) int {
+	if op == coord.Keep {
+		return MaxCommands
+	}
+	return MaxOtherCommands
+}
+
 // agree has a command written to the log and waits until it is carried out.
 func (n *Node) agree(c coord.Command) (coord.Answer, error) {
 	began := time.Now()
--- /dev/null
+++ b/lab/capacity/capacity_test.go
@@ -0,0 +1,165 @@
+package capacity
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dockhinge.example/dockhinge/lab/slope"
+)
+
+func shippedModel(t *testing.T) (*Model, []slope.Line) {
+	t.Helper()
+	sizes, err := ShippedSizes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, err := slope.Read(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewModel(sizes, lines), lines
+}
+
+// The page is what the tool writes from the sizes and slopes that are shipped.
+func TestPage(t *testing.T) {
+	m, lines := shippedModel(t)
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled, err := FillPage(page, m, lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(page, filled) {
+		t.Error("docs/CAPACITY.md is not what its tool writes: 'dockhinge-lab capacity --page docs/CAPACITY.md'")
+	}
+}
+
+// A page without its markers is left alone.
+func TestPageWithoutMarkers(t *testing.T) {
+	if _, err := FillPage([]byte("# Capacity\n"+beginMarker), &Model{}, nil); err == nil {
+		t.Error("it was filled")
+	}
+}
+
+// line is a straight one through the origin, measured up to a size.
+func line(name string, perRouter, to float64) slope.Line {
+	return slope.Line{Name: name, Unit: "cores", Per: "router", Slope: perRouter, From: 1, To: to, R2: 1}
+}
+
+// A row over its budget is red, one that no run gave is said to be not measured, and doubling the size doubles a figure.
+func TestStates(t *testing.T) {
+	sizes, err := ShippedSizes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget := func(*Model) float64 { return 1 }
+	row := Row{Figure: func(m *Model) Figure { return m.at("x", m.Routers) }, Budget: budget}
+	if s := row.State(NewModel(sizes, nil)); s != NotMeasured {
+		t.Errorf("without a line: %s", s)
+	}
+	m := NewModel(sizes, []slope.Line{line("x", 0.8/sizes.Routers, sizes.Routers)})
+	if s := row.State(m); s != Fits {
+		t.Errorf("below the budget: %s", s)
+	}
+	if text := row.twice(m); !strings.HasPrefix(text, "**RED** 1.6") {
+		t.Errorf("at twice the size: %s", text)
+	}
+	if text := row.margin(m); text != "20%" {
+		t.Errorf("margin: %s", text)
+	}
+	m = NewModel(sizes, []slope.Line{line("x", 1.5/sizes.Routers, sizes.Routers/2)})
+	if s := row.State(m); s != Red {
+		t.Errorf("over the budget: %s", s)
+	}
+	if text := row.Figure(m).source(); !strings.Contains(text, "2 times beyond") {
+		t.Errorf("beyond the range: %s", text)
+	}
+	row.Budget = nil
+	if s := row.State(m); s != NoBudget {
+		t.Errorf("without a budget: %s", s)
+	}
+}
+
+// A sum with a part that no run gave is not measured.
+func TestUnknownParts(t *testing.T) {
+	if bySizes(1, "bytes").plus(notMeasured("bytes")).Known {
+		t.Error("a sum with an unknown part is known")
+	}
+	if f := notMeasured("bytes").times(3, "bytes"); f.Known || f.text() != "not measured" {
+		t.Errorf("%+v", f)
+	}
+}
+
+// Sizes are set by key, and what is no key is a mistake.
+func TestSet(t *testing.T) {
+	sizes, err := ShippedSizes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sizes.Set([]string{"routers=300", "purge_within_s = 1.5"}); err != nil || sizes.Routers != 300 || sizes.PurgeWithinS != 1.5 || sizes.Servers != 2500 {
+		t.Errorf("%+v, %v", sizes, err)
+	}
+	for _, wrong := range []string{"routers", "router=3", "routers=many"} {
+		if sizes.Set([]string{wrong}) == nil {
+			t.Errorf("%s was taken", wrong)
+		}
+	}
+	if _, err := ParseSizes([]byte("routres = 3\n")); err == nil {
+		t.Error("an unknown key was taken")
+	}
+}
+
+// Each row says what carries it, and no table of a role is missing.
+func TestRowsAreWhole(t *testing.T) {
+	m, _ := shippedModel(t)
+	tables := Tables()
+	const roles = 8
+	if len(tables) != roles {
+		t.Errorf("%d tables", len(tables))
+	}
+	for _, table := range tables {
+		for i := range table.Rows {
+			r := &table.Rows[i]
+			if r.Event == "" || r.What == "" || r.CarriedBy == "" {
+				t.Errorf("%s: %+v", table.Role, r)
+			}
+			if f := r.Figure(m); f.Known && f.Unit == "" {
+				t.Errorf("%s, %s: no unit", table.Role, r.What)
+			}
+		}
+	}
+}
+
+// Numbers keep three digits.
+func TestNumber(t *testing.T) {
+	for want, v := range map[string]float64{"0": 0, "12,800,000": 12.75e6, "0.000181": 0.0001811, "246,000": 245535, "1.3": 1.3, "-1,230": -1234, "1,000": 999.9} {
+		if got := number(v); got != want {
+			t.Errorf("%v: %s, want %s", v, got, want)
+		}
+	}
+}
+
+// A plot has what it is asked for, and names nothing else.
+func TestPlot(t *testing.T) {
+	_, lines := shippedModel(t)
+	path := filepath.Join(t.TempDir(), "plot.svg")
+	if err := Plot(path, "Processor time at rest", lines, "rest.leader.cores", "rest.voter.cores"); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil || !bytes.Contains(text, []byte("<svg")) || !bytes.Contains(text, []byte("rest.voter.cores")) {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+	if Plot(path, "Nothing", lines, "x") == nil {
+		t.Error("nothing was drawn")
+	}
+}
--- a/lab/capacity/rows.go
+++ b/lab/capacity/rows.go
@@ -37,18 +37,18 @@
 	return Table{Role: "Router", Rows: []Row{
 		{Event: "at rest", What: "bytes in and out, headers included", CarriedBy: bySession + "; " + byWatch, Budget: routerBytesBudget,
 			Figure: func(m *Model) Figure {
-				return m.at("rest.router.in", m.Routers).plus(m.at("rest.router.out", m.Routers))
+				return m.perRouter(m.at("rest.routers.in", m.Routers).plus(m.at("rest.routers.out", m.Routers)), "bytes/s")
 			}},
 		{Event: "at rest", What: "processor time of the control client", CarriedBy: bySession, Budget: func(m *Model) float64 { return m.RouterCoreShare },
 			Figure: func(m *Model) Figure { return m.perRouter(m.at("rest.hollow.cores", m.Routers), "cores") }},
 		{Event: "at rest", What: "memory of the control client", CarriedBy: bySession, Budget: func(m *Model) float64 { return m.RouterMemoryMB },
 			Figure: func(m *Model) Figure { return m.perRouter(m.at("rest.hollow.memory", m.Routers), "MB") }},
-		{Event: "at rest", What: "connections to coordinators", CarriedBy: bySession, Figure: func(m *Model) Figure { return m.at("rest.router.connections", m.Routers) }},
+		{Event: "at rest", What: "connections to coordinators", CarriedBy: bySession, Figure: func(m *Model) Figure { return m.perRouter(m.at("rest.routers.connections", m.Routers), "connections") }},
 		{Event: "at the peak", What: "control, while it serves its share of the requests", CarriedBy: "nothing of control is on a request's way",
 			Figure: func(*Model) Figure { return notMeasured("bytes/s") }},
 		{Event: "a restart", What: "bytes in and out until it has reported all servers of its region", CarriedBy: byFollow,
 			Figure: func(m *Model) Figure {
-				return m.at("join.router.in", m.Routers).plus(m.at("join.router.out", m.Routers))
+				return m.perRouter(m.at("join.routers.in", m.Routers).plus(m.at("join.routers.out", m.Routers)), "bytes")
 			}},
 		{Event: "a start", What: "first list of all servers, at the bytes a second that control may cost", CarriedBy: byDiscovery,
 			Budget: func(m *Model) float64 { return m.ConfigurationWithinS }, Breaks: "the first list: " + byRegions,
@@ -56,13 +56,15 @@
 		{Event: "a start", What: "first list of its region's servers, likewise", CarriedBy: byRegions,
 			Budget: func(m *Model) float64 { return m.ConfigurationWithinS },
 			Figure: func(m *Model) Figure { return bySizes(m.RegionServers*ListEntryBytes()/m.RouterBytesPerS, "s") }},
-		{Event: "a change", What: "bytes in for one drain and its end", CarriedBy: byWatch, Figure: func(m *Model) Figure { return m.at("drain.router.in", m.Routers) }},
+		{Event: "a change", What: "bytes in for one drain and its end", CarriedBy: byWatch, Figure: func(m *Model) Figure { return m.perRouter(m.at("drain.routers.in", m.Routers), "bytes") }},
 		{Event: "all changes of a day", What: "bytes in, if each cost what a drain costs", CarriedBy: byConfig, Budget: routerBytesBudget,
 			Figure: func(m *Model) Figure {
-				return m.at("drain.router.in", m.Routers).times(perDay(m.ConfigurationChangesPerDay), "bytes/s")
+				return m.at("drain.routers.in", m.Routers).times(perDay(m.ConfigurationChangesPerDay)/m.Routers, "bytes/s")
 			}},
 		{Event: "a burst of changes", What: "bytes in, if each cost what a drain costs", CarriedBy: byConfig, Budget: routerBytesBudget,
-			Figure: func(m *Model) Figure { return m.at("drain.router.in", m.Routers).times(m.ChangeBurst, "bytes/s") }},
+			Figure: func(m *Model) Figure {
+				return m.at("drain.routers.in", m.Routers).times(m.ChangeBurst/m.Routers, "bytes/s")
+			}},
 		{Event: "purges", What: "bytes in without any framing", CarriedBy: byPurge, Budget: routerBytesBudget,
 			Figure: func(m *Model) Figure { return bySizes(m.PurgesPerS*m.PurgeBytes, "bytes/s") }},
 		{Event: "a burst of purges", What: "bytes in without any framing, in one second", CarriedBy: byPurge, Budget: routerBytesBudget,
@@ -80,7 +82,7 @@
 			Figure: func(m *Model) Figure { return m.at("rest.leader.descriptors", m.Routers) }},
 		{Event: "at rest", What: "bytes read", CarriedBy: bySession, Figure: func(m *Model) Figure { return m.at("rest.leader.read", m.Routers) }},
 		{Event: "at rest", What: "bytes written to routers", CarriedBy: byWatch, Figure: func(m *Model) Figure {
-			return m.at("rest.router.in", m.Routers).times(m.Routers, "bytes/s")
+			return m.at("rest.routers.in", m.Routers)
 		}},
 		{Event: "at rest", What: "entries of the log", CarriedBy: byLog, Figure: func(m *Model) Figure { return m.at("rest.entries", m.Routers) }},
 		{Event: "at rest", What: "sessions", CarriedBy: bySession, Budget: func(m *Model) float64 { return m.SessionsMax }, Breaks: "the table's bound",
@@ -114,7 +116,7 @@
 			Figure: func(m *Model) Figure { return m.at("drain.p99", m.Routers).times(1.0/1000, "s") }},
 		{Event: "a change", What: "until all have acknowledged it", CarriedBy: byFollow, Budget: func(m *Model) float64 { return m.ConfigurationWithinS },
 			Figure: func(m *Model) Figure { return m.at("drain.acknowledged", m.Routers).times(1.0/1000, "s") }},
-		{Event: "a change", What: "processor time", CarriedBy: byWatch, Figure: func(m *Model) Figure { return m.at("drain.leader.cpu", m.Routers) }},
+		{Event: "a change", What: "processor time of a drain, its end, and all acknowledgements", CarriedBy: byWatch, Figure: func(m *Model) Figure { return m.at("drain.leader.cpu", m.Routers) }},
 		{Event: "a burst of changes", What: "processor time for each second of it, if each cost what a drain costs", CarriedBy: byObserver, Budget: cores,
 			Breaks: "a barrier and an answer for each router and change",
 			Figure: func(m *Model) Figure { return m.at("drain.leader.cpu", m.Routers).times(m.ChangeBurst, "cores") }},
--- a/lab/hollow/slopes.go
+++ b/lab/hollow/slopes.go
@@ -16,15 +16,15 @@
 // restartLine is of what is not known where a restart failed.
 const restartLine = "restart.last"
 
-// figures are all of them. docs/CAPACITY.md cites them by name.
+// figures are all of them, of the whole fleet. docs/CAPACITY.md cites them by name.
 var figures = []figure{
 	{"join.sessions", "s", func(s *Step) float64 { return s.SessionS }},
 	{"join.first", "s", func(s *Step) float64 { return s.FirstS }},
 	{"join.reported", "s", func(s *Step) float64 { return s.ReportedS }},
 	{"join.leader.cpu", "CPU s", func(s *Step) float64 { return s.JoinLeaderCPUS }},
 	{"join.voter.cpu", "CPU s", func(s *Step) float64 { return s.JoinVoterCPUS }},
-	{"join.router.in", "bytes", func(s *Step) float64 { return s.JoinRouterIn }},
-	{"join.router.out", "bytes", func(s *Step) float64 { return s.JoinRouterOut }},
+	{"join.routers.in", "bytes", func(s *Step) float64 { return s.all(s.JoinRouterIn) }},
+	{"join.routers.out", "bytes", func(s *Step) float64 { return s.all(s.JoinRouterOut) }},
 	{"rest.leader.cores", "cores", func(s *Step) float64 { return s.Leader().Cores }},
 	{"rest.leader.memory", "MB", func(s *Step) float64 { return s.Leader().ResidentMB }},
 	{"rest.leader.descriptors", "descriptors", func(s *Step) float64 { return float64(s.Leader().Open) }},
@@ -34,9 +34,9 @@
 	{"rest.voter.descriptors", "descriptors", func(s *Step) float64 { return float64(s.Voter().Open) }},
 	{"rest.voter.read", "bytes/s", func(s *Step) float64 { return s.Voter().ReadPerS }},
 	{"rest.entries", "entries/s", func(s *Step) float64 { return s.EntriesPerS }},
-	{"rest.router.in", "bytes/s", func(s *Step) float64 { return s.RouterInPerS }},
-	{"rest.router.out", "bytes/s", func(s *Step) float64 { return s.RouterOutPerS }},
-	{"rest.router.connections", "connections", func(s *Step) float64 { return s.Connections }},
+	{"rest.routers.in", "bytes/s", func(s *Step) float64 { return s.all(s.RouterInPerS) }},
+	{"rest.routers.out", "bytes/s", func(s *Step) float64 { return s.all(s.RouterOutPerS) }},
+	{"rest.routers.connections", "connections", func(s *Step) float64 { return s.all(s.Connections) }},
 	{"rest.report", "bytes", func(s *Step) float64 { return s.ReportBytes }},
 	{"rest.hollow.cores", "cores", func(s *Step) float64 { return s.HollowCores }},
 	{"rest.hollow.memory", "MB", func(s *Step) float64 { return s.HollowMB }},
@@ -46,9 +46,12 @@
 	{"drain.acknowledged", "ms", func(s *Step) float64 { return s.DrainAckedMS }},
 	{"drain.leader.cpu", "CPU s", func(s *Step) float64 { return s.DrainLeaderCPU }},
 	{restartLine, "s", func(s *Step) float64 { return s.RestartS }},
-	{"drain.router.in", "bytes", func(s *Step) float64 { return s.DrainRouterIn }},
+	{"drain.routers.in", "bytes", func(s *Step) float64 { return s.all(s.DrainRouterIn) }},
 }
 
+// all is what all routers of a step have together of a figure that is one router's.
+func (s *Step) all(one float64) float64 { return one * float64(s.Routers) }
+
 // Fit works out the run's slopes from the steps that were finished. A run of fewer steps than a line wants has none.
 func (r *Run) Fit() error {
 	r.Slopes = nil
