--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -35,6 +35,9 @@
 	TryMS        int                  // one coordinator is given so long to answer; 0: a sixth of TTL, 1 s at most
 	Clock        func() time.Duration // nil: clock.Now
 	Log          *slog.Logger
+
+	// Dial opens a connection; nil: a net.Dialer with a second's timeout. Tools that count bytes wrap it.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Bounds of a client.
@@ -72,6 +75,7 @@
 	under   map[uint64]bool // commands whose answer has not come
 	settled chan struct{}   // closed, and replaced, once one of them is settled or the session is another
 	leader  string
+	refusal error // why there is no session, by the coordinators
 	bytes   int64 // of all that was sent and answered
 }
 
@@ -86,8 +90,11 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: time.Second}).DialContext
+	}
 	return &Client{o: o, room: make(chan struct{}, maxUnderWay), opened: make(chan struct{}), under: map[uint64]bool{}, settled: make(chan struct{}),
-		http: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxConnsPerHost: 2 * maxUnderWay,
+		http: &http.Client{Transport: &http.Transport{DialContext: o.Dial, MaxConnsPerHost: 2 * maxUnderWay,
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}}
 }
 
@@ -117,16 +124,19 @@
 	c.session, c.seq, c.under, c.life = id, 0, map[uint64]bool{}, ctx
 	c.wakeWindow()
 	c.mu.Unlock()
+	within := c.patience()
 	for pause := leastPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
 		// Each try counts from its own sending: the coordinators count the newest that they carried out.
 		sent := c.o.Clock()
-		a, err := c.once(ctx, coord.Command{Op: coord.Open, Session: id, Client: c.o.Client, TTL: c.o.TTL})
+		a, err := c.onceWithin(ctx, within.now, coord.Command{Op: coord.Open, Session: id, Client: c.o.Client, TTL: c.o.TTL})
+		within.after(err)
 		switch {
 		case err == nil && a.Code == coord.OK:
 			c.mu.Lock()
 			c.book.Opened(c.o.TTL, sent, c.o.Clock())
 			ok := c.book.Open(c.o.Clock())
 			if ok {
+				c.refusal = nil
 				close(c.opened)
 			}
 			c.mu.Unlock()
@@ -136,8 +146,12 @@
 		case err == nil:
 			c.o.Log.Warn("no session", "answer", a.Error())
 			pause = mostPause
+			err = &RefusedError{a}
 		}
-		if !clock.Sleep(ctx, jitter(pause)) {
+		c.mu.Lock()
+		c.refusal = err
+		c.mu.Unlock()
+		if !clock.Sleep(ctx, Pause(err, jitter(pause))) {
 			return false
 		}
 	}
@@ -150,7 +164,7 @@
 	next := jitter(every)
 	for {
 		if !clock.Sleep(ctx, next) {
-			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.try())
 			_, _ = c.once(over, coord.Command{Op: coord.Close, Session: c.session}) // else it ends by its time
 			cancel()
 			return
@@ -168,9 +182,12 @@
 			c.o.Log.Warn("session lost", "answer", a.Code, "error", err)
 			return
 		}
-		if next, pause = jitter(every), 0; err != nil || a.Code != coord.OK { // sooner again, but not all at once
+		if err == nil && a.Code != coord.OK {
+			err = &RefusedError{a}
+		}
+		if next, pause = jitter(every), 0; err != nil { // sooner again, but not all at once
 			pause = min(max(2*pause, leastPause), every)
-			next = jitter(pause)
+			next = min(Pause(err, jitter(pause)), every) // later would lose the session
 		}
 	}
 }
@@ -182,17 +199,22 @@
 
 // once sends a command to the leader as far as it is known, following those who name another, until one has carried it out or
 // all have been asked.
-func (c *Client) once(ctx context.Context, cmd coord.Command) (a coord.Answer, err error) {
+func (c *Client) once(ctx context.Context, cmd coord.Command) (coord.Answer, error) {
+	return c.onceWithin(ctx, c.try(), cmd)
+}
+
+// onceWithin does so with another time for each coordinator to answer.
+func (c *Client) onceWithin(ctx context.Context, within time.Duration, cmd coord.Command) (a coord.Answer, err error) {
 	text, err := json.Marshal(cmd)
 	if err != nil {
 		return a, err
 	}
-	err = c.call(ctx, http.MethodPost, "/v1/command", text, &a)
+	err = c.call(ctx, within, http.MethodPost, "/v1/command", text, &a)
 	return a, err
 }
 
 // call asks coordinators in turn, the leader first, until one answers for all.
-func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) call(ctx context.Context, within time.Duration, method, path string, body []byte, into any) error {
 	c.mu.Lock()
 	next := c.leader
 	c.mu.Unlock()
@@ -202,6 +224,7 @@
 	}
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	var errs []error
+	failed := map[string]bool{} // these gave no answer, or have reached a bound: they aren't asked again, whoever names them as the leader
 	for tries := 0; tries < 2*len(c.o.Coordinators) && ctx.Err() == nil; tries++ {
 		if c.o.Coordinators[next] == "" {
 			if len(order) == 0 {
@@ -210,7 +233,7 @@
 			next = order[0]
 		}
 		order = slices.DeleteFunc(order, func(s string) bool { return s == next })
-		hint, err := c.ask(ctx, next, method, path, body, into)
+		hint, err := c.ask(ctx, within, next, method, path, body, into)
 		if err == nil {
 			c.mu.Lock()
 			c.leader = next
@@ -218,6 +241,11 @@
 			return nil
 		}
 		errs = append(errs, fmt.Errorf("%s: %w", next, err))
+		var elsewhere *elsewhereError
+		failed[next] = !errors.As(err, &elsewhere)
+		if hint != "" && failed[hint] {
+			break // a command that is sent again while it waits there only adds to what has to wait
+		}
 		if hint == next {
 			hint = ""
 		}
@@ -229,9 +257,13 @@
 	return errors.Join(append(errs, ctx.Err())...)
 }
 
+// elsewhereError is what a coordinator says that doesn't lead.
+type elsewhereError struct{ text string }
+
+func (e *elsewhereError) Error() string { return e.text }
+
 // ask asks one coordinator. It returns the leader's name where that one knows another.
-func (c *Client) ask(ctx context.Context, name, method, path string, body []byte, into any) (leader string, err error) {
-	within := time.Duration(c.o.TryMS) * time.Millisecond
+func (c *Client) ask(ctx context.Context, within time.Duration, name, method, path string, body []byte, into any) (leader string, err error) {
 	if method == http.MethodGet {
 		within += watchFor
 	}
@@ -259,7 +291,9 @@
 	case http.StatusMisdirectedRequest:
 		var x struct{ Leader, Text string }
 		_ = json.Unmarshal(text, &x) // a body that can't be read names nobody
-		return x.Leader, errors.New(x.Text)
+		return x.Leader, &elsewhereError{x.Text}
+	case http.StatusServiceUnavailable:
+		return "", retryLater(resp.Header, text)
 	}
 	return "", fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(text))
 }
@@ -289,7 +323,7 @@
 	select {
 	case <-opened:
 	case <-ctx.Done():
-		return outcome{err: ErrNoSession}
+		return outcome{err: c.noSession()}
 	}
 	select {
 	case c.room <- struct{}{}:
@@ -367,9 +401,20 @@
 	c.settled = make(chan struct{})
 }
 
+// noSession is ErrNoSession, with what the coordinators said where they refused one.
+func (c *Client) noSession() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusal == nil {
+		return ErrNoSession
+	}
+	return fmt.Errorf("%w: %w", ErrNoSession, c.refusal)
+}
+
 // settle repeats a command until it is answered or the session is over.
 func (c *Client) settle(life context.Context, session string, cmd coord.Command) outcome {
 	o := outcome{first: c.o.Clock(), in: session}
+	within := c.patience()
 	for pause := leastPause; ; pause = min(2*pause, mostPause) {
 		c.mu.Lock()
 		cmd.Acked = c.seq
@@ -377,11 +422,12 @@
 			cmd.Acked = min(cmd.Acked, q-1)
 		}
 		c.mu.Unlock()
-		o.a, o.err = c.once(life, cmd)
+		o.a, o.err = c.onceWithin(life, within.now, cmd)
+		within.after(o.err)
 		if o.err == nil {
 			break
 		}
-		if !clock.Sleep(life, jitter(pause)) {
+		if !clock.Sleep(life, Pause(o.err, jitter(pause))) {
 			o.err = ErrNoSession
 			return o
 		}
@@ -486,13 +532,13 @@
 
 // Rows are the leases that are held, of one name or all (""), not older than the call.
 func (c *Client) Rows(ctx context.Context, name string) (rows []coord.Row, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/leases?name="+url.QueryEscape(name), nil, &rows)
+	err = c.call(ctx, c.try(), http.MethodGet, "/v1/leases?name="+url.QueryEscape(name), nil, &rows)
 	return rows, err
 }
 
 // Under are the leases whose names begin so, not older than the call.
 func (c *Client) Under(ctx context.Context, prefix string) (rows []coord.Row, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/leases?prefix="+url.QueryEscape(prefix), nil, &rows)
+	err = c.call(ctx, c.try(), http.MethodGet, "/v1/leases?prefix="+url.QueryEscape(prefix), nil, &rows)
 	return rows, err
 }
 
@@ -504,13 +550,19 @@
 
 // Rollout tells who is out, once it is newer than the version after or some seconds have passed; at once for 0.
 func (c *Client) Rollout(ctx context.Context, after uint64) (r rollout.Report, err error) {
-	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/rollout?after=%d", after), nil, &r)
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/rollout?after=%d", after), nil, &r)
 	return r, err
 }
 
 // Drains tells which servers are drained, once that is newer than the version after or some seconds have passed; at once for 0.
 func (c *Client) Drains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
-	err = c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/drains?after=%d", after), nil, &d)
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/drains?after=%d", after), nil, &d)
+	return d, err
+}
+
+// NextDrains waits as Drains does, also for the first version after 0: while nothing was ever drained nobody asks again and again.
+func (c *Client) NextDrains(ctx context.Context, after uint64) (d rollout.Drains, err error) {
+	err = c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/drains?after=%d&wait=true", after), nil, &d)
 	return d, err
 }
 
@@ -523,13 +575,13 @@
 
 // History tells what the coordinators keep of a document's changes, the oldest first, not older than the call.
 func (c *Client) History(ctx context.Context, name string) (history []watchlog.Change, err error) {
-	err = c.call(ctx, http.MethodGet, protocol.HistoryPath+"?name="+url.QueryEscape(name), nil, &history)
+	err = c.call(ctx, c.try(), http.MethodGet, protocol.HistoryPath+"?name="+url.QueryEscape(name), nil, &history)
 	return history, err
 }
 
 // Documents lists the documents whose names begin with prefix, not older than the call.
 func (c *Client) Documents(ctx context.Context, prefix string) (rows []protocol.DocumentRow, err error) {
-	err = c.call(ctx, http.MethodGet, protocol.DocumentsPath+"?prefix="+url.QueryEscape(prefix), nil, &rows)
+	err = c.call(ctx, c.try(), http.MethodGet, protocol.DocumentsPath+"?prefix="+url.QueryEscape(prefix), nil, &rows)
 	return rows, err
 }
 
@@ -548,7 +600,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchFor)
 	defer cancel()
 	var a coord.Answer
-	return c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?lease=%s&token=%d", url.QueryEscape(name), token), nil, &a)
+	return c.call(ctx, c.try(), http.MethodGet, fmt.Sprintf("/v1/watch?lease=%s&token=%d", url.QueryEscape(name), token), nil, &a)
 }
 
 // Hold waits until the lease is held, runs f under it, and gives it back; f's context ends margin before the lease's time is
@@ -560,7 +612,7 @@
 			inner, end := l.Context(ctx, margin)
 			err := f(inner, l)
 			end()
-			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(c.o.TryMS)*time.Millisecond)
+			over, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.try())
 			defer cancel()
 			_ = l.Release(over) // else it ends by its time
 			return err
@@ -580,7 +632,7 @@
 		case errors.As(err, &held) && held.Code == coord.Bad:
 			return err
 		}
-		if !clock.Sleep(ctx, jitter(pause)) {
+		if !clock.Sleep(ctx, Pause(err, jitter(pause))) {
 			return errors.Join(err, ctx.Err())
 		}
 		pause = min(2*pause, mostPause)
--- a/internal/coord/node/changes.go
+++ b/internal/coord/node/changes.go
@@ -104,14 +104,3 @@
 	})
 	n.give(w, rows, err)
 }
-
-// neededVersion is that of the commands from which on an op is understood.
-func neededVersion(op coord.Op) int {
-	switch op {
-	case coord.Roll:
-		return 2
-	case coord.Put:
-		return coord.DocumentVersion
-	}
-	return 1
-}
