--- a/decide/decide.go
+++ b/decide/decide.go
@@ -625,8 +625,8 @@
 // afford says whether this router's equal part of a cold server's slow-start budget lets a request go there.
 //
 // The part begins at a random fraction of a request, grows by what the settings allow, and lapses by one request each time
-// that it holds more than one beside what flows in during half of FallFor. So of parts below one request only that share
-// lets one go at once, and the fleet holds half of what it may send in a window: the sum over all routers follows the
+// that it holds more than one beside what flows in during FallFor. So of parts below one request only that share lets one
+// go at once, and the fleet holds at most what flows in during a window: the sum over all routers follows the
 // settings, not the number of routers. Parts that filled up to one request each let hundreds send one in the same moment.
 // Every request needs a whole one, or half of all routers could send a light one right after the start. A heavy one takes
 // only what is soon to lapse: more light ones are served by the same work.
@@ -636,7 +636,7 @@
 	}
 	c := b.typical(s, 10) // a report made amid cheap misses overstates what the server can do
 	growth := 0.4 * b.cfg.FallMult * c * b.warmth(s) / b.shares() / 1000
-	kept := growth * b.cfg.FallFor / 2
+	kept := growth * b.cfg.FallFor
 	s.budget.v += growth * (b.now - s.budget.at)
 	s.budget.v -= math.Ceil(max(0, s.budget.v-1-kept))
 	s.budget.at = b.now
