--- a/cmd/dockhinge-lab/main.go
+++ b/cmd/dockhinge-lab/main.go
@@ -51,7 +51,7 @@
 		Long: "A fleet on loopback to try the router on: stand-ins for cache servers, the origin, discovery and the network,\n" +
 			"real router processes, a load, and faults. docs/laboratory.md tells more.\n\n" +
 			"Exit: 0 where all held, 3 where something did not, 1 where it could not be played."}
-	r.AddCommand(up(), run(), all(), changes(), steps(), suspects(), agree(), agreeCost(), holderCommand(), resourceCommand(), list(), against(), compare(), sweep(), costCommand(), relayCommand(), tallyCommand(), twin(), dutyCommand())
+	r.AddCommand(up(), run(), all(), changes(), steps(), suspects(), agree(), agreeCost(), observeCost(), holderCommand(), resourceCommand(), list(), against(), compare(), sweep(), costCommand(), relayCommand(), tallyCommand(), twin(), dutyCommand())
 	return r
 }
 
--- /dev/null
+++ b/lab/fleet/observecost.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/internal/coord"
+	"dockhinge.example/dockhinge/internal/coord/client"
+	observerclient "dockhinge.example/dockhinge/internal/coord/observer/client"
+)
+
+// ObserveCost is what coordinators and observers cost with so many routers that watch, without faults.
+type ObserveCost struct {
+	Routers      int
+	Joined       time.Duration // until all held the first document
+	Coordinators AgreeUse      // idle
+	Observer     Use           // the busiest, idle; CPUMS is for a second
+	P50, Last    time.Duration // from the answer to a put until the last router has it in force: the median, the longest
+}
+
+// observeIdle is how long the cost at rest is measured.
+const observeIdle = 5 * time.Second
+
+// costRun is a run of MeasureObservers.
+type costRun struct {
+	agreement *agreement
+	observers []*proc
+	addresses []string
+	clients   []*observerclient.Client
+	wg        sync.WaitGroup
+	cancel    context.CancelFunc
+}
+
+// MeasureObservers lets so many routers watch so many observers of so many coordinators, and puts a document again and again.
+func MeasureObservers(ctx context.Context, coordinators, observers, routers, puts int, o AgreeOptions) (cost ObserveCost, err error) {
+	a, err := calm(ctx, coordinators, o)
+	if err != nil {
+		return cost, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	run := &costRun{agreement: a, cancel: cancel}
+	defer run.close()
+	if err := run.upgrade(ctx); err != nil {
+		return cost, err
+	}
+	for i := range observers {
+		if err := run.startObserver(fmt.Sprint("o", i), routers); err != nil {
+			return cost, err
+		}
+	}
+	operator, end := liveClient(ctx, a.addresses(), "operator", 20*time.Second)
+	defer end()
+	revision, err := operator.Put(ctx, coord.DocumentPut{Name: "measure"})
+	if err != nil {
+		return cost, err
+	}
+	cost.Routers = routers
+	began := time.Now()
+	run.startRouters(ctx, routers)
+	if err := run.awaitRevision(ctx, revision); err != nil {
+		return cost, err
+	}
+	cost.Joined = time.Since(began)
+	if err := run.measureIdle(ctx, &cost); err != nil {
+		return cost, err
+	}
+	var took []time.Duration
+	for i := range puts {
+		revision, err = operator.Put(ctx, coord.DocumentPut{Name: "measure", Value: fmt.Appendf(nil, "%0100d", i), Expected: revision})
+		if err != nil {
+			return cost, err
+		}
+		began := time.Now()
+		if err := run.awaitRevision(ctx, revision); err != nil {
+			return cost, err
+		}
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	cost.P50, cost.Last = took[len(took)/2], took[len(took)-1]
+	return cost, nil
+}
+
+func (r *costRun) upgrade(ctx context.Context) error {
+	leader, err := r.agreement.leader(ctx)
+	if err != nil {
+		return err
+	}
+	var answer coord.Answer
+	if err := client.Call(ctx, http.MethodPost, leader.api, "/v1/upgrade", coord.Command{Version: coord.Version}, &answer); err != nil {
+		return err
+	}
+	if answer.Code != coord.OK {
+		return fmt.Errorf("upgrade: %w", errors.New(answer.Text))
+	}
+	return nil
+}
+
+// startObserver starts one that has room for all routers.
+func (r *costRun) startObserver(name string, routers int) error {
+	api, err := FreeAddr()
+	if err != nil {
+		return err
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "version = 1\nname = %q\napi = %q\nmax_watchers = %d\n[coordinators]\n", name, api, max(routers, 1))
+	for coordinator, address := range r.agreement.addresses() {
+		fmt.Fprintf(&text, "%s = %q\n", coordinator, address)
+	}
+	dir := r.agreement.o.Dir
+	file := filepath.Join(dir, name+".toml")
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	p := &proc{name: name, dir: dir, env: r.agreement.o.Env, command: append(slices.Clone(r.agreement.o.Coord), "observe", file)}
+	r.observers, r.addresses = append(r.observers, p), append(r.addresses, api)
+	return p.start()
+}
+
+func (r *costRun) startRouters(ctx context.Context, routers int) {
+	for i := range routers {
+		c := observerclient.New(observerclient.Options{Observers: r.addresses, Watcher: fmt.Sprint("r", i),
+			Apply: func(context.Context, observerclient.State) error { return nil }})
+		r.clients = append(r.clients, c)
+		r.wg.Go(func() { c.Run(ctx) })
+	}
+}
+
+// awaitRevision waits until every router has a revision in force.
+func (r *costRun) awaitRevision(ctx context.Context, revision uint64) error {
+	for _, c := range r.clients {
+		for {
+			if _, inForce := c.Revision(); inForce >= revision {
+				break
+			}
+			if !wait(ctx, 0.001) {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// measureIdle measures what all use while nothing changes.
+func (r *costRun) measureIdle(ctx context.Context, cost *ObserveCost) (err error) {
+	before := make([]Use, len(r.observers))
+	for i, p := range r.observers {
+		if before[i], err = ProcessUse(p.cmd.Process.Pid); err != nil {
+			return err
+		}
+	}
+	if cost.Coordinators, err = r.agreement.use(ctx, observeIdle); err != nil {
+		return err
+	}
+	for i, p := range r.observers {
+		now, err := ProcessUse(p.cmd.Process.Pid)
+		if err != nil {
+			return err
+		}
+		now.CPUMS = (now.CPUMS - before[i].CPUMS) / observeIdle.Seconds()
+		if now.CPUMS > cost.Observer.CPUMS {
+			cost.Observer = now
+		}
+	}
+	return nil
+}
+
+func (r *costRun) close() {
+	r.cancel()
+	r.wg.Wait()
+	for _, p := range r.observers {
+		p.kill()
+	}
+	r.agreement.close()
+}
