--- a/internal/coord/client/client.go
+++ b/internal/coord/client/client.go
@@ -53,7 +53,8 @@
 	ErrLost      = errors.New("the lease's time is out")
 )
 
-// RefusedError is what the coordinators answered where it is no OK.
+// RefusedError is what the coordinators answered where it is no OK. With the code NoSession it isn't known whether the command was
+// carried out: an earlier sending of it may have been, and what a session was answered is forgotten when it ends.
 type RefusedError struct{ coord.Answer }
 
 // Client is a session with what it holds.
