Have a server leave the laboratory's fleet only after the fault that has it down

TestWrongRoutersAreCaught was once stopped by the race detector: back wrote a member's entry, which leave copied. A crash that began at 0.3 s comes back at 0.5 s, and the shrink at 0.9 s met the same server when the machine was slow. leave was the only user of a server that didn't lock its busy; and a server that had left was started again by a crash that began before.

leave now owns each of its servers, by its busy, from its word to its end, each server by itself: one that is down leaves once it is back. The entry's changing fields belong to the owner. A server that has left can't be owned by a crash, and back leaves it as it is. Fleet.Up read the mark without its lock, and doesn't any more.

A crash no longer meets a server while it drains: it used to say that a leaving server was active again. Of the scenarios only the fake routers' one has both.

--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -179,7 +179,7 @@
 
 // crash has servers die and come back cold.
 func (fl *Fleet) crash(ctx context.Context, f scenario.Fault) {
-	part := slices.DeleteFunc(fl.pick(f), func(m *member) bool { return !m.busy.TryLock() })
+	part := slices.DeleteFunc(fl.pick(f), func(m *member) bool { return !fl.tryOwn(m) })
 	defer func() {
 		for _, m := range part {
 			m.busy.Unlock()
@@ -205,8 +205,30 @@
 	}
 }
 
-// back starts a server again, cold.
+// tryOwn locks a server's busy for a fault, unless another has it or the server has left since it was picked.
+func (fl *Fleet) tryOwn(m *member) bool {
+	if !m.busy.TryLock() {
+		return false
+	}
+	if fl.hasLeft(m) {
+		m.busy.Unlock()
+		return false
+	}
+	return true
+}
+
+// hasLeft reports whether a server has left the fleet for good.
+func (fl *Fleet) hasLeft(m *member) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return m.gone
+}
+
+// back starts a server again, cold, unless it has left the fleet. The caller has locked the server's busy.
 func (fl *Fleet) back(m *member) {
+	if fl.hasLeft(m) {
+		return
+	}
 	if err := m.Restart(); err != nil {
 		fl.trouble(err)
 		return
@@ -222,23 +244,32 @@
 	fl.problem = append(fl.problem, "the lab: "+err.Error())
 }
 
-// leave has servers say that they leave, and end after a time.
+// leave has servers say that they leave, and end after a time. It returns once all have ended.
 func (fl *Fleet) leave(ctx context.Context, part []*member, drainS float64) {
+	var wg sync.WaitGroup
 	for _, m := range part {
-		e := m.entry
-		e.State = "leaving"
-		fl.discovery.Happened(e)
+		wg.Go(func() { fl.leaveOne(ctx, m, drainS) })
 	}
-	wait(ctx, drainS)
-	for _, m := range part {
-		e := m.entry
-		e.State = "left"
-		fl.discovery.Happened(e)
-		m.Kill()
-		fl.mu.Lock()
-		m.gone = true
-		fl.mu.Unlock()
+	wg.Wait()
+}
+
+// leaveOne has one server leave, once it is up again where another fault has it down.
+func (fl *Fleet) leaveOne(ctx context.Context, m *member, drainS float64) {
+	m.busy.Lock()
+	defer m.busy.Unlock()
+	if fl.hasLeft(m) {
+		return
 	}
+	e := m.entry
+	e.State = "leaving"
+	fl.discovery.Happened(e)
+	wait(ctx, drainS)
+	e.State = "left"
+	fl.discovery.Happened(e)
+	m.Kill()
+	fl.mu.Lock()
+	m.gone = true
+	fl.mu.Unlock()
 }
 
 // deploy replaces servers batch by batch by new ones under new ids, which start cold.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -84,9 +84,9 @@
 // member is a cache server's place in the fleet.
 type member struct {
 	*standin.Server
-	busy  sync.Mutex // whoever has it down
-	entry model.Entry
-	gone  bool
+	busy  sync.Mutex  // locked by whoever has it down or has it leave
+	entry model.Entry // its Started and State belong to whoever has locked busy; the rest never changes
+	gone  bool        // it has left for good; guarded by the fleet's mu
 }
 
 // Run plays a scenario. The error tells that it could not be played; what did not hold stands in the result.
@@ -201,7 +201,7 @@
 // Up counts cache servers that run.
 func (fl *Fleet) Up() (up, all int) {
 	for _, m := range fl.allMembers() {
-		if !m.gone {
+		if !fl.hasLeft(m) {
 			all++
 			if m.Up() {
 				up++
