Tell how a router's process ended before it was ready

TestRoutersWithoutCoordinators failed once as router r5 ended before it was ready, with an empty log. A router writes a line before it binds its address, and one for each error with which it ends by itself, an address in use among them; so an empty log speaks for a signal. The error told neither the exit status nor the signal, so that run can't be explained any more.

The error now tells it: TestEndBeforeReadyIsTold has a router that exits with 0, one with 4, and one killed without a word.

--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -41,6 +41,7 @@
 	admin    string
 	expected bool // its end is; guarded by the router's mu
 	done     chan struct{}
+	end      error // how it ended; to be read once done is closed
 }
 
 // given are the addresses that FreeAddr has given: whoever got one may not have bound it yet, or again.
@@ -117,6 +118,7 @@
 			}
 		}
 		r.mu.Unlock()
+		p.end = err
 		close(p.done)
 	}()
 	return p.ready(ctx, r, ready)
@@ -135,7 +137,7 @@
 		select {
 		case <-p.done:
 			log, _ := os.ReadFile(filepath.Join(r.dir, "log"))
-			return fmt.Errorf("router %s ended before it was ready:\n%s", r.name, tail(log, 5))
+			return fmt.Errorf("router %s ended before it was ready: %s\n%s", r.name, endOf(p.end), tail(log, 5))
 		case <-ctx.Done():
 			return fmt.Errorf("router %s: not ready within %v", r.name, within)
 		case <-tick.C:
@@ -143,6 +145,14 @@
 	}
 }
 
+// endOf tells how a process ended: its exit status, or the signal that ended it, which leaves no word in its log.
+func endOf(err error) string {
+	if err == nil {
+		return "exit status 0"
+	}
+	return err.Error()
+}
+
 func tail(text []byte, lines int) []byte {
 	all := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
 	return bytes.Join(all[max(0, len(all)-lines):], []byte("\n"))
--- a/lab/fleet/readiness_test.go
+++ b/lab/fleet/readiness_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +67,18 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// A router that ends before it is ready is told with how it ended, also where it wrote nothing.
+func TestEndBeforeReadyIsTold(t *testing.T) {
+	f, err := scenario.Parse("fake", []byte(fakeScenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for script, want := range map[string]string{"exit 0": "exit status 0", "exit 4": "exit status 4", "kill -9 $$": "signal: killed"} {
+		fl := newFleet(f, Options{Command: []string{"/bin/sh", "-c", script}, Dir: t.TempDir()})
+		t.Cleanup(fl.close)
+		if err := fl.start(t.Context()); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, without %q", script, err, want)
+		}
+	}
+}
