--- a/lab/fleet/change.go
+++ b/lab/fleet/change.go
@@ -46,6 +46,27 @@
 // warmed takes off what the fleet's clock may be faster, in milliseconds.
 const warmedMS = 100
 
+// upgradeWithin bounds the wait for a leader that puts the newest version in force: on a busy machine the first one may be
+// replaced at any moment.
+const upgradeWithin = 20 * time.Second
+
+// upgradeCoordinators has the leader of this moment put the newest version in force. It may be repeated.
+func (fl *Fleet) upgradeCoordinators(ctx context.Context) error {
+	leader, err := fl.coords.leader(ctx)
+	if err != nil {
+		return err
+	}
+	var answer coord.Answer
+	upgrade := coord.Command{Version: coord.Version}
+	if err := client.Call(ctx, http.MethodPost, leader.api, "/v1/upgrade", upgrade, &answer); err != nil {
+		return fmt.Errorf("upgrade: %w", err)
+	}
+	if answer.Code != coord.OK {
+		return fmt.Errorf("upgrade: %s", answer.Text)
+	}
+	return nil
+}
+
 // setBudgets puts the scenario's budgets in force.
 func (fl *Fleet) setBudgets(ctx context.Context) error {
 	o := fl.File.Fleet.Out
@@ -59,14 +80,9 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	l, err := fl.coords.leader(ctx)
-	if err != nil {
+	if err := until(ctx, upgradeWithin, func() error { return fl.upgradeCoordinators(ctx) }); err != nil {
 		return err
 	}
-	var a coord.Answer
-	if err := client.Call(ctx, http.MethodPost, l.api, "/v1/upgrade", coord.Command{Version: coord.Version}, &a); err != nil || a.Code != coord.OK {
-		return fmt.Errorf("upgrade: %w %s", err, a.Text)
-	}
 	p := fl.tool("budgets", "budgets", "set", path)
 	if err := p.start(); err != nil {
 		return err
