Ask another discovery for changes, and share one budget of time between its calls

Cause: every router asked the new discovery for the complete list, which takes discovery some 80 ms each; 236 routers needed 20 s. Its queue stood at its limit for ten seconds and calls were rejected. On top, bounds added up: a call given up after 2 s just when its turn came, a pause of up to 4 s after a rejection, a first call up to 4 s after a start.

Evidence: each discovery call is logged at debug level now (it was not, so a slow queue, a dead discovery and long pauses looked alike).

Change: the configuration's own list is in the new discovery's versions, so the router asks for the changes to it; both replace the list that is held. A call waits for its turn for 2.5 s, longer than discovery's own limit. Where discovery is polled only the Balancer decides on pauses; after a move each is a part of what is left of the 4 s. Weighed and left: keeping the old watch (the old address closes after 1.5 s of the 6 s, and what it says must not count), hedged calls (more load on the same queue), leaving possibly draining servers out (all are).

Tests: two over sockets failed before (asked for the complete list; current again after more than 4 s); two in decide and one over sockets are new with the code. The checker holds the 4 s after a move, and the laboratory has a discovery whose calls take time by lines, moves of it, and configurations with the list that a router last had.

--- a/decide/discovery_backoff_test.go
+++ b/decide/discovery_backoff_test.go
@@ -94,3 +94,70 @@
 
 // pollWithinMillis is the time after a change within which routers are to have asked.
 const pollWithinMillis = 10000
+
+// Guards against calls and pauses that add up: after a configuration that names another discovery,
+// a router whose calls are turned away, or are lost after their full time, has made so many calls by
+// the time at which a change counts as notified that one of them is likely to be accepted.
+func TestCallsAfterAMoveShareItsBudget(t *testing.T) {
+	const movedAt = 100000.0
+	for _, routers := range []int{4, 300, 5100} {
+		cfg := testConfig()
+		cfg.Routers = routers
+		cfg.PollEndpoints = true
+		cfg.PollWithinMillis = pollWithinMillis
+		for seed := range uint64(50) {
+			h := newHost()
+			b, err := New(cfg, seed, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.UpdateEndpoints(movedAt-10000, RestoredEndpoints, fleet(6))
+			b.UpdateEndpoints(movedAt-5000, ChangedEndpoints, nil)
+			before := h.watches
+			b.DiscoveryMoved(movedAt)
+			if h.watches != before+1 {
+				t.Fatalf("%d routers: no call at once after a move", routers)
+			}
+			b.UpdateEndpoints(movedAt+20, WatchFailed, nil)
+			calls := 0
+			for now := movedAt; now < movedAt+movedNotifiedMillis; now += 50 {
+				n := h.watches
+				b.TimerExpired(now, housekeepingToken)
+				if h.watches > n {
+					calls++
+					b.UpdateEndpoints(now+20, WatchFailed, nil)
+				}
+			}
+			least, most := 4, int(movedNotifiedMillis/(minMovedRetryMillis/3))
+			if routers == 5100 { // the herd has to stay spread
+				least, most = 1, 3
+			}
+			if calls < least || calls > most {
+				t.Errorf("%d routers, seed %d: %d further calls within %v ms, want %d to %d",
+					routers, seed, calls, movedNotifiedMillis, least, most)
+			}
+		}
+	}
+	if MaxBackOffMillis+MaxPollCallMillis > notifiedMillis {
+		t.Errorf("a pause of %v ms and a call of %v ms are over the %v ms after which a change counts as notified",
+			MaxBackOffMillis, MaxPollCallMillis, notifiedMillis)
+	}
+}
+
+// After an answer of the new discovery the usual backoff holds again.
+func TestMoveEndsWithItsFirstAnswer(t *testing.T) {
+	cfg := testConfig()
+	cfg.Routers = 300
+	cfg.PollEndpoints = true
+	b, h := start(t, cfg, fleet(3))
+	b.DiscoveryMoved(100000)
+	b.UpdateEndpoints(100100, ChangedEndpoints, nil)
+	b.UpdateEndpoints(100200, WatchFailed, nil)
+	n := h.watches
+	for now := 100200.0; now < 100200+MaxBackOffMillis/3-100; now += 50 {
+		b.TimerExpired(now, housekeepingToken)
+	}
+	if h.watches != n {
+		t.Error("called again before the shortest usual backoff")
+	}
+}
--- a/decide/endpoints.go
+++ b/decide/endpoints.go
@@ -42,8 +42,7 @@
 		b.discovery.pollAt = now + b.pollBackoffMillis()
 		return
 	}
-	b.discovery.pollAt = math.Inf(1)
-	b.discovery.failures = 0
+	b.discovery = discoveryPolling{pollAt: math.Inf(1)}
 	if b.cfg.PollEndpoints && kind == RestoredEndpoints {
 		b.discovery.pollAt = now + b.firstPollMillis()
 	}
--- a/internal/router/config_update.go
+++ b/internal/router/config_update.go
@@ -12,21 +12,25 @@
 
 // runDiscovery follows the discovery that the configuration names, and takes new configurations,
 // until ctx ends. held is the list that the router starts with. onList takes each list besides the
-// loop.
+// loop. Another discovery is asked for the changes to the list that its configuration brings: those
+// take it a fraction of the time of a complete list for each router.
 func (l *loop) runDiscovery(ctx context.Context, cfg *Config, held endpointList, updates <-chan *Config,
 	onList func(endpointList)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for cfg != nil {
+	d := l.newWatch(cfg, onList)
+	d.hold(held)
+	for {
 		watchContext, stopWatch := context.WithCancel(ctx)
-		d := l.newWatch(cfg, onList)
-		d.holdsList = d.isPolled && len(held.Servers) > 0
-		d.heldVersion = held.Version
-		held = endpointList{}                // another discovery is asked for the complete list
 		l.post(func() { l.setDiscovery(d) }) // before anything that it sends
 		wg.Go(func() { d.run(watchContext) })
 		cfg = l.awaitOtherDiscovery(ctx, cfg, updates)
 		stopWatch()
+		if cfg == nil {
+			return
+		}
+		d = l.newWatch(cfg, onList)
+		d.replaceHeld(cfg.Known)
 	}
 }
 
@@ -50,10 +54,11 @@
 // setDiscovery follows d from now on, and no discovery before it. The list that is held stays until d
 // gives a complete one.
 func (l *loop) setDiscovery(d *discovery) {
-	if l.discovery != nil {
-		d.requestWatch() // the Balancer's request has gone to the one before
-	}
+	hasMoved := l.discovery != nil
 	l.discovery = d
+	if hasMoved && d.isPolled {
+		l.balancer.DiscoveryMoved(l.now())
+	}
 	l.staleGuard = staleGuard{} // its versions may be counted otherwise
 }
 
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"dockhinge.example/dockhinge/decide"
 )
 
 // discovery gets the endpoint list from a discovery service and then watches it: a call that waits
@@ -37,6 +39,9 @@
 	holdsList bool
 	// heldVersion is the version of that list.
 	heldVersion int64
+	// base is that list while it is not the one that the router holds, which is in the versions of
+	// another discovery. Without servers they are the same.
+	base endpointList
 	// lastCallFailed is set when a watch has ended, until the next call succeeds.
 	lastCallFailed bool
 }
@@ -45,17 +50,18 @@
 // alike until the wait is over: only then is a watch found to be dead, with all the changes that it
 // has lost.
 type discoveryTiming struct {
-	// listTimeout is for a call for the complete list.
-	listTimeout time.Duration
+	// turnTimeout is for a call that discovery answers in its turn, without a wait for changes.
+	turnTimeout time.Duration
 	// watchWait is how long one call of a watch waits for changes.
 	watchWait time.Duration
-	// watchWaitAfterFailure is that of the first call after a failure, which may meet a discovery
-	// that is still silent.
+	// watchWaitAfterFailure is that of the first call after a failure or to another discovery, whose
+	// answer says that the list is current again.
 	watchWaitAfterFailure time.Duration
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack time.Duration
-	// maxBackoff bounds the time between a failure and the next call. It is half of that at least,
-	// and random: else all routers would call at once when discovery is back.
+	// maxBackoff bounds the time between a failure of an agent and the next call. It is half of that
+	// at least, and random: else all routers would call at once when agents are back. Where
+	// discovery is polled, the Balancer alone decides on the next call.
 	maxBackoff time.Duration
 	// maxBackoffAfterAnswer bounds that time where a call before the failure was answered.
 	maxBackoffAfterAnswer time.Duration
@@ -66,7 +72,7 @@
 	// cost. What it has sent, even into a connection that ends, must be acted on within 500 ms;
 	// after an outage its changes count as notified at once, so it is called often.
 	agentTiming = discoveryTiming{
-		listTimeout:           250 * time.Millisecond,
+		turnTimeout:           250 * time.Millisecond,
 		watchWait:             2 * time.Second,
 		watchWaitAfterFailure: 2 * time.Second,
 		watchSlack:            250 * time.Millisecond,
@@ -76,12 +82,10 @@
 	// sharedTiming is for one discovery for all routers. It works through calls one by one, so they
 	// are few and wait long.
 	sharedTiming = discoveryTiming{
-		listTimeout:           2 * time.Second,
+		turnTimeout:           decide.MaxPollCallMillis * time.Millisecond,
 		watchWait:             10 * time.Second,
-		watchWaitAfterFailure: time.Second,
+		watchWaitAfterFailure: time.Millisecond,
 		watchSlack:            time.Second,
-		maxBackoff:            time.Second,
-		maxBackoffAfterAnswer: 500 * time.Millisecond,
 	}
 )
 
@@ -149,12 +153,12 @@
 //
 //   - A watch ends with the first call that fails, or is not answered within its wait and watchSlack.
 //     The next one begins with the complete list, or with all changes since the list that is held, so
-//     that what was lost comes with its first answer.
+//     that what was lost comes with its first answer. That call waits for its turn for turnTimeout.
 //   - A watch that was silent to the end of its wait is replaced at once, as changes that it has lost
-//     count as known soon after. While discovery stays silent that is one call every
-//     watchWaitAfterFailure and watchSlack, without a backoff and without a word to the Balancer.
-//   - After any other failure the next watch begins after backoff; where discovery is polled, the
-//     Balancer is notified and the watch waits for its next request too.
+//     count as known soon after. While discovery stays silent that is one call every turnTimeout,
+//     without a backoff and without a word to the Balancer.
+//   - After any other failure the Balancer is notified where discovery is polled, and the next watch
+//     begins at its next request; an agent is called again after backoff.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	isFailing := false // the failure is logged, and the next ones need not be
@@ -181,10 +185,18 @@
 		}
 		d.dropRequest()
 		d.onFailure()
-		select {
-		case <-time.After(d.backoff(isAnswered)):
-		case <-ctx.Done():
-		}
+		d.pause(ctx, isAnswered)
+	}
+}
+
+// pause lets the backoff of an agent pass, or ctx end.
+func (d *discovery) pause(ctx context.Context, isAnswered bool) {
+	if d.isPolled {
+		return
+	}
+	select {
+	case <-time.After(d.backoff(isAnswered)):
+	case <-ctx.Done():
 	}
 }
 
@@ -202,8 +214,8 @@
 	return strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), listPath)
 }
 
-// backoff is the time between a failure and the next call, where a call before the failure was
-// answered or not.
+// backoff is the time between a failure of an agent and the next call, where a call before the
+// failure was answered or not.
 func (d *discovery) backoff(isAnswered bool) time.Duration {
 	half := d.timing.maxBackoff / 2
 	backoff := half + rand.N(half)
@@ -224,6 +236,7 @@
 	for err == nil && ctx.Err() == nil { // once ctx has ended another discovery is followed
 		isAnswered = true
 		d.lastCallFailed = false
+		list = d.withBase(list)
 		if d.isPolled {
 			d.holdsList = true
 			d.heldVersion = list.Version
@@ -237,28 +250,53 @@
 			}
 		}
 		calledAt = time.Now()
-		list, err = d.callWatch(ctx, list.Version, d.timing.watchWait)
+		list, err = d.callWatch(ctx, list.Version, d.timing.watchWait, d.timing.watchSlack)
 	}
 	d.lastCallFailed = true
 	return isAnswered, err
 }
 
+// hold has a watch that is polled begin with the changes to the list that the router holds. The list
+// is in this discovery's versions.
+func (d *discovery) hold(list endpointList) {
+	d.holdsList = d.isPolled && len(list.Servers) > 0
+	d.heldVersion = list.Version
+}
+
+// replaceHeld is hold for a list that the router does not hold: the first answer, completed by it,
+// replaces the one that is held.
+func (d *discovery) replaceHeld(list endpointList) {
+	d.hold(list)
+	if d.holdsList {
+		d.base = list
+	}
+}
+
+// withBase is an answer, or the complete list that it and the base make together.
+func (d *discovery) withBase(answer endpointList) endpointList {
+	base := d.base
+	d.base = endpointList{}
+	if len(base.Servers) == 0 || answer.IsComplete {
+		return answer
+	}
+	return base.with(answer)
+}
+
 // firstCall gets the complete list, or the changes to the one that is held: one call, not two.
 func (d *discovery) firstCall(ctx context.Context) (endpointList, error) {
-	if !d.holdsList {
-		return d.get(ctx, d.url, d.timing.listTimeout)
+	switch {
+	case !d.holdsList:
+		return d.get(ctx, d.url, d.timing.turnTimeout)
+	case d.lastCallFailed || len(d.base.Servers) > 0:
+		return d.callWatch(ctx, d.heldVersion, d.timing.watchWaitAfterFailure, d.timing.turnTimeout)
 	}
-	wait := d.timing.watchWait
-	if d.lastCallFailed {
-		wait = d.timing.watchWaitAfterFailure
-	}
-	return d.callWatch(ctx, d.heldVersion, wait)
+	return d.callWatch(ctx, d.heldVersion, d.timing.watchWait, d.timing.watchSlack)
 }
 
 // callWatch waits so long for the changes since a version. The error of a call that is not answered
-// within that and watchSlack is an errSilentWatch.
-func (d *discovery) callWatch(ctx context.Context, version int64, wait time.Duration) (endpointList, error) {
-	list, err := d.get(ctx, d.watchURL(version, wait), wait+d.timing.watchSlack)
+// within that and slack is an errSilentWatch.
+func (d *discovery) callWatch(ctx context.Context, version int64, wait, slack time.Duration) (endpointList, error) {
+	list, err := d.get(ctx, d.watchURL(version, wait), wait+slack)
 	if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
 		err = errors.Join(errSilentWatch, err)
 	}
@@ -274,15 +312,23 @@
 func (d *discovery) get(ctx context.Context, url string, timeout time.Duration) (endpointList, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := d.getBody(ctx, url)
+	calledAt := time.Now()
+	list, err := d.getList(ctx, url)
+	slog.Debug("discovery call", "url", url, "timeout", timeout, "took", time.Since(calledAt),
+		"version", list.Version, "complete", list.IsComplete, "servers", len(list.Servers), "error", err)
 	if err != nil {
 		return endpointList{}, fmt.Errorf("discovery: %w", err)
 	}
-	list, err := parseList(body)
+	return list, nil
+}
+
+// getList makes a call without a time limit of its own.
+func (d *discovery) getList(ctx context.Context, url string) (endpointList, error) {
+	body, err := d.getBody(ctx, url)
 	if err != nil {
-		return endpointList{}, fmt.Errorf("discovery: %w", err)
+		return endpointList{}, err
 	}
-	return list, nil
+	return parseList(body)
 }
 
 // getBody makes a call and returns the body of its answer, which maxListBytes bounds.
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -110,6 +110,10 @@
 		sharedTiming.watchSlack; sum > toldWithin {
 		t.Errorf("asked: news comes %v after a failure at most", sum)
 	}
+	if sum := decide.MaxBackOffMillis*time.Millisecond + sharedTiming.watchWaitAfterFailure +
+		sharedTiming.turnTimeout; sum > toldWithin+sharedTiming.watchWaitAfterFailure {
+		t.Errorf("asked: a call that waits its turn is given up %v after a failure at most", sum)
+	}
 	if sharedTiming.maxBackoff > decide.MaxBackOffMillis*time.Millisecond {
 		t.Errorf("asked: the pause of %v is longer than the back-off that it runs beside", sharedTiming.maxBackoff)
 	}
@@ -315,3 +319,37 @@
 		t.Errorf("%d requests to the draining server, %d to the other", len(s1.seen), len(s2.seen))
 	}
 }
+
+// queueLimit is the longest time for which a crowded discovery has a call wait for its turn.
+const queueLimit = 2 * time.Second
+
+// Guards against a call that waits in a crowded discovery's queue and is given up just before its
+// turn: the place in the queue is lost, and the next call waits as long again.
+func TestCallThatWaitsItsTurnIsNotGivenUp(t *testing.T) {
+	for name, isFirst := range map[string]bool{"complete list": true, "changes after a failure": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var calls, cutOff atomic.Int32
+			d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				select {
+				case <-time.After(queueLimit + 200*time.Millisecond):
+				case <-r.Context().Done():
+					cutOff.Add(1)
+					return
+				}
+				io.WriteString(w, `{"version":2,"full":true,"servers":[]}`)
+			}))
+			t.Cleanup(d.Close)
+			disc := newDiscovery(d.Listener.Addr().String(), true, 300, func(endpointList) {}, noHook)
+			t.Cleanup(disc.client.CloseIdleConnections)
+			if !isFirst {
+				disc.holdsList, disc.heldVersion, disc.lastCallFailed = true, 1, true
+			}
+			list, err := disc.firstCall(t.Context())
+			if err != nil || list.Version != 2 || calls.Load() != 1 || cutOff.Load() != 0 {
+				t.Errorf("got version %d, %v after %d calls, %d given up", list.Version, err, calls.Load(), cutOff.Load())
+			}
+		})
+	}
+}
--- a/internal/router/endpoint_list.go
+++ b/internal/router/endpoint_list.go
@@ -58,6 +58,26 @@
 	return decide.ChangedEndpoints
 }
 
+// with is the complete list after changes.
+func (l endpointList) with(changes endpointList) endpointList {
+	changed := make(map[string]bool, len(changes.Servers))
+	for _, e := range changes.Servers {
+		changed[e.ID] = true
+	}
+	complete := endpointList{Version: changes.Version, IsComplete: true}
+	for _, e := range l.Servers {
+		if !changed[e.ID] {
+			complete.Servers = append(complete.Servers, e)
+		}
+	}
+	for _, e := range changes.Servers {
+		if e.State != stateRemoved {
+			complete.Servers = append(complete.Servers, e)
+		}
+	}
+	return complete
+}
+
 // endpoint is the entry as the Balancer takes it. An error says what is wrong with the entry.
 func (e listEntry) endpoint() (decide.Endpoint, error) {
 	state, ok := listStates[e.State]
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -178,3 +178,95 @@
 		}
 	}
 }
+
+// polled is a configuration of one of 300 routers that poll one discovery.
+func polled(t *testing.T, cfg *Config) *Config {
+	t.Helper()
+	return withSettings(t, withSettings(t, cfg, `"discovery":"push"`, `"discovery":"ask"`), `"balancers":1`, `"balancers":300`)
+}
+
+// servingPolled starts a router that polls discovery, over a list that it holds and that discovery
+// gives, and waits until it watches.
+func servingPolled(t *testing.T, entries ...listEntry) *running {
+	t.Helper()
+	d := startDirectory(t, full(entries...))
+	r := start(t, polled(t, testConfig(t, d.Listener.Addr().String(), full(entries...))))
+	receive(t, d.calls, "watch")
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+	return r
+}
+
+// Guards against a fleet that asks another discovery for complete lists, which it takes many times as
+// long to give as changes: it is asked for the changes to the list that its configuration brings, and
+// they make the new list together, whatever versions the old discovery had.
+func TestAnotherDiscoveryIsAskedForChangesToItsConfigurationsList(t *testing.T) {
+	a, b, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
+	r := servingPolled(t, box("s-0000000b", a.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	if got := c.ask(readCommandOf("a0", 5000)); got != "VA 5 Oa0 hello" {
+		t.Errorf("before: got %q", got)
+	}
+	queries := make(chan string, 10)
+	hold := newGate(t)
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.Query().Get("after")
+		if len(queries) > 1 {
+			<-hold.opened
+			return
+		}
+		fmt.Fprint(w, `{"version":9,"full":false,"servers":[]}`)
+	}))
+	t.Cleanup(second.Close)
+	t.Cleanup(hold.open)
+	known := full(box("s-0000000c", b.addr), originAt(o.addr))
+	known.Version = 8
+	r.updates <- polled(t, testConfig(t, second.Listener.Addr().String(), known))
+	receive(t, a.ended, "end of the connection to the server that the new list lacks")
+	if got := receive(t, queries, "call"); got != "8" {
+		t.Errorf("asked for the changes after %q, want 8", got)
+	}
+	if got := c.ask(readCommandOf("a1", 5000)); got != "VA 5 Oa1 hello" {
+		t.Errorf("got %q", got)
+	}
+	receive(t, b.seen, "request at the server of the new list")
+}
+
+// Guards against a router that waits long before it calls a crowded discovery again that a new
+// configuration names: a server that drains is notified of within the budget though the first calls
+// are turned away.
+func TestDrainIsLearntFromACrowdedDiscovery(t *testing.T) {
+	const rejectedCalls = 3
+	a, b, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
+	entries := []listEntry{box("s-0000000b", a.addr), box("s-0000000c", b.addr), originAt(o.addr)}
+	r := servingPolled(t, entries...)
+	calls := make(chan time.Time, 100)
+	drained := full(entries...)
+	drained.Version = 2
+	drained.Servers[0].State = "leaving"
+	second := startDirectory(t, drained)
+	crowded := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- time.Now()
+		if len(calls) <= rejectedCalls {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		second.Config.Handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { crowded.CloseClientConnections(); crowded.Close() })
+	movedAt := time.Now()
+	r.updates <- polled(t, testConfig(t, crowded.Listener.Addr().String(), full(entries...)))
+	receive(t, second.calls, "call that is accepted")
+	receive(t, second.calls, "watch")
+	if took := time.Since(movedAt); took > 4*time.Second {
+		t.Errorf("the list was current again %v after the new configuration", took)
+	}
+	c := dial(t, r.addr)
+	for i := range 20 {
+		c.ask(fmt.Sprintf("mg %016x v O%x Pc=read,t=t,d=2000,h=52000,size=5", 7919*(i+1), i))
+	}
+	if len(a.seen) > 0 {
+		t.Errorf("%d requests to the draining server", len(a.seen))
+	}
+}
--- a/lab/checker/checker_test.go
+++ b/lab/checker/checker_test.go
@@ -56,6 +56,8 @@
 			e.Kind = DiscoveryUp
 		case "called":
 			e.Kind = ListCalled
+		case "moved":
+			e.Kind = DiscoveryMoved
 		case "silent":
 			e.Kind = WatchSilent
 			fmt.Sscan(word(2), &e.Deadline)
--- a/lab/checker/discovery_clock.go
+++ b/lab/checker/discovery_clock.go
@@ -9,6 +9,7 @@
 const (
 	listClockMillis    = 6000 // this long after discovery had it and could be reached, or after a watch fell silent;
 	waitEndClockMillis = 2000 // for a watch that fell silent also no sooner than this after the end of its wait
+	moveClockMillis    = 4000 // this long after a configuration that names another discovery, for what discovery has by then
 )
 
 // silentWatch is a router's watch that fell silent.
@@ -20,10 +21,16 @@
 	down    []span
 	calls   map[string][]float64     // by router
 	silence map[string][]silentWatch // by router
+	moves   map[string][]float64     // by router: to another discovery
 }
 
 func newDiscoveryHistory() discoveryHistory {
-	return discoveryHistory{listed: map[string][]Event{}, calls: map[string][]float64{}, silence: map[string][]silentWatch{}}
+	return discoveryHistory{
+		listed:  map[string][]Event{},
+		calls:   map[string][]float64{},
+		silence: map[string][]silentWatch{},
+		moves:   map[string][]float64{},
+	}
 }
 
 func (d *discoveryHistory) add(e Event) {
@@ -40,6 +47,8 @@
 		d.calls[e.Router] = append(d.calls[e.Router], e.At)
 	case WatchSilent:
 		d.silence[e.Router] = append(d.silence[e.Router], silentWatch{e.At, e.At + e.Deadline})
+	case DiscoveryMoved:
+		d.moves[e.Router] = append(d.moves[e.Router], e.At)
 	}
 }
 
@@ -53,8 +62,25 @@
 	return at
 }
 
-// toldByClock is when a change of the list counts as told to a router at the latest.
+// toldByClock is when a change of the list counts as told to a router at the latest. Of several times the earliest holds; only
+// what is pushed counts no sooner than moveClockMillis after a move that came before the change.
 func (d *discoveryHistory) toldByClock(router string, listedAt float64, isPushed bool) float64 {
+	told := d.toldByWatch(router, listedAt, isPushed)
+	for _, movedAt := range d.moves[router] {
+		byMove := max(movedAt+moveClockMillis, d.reachableAt(max(movedAt, listedAt)))
+		switch {
+		case listedAt > movedAt+moveClockMillis:
+		case isPushed && listedAt >= movedAt:
+			told = max(told, byMove)
+		default:
+			told = min(told, byMove)
+		}
+	}
+	return told
+}
+
+// toldByWatch is the same for a router that stays with its discovery.
+func (d *discoveryHistory) toldByWatch(router string, listedAt float64, isPushed bool) float64 {
 	reachableAt := d.reachableAt(listedAt)
 	told := reachableAt + listClockMillis
 	if isPushed {
--- a/lab/checker/discovery_clock_test.go
+++ b/lab/checker/discovery_clock_test.go
@@ -29,6 +29,13 @@
 		{"called again before the change", "drain", "500 silent 20000\n600 called\n" + listed + at(sent, "9060")},
 		{"a change after the silence is over", "drain", "500 silent 1000\n10000 listed s1 leaving" + at(sent, "12060")},
 		{"another router's watch", "drain", "500 silent 20000 router=other\n" + listed + at(sent, "9060")},
+		{"after a move, before 4 s and the grace are over", "", "1000 moved\n1200 listed s1 leaving" + at(sent, "7040")},
+		{"4 s and the grace after a move", "drain", "1000 moved\n1200 listed s1 leaving" + at(sent, "7060")},
+		{"a change before a move", "drain", "1000 listed s1 leaving\n1500 moved" + at(sent, "7560")},
+		{"a move delays nothing", "drain", "1000 listed s1 leaving\n4500 moved" + at(sent, "9060")},
+		{"a change later than 4 s after a move", "", "1000 moved\n5100 listed s1 leaving" + at(sent, "13140")},
+		{"another router's move", "", "1000 moved router=other\n1200 listed s1 leaving" + at(sent, "7060")},
+		{"a move while discovery is down", "", "800 down\n1000 moved\n1200 listed s1 leaving\n8000 up" + at(sent, "10040")},
 		{"the router was stopped", "", listed + at(sent, "9060") + "\n9100 paused"},
 	})
 	pushed := rules
@@ -36,6 +43,8 @@
 	checkCases(t, pushed, []ruleCase{
 		{"pushed, within the grace", "", listed + at(sent, "3040")},
 		{"pushed, after the grace", "drain", listed + at(sent, "3060")},
+		{"pushed, within 4 s and the grace after a move", "", "900 moved\n" + listed + at(sent, "6940")},
+		{"pushed, after 4 s and the grace", "drain", "900 moved\n" + listed + at(sent, "6960")},
 		{"pushed, discovery was down", "", "800 down\n" + listed + "\n3000 up" + at(sent, "5040")},
 		{"pushed, at its return", "drain", "800 down\n" + listed + "\n3000 up" + at(sent, "5060")},
 		{"pushed, the watch was silent", "", silent + at(sent, "24540")},
--- a/lab/fakes/discovery.go
+++ b/lab/fakes/discovery.go
@@ -6,11 +6,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dockhinge.example/dockhinge/lab/checker"
@@ -33,12 +36,43 @@
 	silence chan struct{} // closed when open watches fall silent
 	down    bool
 	calls   int
-	doors   []*http.Server
+	doors   map[string]*door                  // by address
+	told    map[string]map[string]model.Entry // by router: the list as it was told last
+	toldTo  map[string]toldVersion            // by router
 }
 
+// door is a listener for one router.
+type door struct {
+	server   *http.Server
+	listener net.Listener
+	retired  atomic.Bool
+}
+
+// toldVersion is the version of the list that a router was told last, and when.
+type toldVersion struct {
+	version int64
+	at      float64
+}
+
+// watchContinuesMillis is the time within which the next call of a watch continues it.
+const watchContinuesMillis = 200
+
+// retiredDoorTime is how long connections of a retired door stay open.
+const retiredDoorTime = 1500 * time.Millisecond
+
 // NewDiscovery starts discovery with a list that holds since long ago. Close ends it.
 func NewDiscovery(p model.DirectoryParams, seed uint64, known []model.Entry, clock *Clock, journal *checker.Journal) *Discovery {
-	d := &Discovery{clock: clock, journal: journal, d: model.NewDirectory(p, seed, known), changed: make(chan struct{}), silence: make(chan struct{}), kick: make(chan struct{}, 1)}
+	d := &Discovery{
+		clock:   clock,
+		journal: journal,
+		d:       model.NewDirectory(p, seed, known),
+		changed: make(chan struct{}),
+		silence: make(chan struct{}),
+		kick:    make(chan struct{}, 1),
+		doors:   map[string]*door{},
+		told:    map[string]map[string]model.Entry{},
+		toldTo:  map[string]toldVersion{},
+	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.wg.Go(d.run)
 	return d
@@ -88,7 +122,39 @@
 }
 
 // BookKnown tells the referee that a router knows the whole list as it is now: its configuration tells it.
-func (d *Discovery) BookKnown(router string) { d.bookTold(router, d.List().Servers) }
+func (d *Discovery) BookKnown(router string) { d.tell(router, d.List()) }
+
+// tell books a list, or changes, that a router was told.
+func (d *Discovery) tell(router string, list model.List) {
+	d.mu.Lock()
+	entries := d.told[router]
+	if list.Full || entries == nil {
+		entries = map[string]model.Entry{}
+		d.told[router] = entries
+	}
+	for _, e := range list.Servers {
+		if e.State == "left" {
+			delete(entries, e.ID)
+		} else {
+			entries[e.ID] = e
+		}
+	}
+	d.toldTo[router] = toldVersion{list.Version, d.clock.Now()}
+	d.mu.Unlock()
+	d.bookTold(router, list.Servers)
+}
+
+// LastTold is the list as a router was told it last, and whether it was told any.
+func (d *Discovery) LastTold(router string) (list model.List, isTold bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries, isTold := d.told[router]
+	list = model.List{Version: d.toldTo[router].version, Full: true, Servers: []model.Entry{}}
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		list.Servers = append(list.Servers, entries[id])
+	}
+	return list, isTold
+}
 
 // turn wakes those who wait. The caller holds mu.
 func (d *Discovery) turn() {
@@ -157,26 +223,47 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, router, address) })
-	door := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, BaseContext: func(net.Listener) context.Context { return d.ctx },
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	opened := &door{listener: ln, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return d.ctx },
+		ErrorLog:    slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}}
 	d.mu.Lock()
-	d.doors = append(d.doors, door)
+	d.doors[ln.Addr().String()] = opened
 	d.mu.Unlock()
 	d.wg.Go(func() {
-		if err := door.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := opened.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !opened.retired.Load() {
 			slog.Error("discovery", "error", err)
 		}
 	})
 	return ln.Addr().String(), nil
 }
 
+// Retire has a door accept no new connection, and close those that are open after retiredDoorTime.
+func (d *Discovery) Retire(addr string) {
+	d.mu.Lock()
+	retired := d.doors[addr]
+	delete(d.doors, addr)
+	d.mu.Unlock()
+	if retired == nil {
+		return
+	}
+	retired.retired.Store(true)
+	retired.listener.Close()
+	d.wg.Go(func() {
+		select {
+		case <-time.After(retiredDoorTime):
+		case <-d.ctx.Done():
+		}
+		retired.server.Close()
+	})
+}
+
 // serve answers one call.
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request, router string, address func(model.Entry) string) {
 	q := r.URL.Query()
 	d.mu.Lock()
 	d.calls++
 	d.journal.Add(checker.Event{At: d.clock.Now(), Kind: checker.ListCalled, Router: router})
-	wait, ok := d.d.Call(d.clock.Now())
+	wait, ok := d.queue(router, q.Get("after"))
 	down := d.down
 	d.mu.Unlock()
 	if !down && wait > 0 {
@@ -219,7 +306,23 @@
 	if _, err := w.Write(text); err != nil {
 		return
 	}
-	d.bookTold(router, l.Servers)
+	d.tell(router, l)
+}
+
+// queue is how long a call waits for its turn. A call that continues a watch does not, where calls cost by lines. The caller holds mu.
+func (d *Discovery) queue(router, after string) (wait float64, ok bool) {
+	now := d.clock.Now()
+	version, err := strconv.ParseInt(after, 10, 64)
+	if !d.d.CostsByLines() {
+		return d.d.Call(now)
+	}
+	if err != nil {
+		return d.d.CallFor(now, len(d.d.Whole().Servers))
+	}
+	if last := d.toldTo[router]; last.version == version && now-last.at < watchContinuesMillis {
+		return 0, true
+	}
+	return d.d.CallFor(now, len(d.d.After(version).Servers))
 }
 
 // watch waits for what is newer than a version.
@@ -261,8 +364,8 @@
 	d.mu.Lock()
 	doors := d.doors
 	d.mu.Unlock()
-	for _, door := range doors {
-		door.Close()
+	for _, opened := range doors {
+		opened.server.Close()
 	}
 	d.wg.Wait()
 }
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -100,6 +100,8 @@
 		for _, r := range fl.allRouters() {
 			r.signal(r.newest(), syscall.SIGHUP)
 		}
+	case "move-discovery":
+		fl.moveDiscovery(ctx, f)
 	case "coordinators-die":
 		if !fl.coordsBusy.TryLock() {
 			return
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,15 +25,15 @@
 // router is one router: a name and an address, and the processes that are it, two of them during an upgrade.
 type router struct {
 	name, zone, listen string
-	discovery          string
 	dir                string
 	number             int
 	busy               sync.Mutex // whoever has it down
 	label              string     // of its program's version, guarded by the fleet's mu
 
-	mu    sync.Mutex
-	procs []*process // the newest last
-	bad   []string   // ends that nobody asked for
+	mu        sync.Mutex
+	discovery string     // its address
+	procs     []*process // the newest last
+	bad       []string   // ends that nobody asked for
 }
 
 // process is one run of the router's command.
@@ -42,6 +43,7 @@
 	expected bool // its end is; guarded by the router's mu
 	done     chan struct{}
 	end      error // how it ended; to be read once done is closed
+	isReady  atomic.Bool
 }
 
 // given are the addresses that FreeAddr has given: whoever got one may not have bound it yet, or again.
@@ -85,19 +87,14 @@
 		return err
 	}
 	config["admin_addr"] = second
-	text, err := json.MarshalIndent(config, "", " ")
-	if err != nil {
-		return fmt.Errorf("router %s: %w", r.name, err)
-	}
 	tmp := filepath.Join(r.dir, "tmp")
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
 	}
-	path := filepath.Join(r.dir, "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return fmt.Errorf("router %s: %w", r.name, err)
+	if err := r.writeConfig(config); err != nil {
+		return err
 	}
-	cmd, err := Spawn(command, append([]string{"GW_CONFIG=" + path, "TMPDIR=" + tmp}, env...), filepath.Join(r.dir, "log"))
+	cmd, err := Spawn(command, append([]string{"GW_CONFIG=" + r.configFile(), "TMPDIR=" + tmp}, env...), filepath.Join(r.dir, "log"))
 	if err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
 	}
@@ -124,6 +121,39 @@
 	return p.ready(ctx, r, ready)
 }
 
+func (r *router) configFile() string { return filepath.Join(r.dir, "config.json") }
+
+// writeConfig writes the configuration file, whole at any moment.
+func (r *router) writeConfig(config map[string]any) error {
+	text, err := json.MarshalIndent(config, "", " ")
+	if err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	next := r.configFile() + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	if err := os.Rename(next, r.configFile()); err != nil {
+		return fmt.Errorf("router %s: %w", r.name, err)
+	}
+	return nil
+}
+
+func (r *router) discoveryAddr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.discovery
+}
+
+// setDiscovery sets the address of discovery for configurations from now on, and returns the one before.
+func (r *router) setDiscovery(addr string) (before string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.discovery
+	r.discovery = addr
+	return before
+}
+
 // ready waits until the second address says yes.
 func (p *process) ready(ctx context.Context, r *router, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
@@ -132,6 +162,7 @@
 	defer tick.Stop()
 	for {
 		if _, err := admin.Call(ctx, p.admin, http.MethodGet, "/-/ready"); err == nil {
+			p.isReady.Store(true)
 			return nil
 		}
 		select {
--- a/lab/fleet/routerconfig.go
+++ b/lab/fleet/routerconfig.go
@@ -4,10 +4,14 @@
 	"fmt"
 )
 
-// config is what the platform would tell a router.
+// config is what the platform would tell a router. The list in it is as the router had it last.
 func (fl *Fleet) config(r *router) map[string]any {
 	f := fl.File
-	known := fl.discovery.List()
+	known, isTold := fl.discovery.LastTold(r.name)
+	if !isTold {
+		fl.discovery.BookKnown(r.name)
+		known, _ = fl.discovery.LastTold(r.name)
+	}
 	kinds := []string{}
 	for i := range known.Servers {
 		known.Servers[i].Addr = fl.addrFor(r, known.Servers[i])
@@ -44,7 +48,7 @@
 		how = "probe"
 	}
 	return map[string]any{
-		"name": r.name, "listen": r.listen, "discovery": r.discovery, "seed": fmt.Sprintf("%016x", f.Seed*1000+uint64(r.number)+fl.fresh()),
+		"name": r.name, "listen": r.listen, "discovery": r.discoveryAddr(), "seed": fmt.Sprintf("%016x", f.Seed*1000+uint64(r.number)+fl.fresh()),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": f.Fleet.MemoryMB, "sockets": f.Fleet.Sockets}, "known": known,
 		"settings": map[string]any{"balancers": f.Fleet.Routers, "myNumber": r.number, "zone": r.zone, "zones": f.Fleet.Zones,
 			"categories": classes, "kinds": kinds, "family": "cache", "familyInfo": map[string]any{"mode": "aside", "originKind": len(kinds) - 1},
--- a/lab/fleet/routers.go
+++ b/lab/fleet/routers.go
@@ -29,9 +29,11 @@
 		}
 		r := &router{name: fmt.Sprintf("r%d", i), zone: fl.File.Fleet.Zones[i%len(fl.File.Fleet.Zones)], listen: listen, number: i,
 			dir: filepath.Join(fl.o.Dir, fmt.Sprintf("r%d", i))}
-		if r.discovery, err = fl.discovery.Door(r.name, func(e model.Entry) string { return fl.addrFor(r, e) }); err != nil {
+		addr, err := fl.openDiscovery(r)
+		if err != nil {
 			return err
 		}
+		r.setDiscovery(addr)
 		if slices.ContainsFunc(fl.File.Faults, func(x scenario.Fault) bool { return x.What == "release-routers" }) {
 			r.label = "v1"
 		}
@@ -47,6 +49,11 @@
 	return errors.Join(fails...)
 }
 
+// openDiscovery opens a listener of discovery for a router.
+func (fl *Fleet) openDiscovery(r *router) (addr string, err error) {
+	return fl.discovery.Door(r.name, func(e model.Entry) string { return fl.addrFor(r, e) })
+}
+
 func (fl *Fleet) operatorFile(r *router) string { return filepath.Join(fl.o.Dir, r.name+".toml") }
 
 // startCoordinators starts those that the scenario has, and writes the operator file that makes routers their clients.
@@ -121,7 +128,6 @@
 // startRouter starts a process of a router and has the front use it.
 func (fl *Fleet) startRouter(ctx context.Context, r *router) error {
 	config := fl.config(r)
-	fl.discovery.BookKnown(r.name) // the configuration tells the list, whatever the process before was told
 	command, env := fl.command(r), []string(nil)
 	fl.mu.Lock()
 	if rel := fl.released; rel != nil && r.label == "v2" && plants[rel.Spoil] != "" {
--- a/lab/model/directory.go
+++ b/lab/model/directory.go
@@ -27,9 +27,11 @@
 
 // DirectoryParams describe discovery.
 type DirectoryParams struct {
-	LateMS    [2]float64 `toml:"late_ms"`    // news is told this much after the event, evenly spread
-	CallsPerS float64    `toml:"calls_s"`    // calls for the whole list it can answer in a second, in turn; 0 = no bound
-	TimeoutMS float64    `toml:"timeout_ms"` // a call that would wait longer is turned away
+	LateMS    [2]float64 `toml:"late_ms"`           // news is told this much after the event, evenly spread
+	CallsPerS float64    `toml:"calls_s"`           // calls for the whole list it can answer in a second, in turn; 0 = no bound
+	TimeoutMS float64    `toml:"timeout_ms"`        // a call that would wait longer is turned away
+	LinesPerS float64    `toml:"lines_s,omitempty"` // in place of calls_s: a call takes call_lines and a line for each server that it tells, in turn
+	CallLines float64    `toml:"call_lines,omitempty"`
 }
 
 type pending struct {
@@ -154,14 +156,32 @@
 }
 
 // Call takes a call for a list at now: it is answered after wait milliseconds, or turned away where that is too long.
-func (d *Directory) Call(now float64) (wait float64, ok bool) {
-	if d.p.CallsPerS <= 0 {
+func (d *Directory) Call(now float64) (wait float64, ok bool) { return d.CallFor(now, 0) }
+
+// CallFor is Call for an answer of so many servers.
+func (d *Directory) CallFor(now float64, servers int) (wait float64, ok bool) {
+	cost := d.callMillis(servers)
+	if cost <= 0 {
 		return 0, true
 	}
 	begin := max(now, d.free)
-	if end := begin + 1000/d.p.CallsPerS; d.p.TimeoutMS <= 0 || end-now <= d.p.TimeoutMS {
+	if end := begin + cost; d.p.TimeoutMS <= 0 || end-now <= d.p.TimeoutMS {
 		d.free = end
 		return end - now, true
 	}
 	return d.p.TimeoutMS, false
 }
+
+// CostsByLines reports whether a call takes longer the more servers its answer has.
+func (d *Directory) CostsByLines() bool { return d.p.LinesPerS > 0 }
+
+// callMillis is the time that a call takes discovery; 0 = none.
+func (d *Directory) callMillis(servers int) float64 {
+	switch {
+	case d.p.LinesPerS > 0:
+		return 1000 * (d.p.CallLines + float64(servers)) / d.p.LinesPerS
+	case d.p.CallsPerS > 0:
+		return 1000 / d.p.CallsPerS
+	}
+	return 0
+}
