Reject a keyed request only where its repeat is dropped

Callers saw: a keyed write was answered 'busy', which promises that sending it again is harmless, after its window for repeats or after an attempt at the origin that may have run; sent again as invited it ran once more.

Cause: mayReject looked at the class alone, dropsRepeat at window and server. Two places had two rules.

Change: a request that may have run is rejected only where whichever server its resend reaches drops it: scope all, not at the origin, within the window when the Retry-After is over. Else it fails. The checker's effect rule has the window too.

TestKeyedIsNotSentAfterItsWindow wanted a rejection after the window: that was the fault, it wants a failure now, and still one send.

--- a/decide/placement.go
+++ b/decide/placement.go
@@ -326,7 +326,7 @@
 			break
 		}
 	}
-	if r.mayReject() || r.inFlight > 0 {
+	if r.inFlight > 0 || b.mayReject(r, b.retryAfterMillis(r)) {
 		return nil
 	}
 	return fallback
--- a/decide/rejection.go
+++ b/decide/rejection.go
@@ -66,15 +66,22 @@
 }
 
 // mayReject says whether a request may be rejected rather than failed. A rejection invites the client
-// to send it again, so no attempt of it may have run, unless a repeat is harmless.
-func (r *request) mayReject() bool {
-	switch {
-	case r.class.Effect == Idempotent:
-		return true
-	case r.class.Effect == IdempotentByKey && r.class.IdempotencyScope == scopeAll:
+// to send it again to any router, after the Retry-After, so no attempt of it may have run, unless a
+// repeat is harmless then.
+func (b *Balancer) mayReject(r *request, retryAfterMillis float64) bool {
+	if r.class.Effect == Idempotent {
 		return true
 	}
-	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.mayHaveRun })
+	return !slices.ContainsFunc(r.attempts, func(a attempt) bool {
+		return a.mayHaveRun && !b.dropsResend(r.class, &a, retryAfterMillis)
+	})
+}
+
+// dropsResend says whether whichever server a client's resend reaches will drop it, where an attempt
+// may have run.
+func (b *Balancer) dropsResend(c *Class, a *attempt, retryAfterMillis float64) bool {
+	isByAnyServer := c.Effect == IdempotentByKey && c.IdempotencyScope == scopeAll
+	return isByAnyServer && a.server != b.membership.origin && a.isWithinWindow(c, b.now+retryAfterMillis)
 }
 
 // answer gives the final answer to a request that was not served, unless an attempt is in flight
@@ -84,8 +91,9 @@
 		return
 	}
 	b.cause = cause
-	if r.mayReject() {
-		b.host.Reject(r.ID, b.retryAfterMillis(r))
+	retryAfterMillis := b.retryAfterMillis(r)
+	if b.mayReject(r, retryAfterMillis) {
+		b.host.Reject(r.ID, retryAfterMillis)
 	} else {
 		b.host.Fail(r.ID)
 	}
--- a/decide/rejection_test.go
+++ b/decide/rejection_test.go
@@ -130,3 +130,47 @@
 		}
 	}
 }
+
+// Guards against a rejection that invites a client to run a keyed request twice: after the end of the
+// window, with a Retry-After beyond it, or where it may have run at the origin, nothing drops the
+// client's repeat.
+func TestKeyedRequestIsRejectedOnlyWhereItsRepeatIsDropped(t *testing.T) {
+	const window = 400
+	for name, c := range map[string]struct {
+		status           AttemptStatus
+		endedAt          float64
+		toOrigin         bool
+		minRetryAfter    float64
+		rejected, failed int
+	}{
+		"within its window":               {Failed, 200, false, 0, 1, 0},
+		"after its window":                {Failed, 450, false, 0, 0, 1},
+		"Retry-After beyond its window":   {Failed, 380, false, 25, 0, 1},
+		"never ran, after its window":     {QueueFull, 450, false, 0, 1, 0},
+		"at the origin":                   {Failed, 200, true, 0, 0, 1},
+		"never ran at the origin":         {Unprocessed, 200, true, 0, 1, 0},
+		"unknown whether it ran there":    {Reset, 200, true, 0, 0, 1},
+		"unknown, at the end of its time": {Timeout, 590, true, 0, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			servers := fleet(1)
+			if c.toOrigin {
+				cfg = cacheAsideConfig()
+				servers = append(servers, Endpoint{ID: 1, Kind: cfg.OriginKind, Size: 1})
+			}
+			cfg.Classes[2].IdempotencyWindowMillis = window
+			cfg.MaxAttempts = 1
+			cfg.SendRetryAfter = c.minRetryAfter > 0
+			cfg.MaxRetryAfterMillis = c.minRetryAfter
+			b, h := start(t, cfg, servers)
+			const sentAt = 100010
+			b.Request(sentAt, Request{ID: 1, Class: "keyed", Key: 9, HasKey: true, RemainingMillis: 600, IsWrite: c.toOrigin})
+			b.AttemptEnded(sentAt+c.endedAt, ended(1, h.last().server, c.status, c.endedAt))
+			if len(h.sends) != 1 || h.rejected[1] != c.rejected || h.failed[1] != c.failed {
+				t.Errorf("sends %v, rejected %d, failed %d, want %d and %d",
+					h.sends, h.rejected[1], h.failed[1], c.rejected, c.failed)
+			}
+		})
+	}
+}
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -44,7 +44,12 @@
 		return false
 	}
 	isSameGroup := a.server.idempotencyGroup(c.IdempotencyScope) == s.idempotencyGroup(c.IdempotencyScope)
-	return isSameGroup && b.now < a.sentAt+c.IdempotencyWindowMillis-idempotencyMarginMillis
+	return isSameGroup && a.isWithinWindow(c, b.now)
+}
+
+// isWithinWindow says whether servers drop a repeat of an attempt at a time.
+func (a *attempt) isWithinWindow(c *Class, at float64) bool {
+	return at < a.sentAt+c.IdempotencyWindowMillis-idempotencyMarginMillis
 }
 
 // endKind classifies the end of an attempt.
--- a/decide/retry_test.go
+++ b/decide/retry_test.go
@@ -61,16 +61,16 @@
 	}
 }
 
-// An attempt fails just as its window for repeats ends. It must not be sent again, as the server
-// would no longer drop the repeat.
+// An attempt fails just as its window for repeats ends. It must not be sent again, nor may the client
+// be invited to send it again, as the server would no longer drop the repeat.
 func TestKeyedIsNotSentAfterItsWindow(t *testing.T) {
 	cfg := testConfig()
 	cfg.Classes[2].IdempotencyWindowMillis = 100
 	b, h := start(t, cfg, fleet(6))
 	ask(b, 100010, 1, "keyed", 9)
 	b.AttemptEnded(100110, ended(1, h.last().server, Failed, 100))
-	if len(h.sends) != 1 || h.rejected[1] != 1 {
-		t.Errorf("sends %v, rejected %d: want one send and a rejection", h.sends, h.rejected[1])
+	if len(h.sends) != 1 || h.rejected[1] != 0 || h.failed[1] != 1 {
+		t.Errorf("sends %v, rejected %d, failed %d: want one send and a failure", h.sends, h.rejected[1], h.failed[1])
 	}
 }
 
--- a/internal/router/requests_test.go
+++ b/internal/router/requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -194,6 +195,43 @@
 	}
 }
 
+// Guards against a rejection that has a keyed write run twice: a client that sends it again when it is
+// rejected, and only then, has its effect once, also where the servers' window for repeats is over.
+func TestRejectedKeyedWriteRunsOnce(t *testing.T) {
+	const window = 100 * time.Millisecond
+	var mu sync.Mutex
+	var ranAt []time.Time
+	o := startFake(t, func(string) string {
+		mu.Lock()
+		isRepeat := len(ranAt) > 0 && time.Since(ranAt[len(ranAt)-1]) < window
+		if !isRepeat {
+			ranAt = append(ranAt, time.Now())
+		}
+		mu.Unlock()
+		time.Sleep(2 * window)
+		return httpAnswer("500 Internal Server Error", "")
+	})
+	s := startFake(t, miss)
+	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(o.addr)))
+	cfg := withSettings(t, testConfig(t, d.Listener.Addr().String(), endpointList{}), `"window":2000`, `"window":100`)
+	r := start(t, cfg)
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+	answer := ""
+	for i := range 3 {
+		answer = c.ask(fmt.Sprintf("ms 7f3a9c21e0b4d655 3 Oa%d Pc=put,t=t,d=2000,k=b1\r\nabc", i))
+		if !strings.HasPrefix(answer, "SERVER_ERROR busy") {
+			break
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(ranAt) != 1 || answer != "SERVER_ERROR failed" {
+		t.Errorf("ran %d times, the last answer is %q", len(ranAt), answer)
+	}
+}
+
 // A cache server that says nothing: the client has one answer by its deadline, and the attempt is
 // given up.
 func TestSilentServerIsGivenUpAtTheDeadline(t *testing.T) {
--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -208,7 +208,7 @@
 		add("answer", until, "request %s: no final answer by its deadline", id)
 	}
 	for _, a := range q.answers[:min(1, len(q.answers))] {
-		judgeAnswer(q, a, class, add)
+		judgeAnswer(q, a, class, r, add)
 	}
 	if len(q.attempts) > r.MaxAttempts && r.MaxAttempts > 0 {
 		add("attempts", q.attempts[r.MaxAttempts].whole, "request %s: %d attempts, %d at most", id, len(q.attempts), r.MaxAttempts)
@@ -237,16 +237,30 @@
 }
 
 // judgeAnswer holds an answer against what servers made, and a refusal against what may have run.
-func judgeAnswer(q *request, a Event, class Class, add report) {
-	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.whole <= a.At && t.end != Missed && t.end != Turned })
+func judgeAnswer(q *request, a Event, class Class, r Rules, add report) {
+	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.mayHaveRunBy(a.At) })
 	switch {
 	case a.Answer == Served && !slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.end == Made && t.sum == a.Sum }):
 		add("value", a.At, "request %s: served what no server made for it", a.Request)
 	case a.Answer == Refused && mayHaveRun && (class.Effect == Once || class.Effect == Keyed && class.Scope != "all"):
 		add("effect", a.At, "request %s of class %s: refused as harmless to repeat, and it may have run", a.Request, q.sent.Class)
+	case a.Answer == Refused && class.Effect == Keyed && isRefusedPastWindow(q, a, class, r):
+		add("effect", a.At, "request %s of class %s: refused as harmless to repeat after its window, and it may have run", a.Request, q.sent.Class)
 	}
 }
 
+// isRefusedPastWindow reports whether a refusal came when servers no longer dropped a repeat of an attempt that may have run.
+func isRefusedPastWindow(q *request, a Event, class Class, r Rules) bool {
+	return slices.ContainsFunc(q.attempts, func(t *attempt) bool {
+		return t.mayHaveRunBy(a.At) && a.At-t.began > class.WindowMS+r.SlackMS
+	})
+}
+
+// mayHaveRunBy reports whether an attempt may have run by a time.
+func (t *attempt) mayHaveRunBy(at float64) bool {
+	return t.whole <= at && t.end != Missed && t.end != Turned
+}
+
 // judgePair holds an attempt against one before it.
 func judgePair(id string, before, a *attempt, class Class, r Rules, add report) {
 	if before.over > a.whole+r.SlackMS {
--- a/lab/checker/checker_test.go
+++ b/lab/checker/checker_test.go
@@ -180,6 +180,7 @@
 		{"a release carried out twice", "effect", "0 sent tag\n 1 whole s1\n 2 ran s1\n 3 ran s1\n 5 over s1 made\n 6 answer served"},
 		{"a release refused after it may have run", "effect", "0 sent tag\n 1 whole s1\n 5 over s1 erred\n 6 answer refused"},
 		{"keyed, past the window", "effect", "0 sent put\n 1 whole s1\n 5 over s1 dropped\n 1100 whole s2"},
+		{"keyed, refused past the window", "effect", "0 sent put\n 1 whole s1\n 5 over s1 dropped\n 1100 answer refused"},
 		{"keyed, outside the group", "effect", "0 sent zput\n 1 whole s1\n 5 over s1 dropped\n 6 whole s3\n 9 over s3 made\n 10 answer served"},
 		{"a drained server", "drain", "0 told s1 leaving\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
 		{"told twice that it drains", "drain", "0 told s1 leaving\n 1500 told s1 left\n 2000 sent read\n 2060 whole s1\n 2070 over s1 made\n 2071 answer served"},
