Let a group of one coordinator grow, and end each operators' command in time

Cause: the check before a change asked the present members alone, while the new one counted as one of those that have to answer. Calls by the tool had no time limit.

Change: the members as they would be are asked, the new one by itself first, and again before it gets its vote; an addition that was broken off can be made again.

--- a/cmd/dockhinge-coord/coordinators.go
+++ b/cmd/dockhinge-coord/coordinators.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -26,6 +28,9 @@
 	toolTTL = 10 * time.Second
 	// statusTimeout is the time limit of a look at how all stand.
 	statusTimeout = 3 * time.Second
+	// leaderTimeout is the time limit of a command that the leader carries out, the search for it
+	// included.
+	leaderTimeout = 10 * time.Second
 	// leaderAttempts is how often the leader is looked for, leaderInterval apart.
 	leaderAttempts = 20
 	leaderInterval = 200 * time.Millisecond
@@ -170,9 +175,11 @@
 	})
 }
 
-// statuses calls all coordinators side by side, and returns the statuses of those that answer and
-// the errors of the others.
+// statuses calls all coordinators side by side, and returns the statuses of those that answer within
+// statusTimeout and the errors of the others.
 func statuses(ctx context.Context, addresses map[string]string) (map[string]node.Status, map[string]error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	answers := map[string]node.Status{}
 	failures := map[string]error{}
 	var mu sync.Mutex
@@ -195,28 +202,49 @@
 }
 
 // withLeader calls f with the address of the leader, and looks for the leader again where it has
-// changed meanwhile.
-func (c *coordinators) withLeader(ctx context.Context, f func(address string) error) error {
+// changed meanwhile. All of it ends within leaderTimeout, with an error that says what is not known
+// then.
+func (c *coordinators) withLeader(ctx context.Context, f func(ctx context.Context, address string) error) error {
 	addresses, err := c.addresses()
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	var failures map[string]error
 	for range leaderAttempts {
-		answers, _ := statuses(ctx, addresses)
+		var answers map[string]node.Status
+		answers, failures = statuses(ctx, addresses)
 		for name, status := range answers {
 			if status.State != stateLeader {
 				continue
 			}
-			err = f(addresses[name])
+			err = f(ctx, addresses[name])
 			if err == nil || !errors.Is(err, client.ErrNotLeader) {
-				return err
+				return withTimeoutHint(ctx, err)
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return errors.Join(append(namedErrors(failures), errNoLeaderAnswers)...)
 		case <-time.After(leaderInterval):
 		}
 	}
-	return errors.Join(errNoLeaderAnswers, err)
+	return errors.Join(append(namedErrors(failures), errNoLeaderAnswers, err)...)
+}
+
+// withTimeoutHint adds to the error of a call that was cut off that its outcome is not known.
+func withTimeoutHint(ctx context.Context, err error) error {
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	return errors.Join(errLeaderTimeout, err)
+}
+
+// namedErrors are the errors of coordinators, each with its name, in the order of names.
+func namedErrors(failures map[string]error) (named []error) {
+	for _, name := range slices.Sorted(maps.Keys(failures)) {
+		named = append(named, fmt.Errorf("%s: %w", name, failures[name]))
+	}
+	return named
 }
--- a/cmd/dockhinge-coord/errors.go
+++ b/cmd/dockhinge-coord/errors.go
@@ -6,6 +6,7 @@
 	errNoCoordinators  = errors.New("--coordinators: none named")
 	errNoObservers     = errors.New("--observers: none named")
 	errNoLeaderAnswers = errors.New("no leader answers")
+	errLeaderTimeout   = errors.New("no answer in time: whether it was carried out is not known, look at members and status")
 	errNotConfirmed    = errors.New(
 		"--i-have-waited: say that all others are ended and the longest time to live has passed")
 	errNoHaltReason     = errors.New("--why: say why; others will read it")
--- a/cmd/dockhinge-coord/lease.go
+++ b/cmd/dockhinge-coord/lease.go
@@ -44,7 +44,9 @@
 				name = args[0]
 			}
 			reader := client.New(client.Options{Coordinators: addresses, TTL: listLeasesTTL})
-			leases, err := reader.ListLeases(cmd.Context(), name)
+			ctx, cancel := context.WithTimeout(cmd.Context(), toolTTL)
+			defer cancel()
+			leases, err := reader.ListLeases(ctx, name)
 			if err != nil {
 				return err
 			}
--- a/internal/coord/node/membership.go
+++ b/internal/coord/node/membership.go
@@ -45,7 +45,7 @@
 	isLeader := n.raft.State() == raft.Leader
 	reachable := map[raft.ServerID]bool{}
 	if probe {
-		reachable = n.probeMembers()
+		reachable = n.probeMembers(n.servers())
 	}
 	var members []Member
 	for _, server := range n.servers() {
@@ -67,12 +67,11 @@
 }
 
 // probeMembers asks each coordinator, side by side, whether it responds.
-func (n *Node) probeMembers() map[raft.ServerID]bool {
+func (n *Node) probeMembers(servers []raft.Server) map[raft.ServerID]bool {
 	type probe struct {
 		id          raft.ServerID
 		isReachable bool
 	}
-	servers := n.servers()
 	probes := make(chan probe, len(servers))
 	for _, server := range servers {
 		go func() { // ends within the timeout; the loop below waits for all
@@ -112,7 +111,8 @@
 }
 
 // AddMember takes a coordinator with an empty directory into the group. It gets the log first and
-// votes once it has it.
+// votes once it has it. Where it stops responding in between it stays a member without a vote, and
+// may be added again.
 func (n *Node) AddMember(m Member) error {
 	if n.raft.State() != raft.Leader {
 		return ErrNotLeader
@@ -136,15 +136,28 @@
 		}
 	}
 	added := m.server()
-	if err := n.checkQuorum(append(slices.Clone(servers), added)); err != nil {
+	if err := n.checkAddition(added); err != nil {
 		return err
 	}
 	if err := n.raft.AddNonvoter(added.ID, added.Address, 0, proposeTimeout).Error(); err != nil {
 		return err
 	}
+	if err := n.checkAddition(added); err != nil {
+		return err
+	}
 	return n.raft.AddVoter(added.ID, added.Address, 0, proposeTimeout).Error()
 }
 
+// checkAddition returns an error where a new coordinator doesn't respond, or where no majority would
+// respond with it.
+func (n *Node) checkAddition(added raft.Server) error {
+	if !n.probeMembers([]raft.Server{added})[added.ID] {
+		return fmt.Errorf("members: %s does not respond, or is not the one that is meant: it gets no vote", added.Address)
+	}
+	others := slices.DeleteFunc(n.servers(), func(server raft.Server) bool { return server.ID == added.ID })
+	return n.checkQuorum(append(others, added))
+}
+
 // RemoveMember takes a coordinator out of the group, whether it runs or not. A leader that is to be
 // removed hands the leadership over first and returns ErrNotLeader: it couldn't report its own
 // removal.
@@ -178,7 +191,7 @@
 // checkQuorum returns an error where a change would leave no majority that responds now: no change
 // may be the one that stops the group.
 func (n *Node) checkQuorum(after []raft.Server) error {
-	reachable := n.probeMembers()
+	reachable := n.probeMembers(after)
 	reachable[raft.ServerID(n.identity)] = true
 	voters := 0
 	alive := 0
