Find a watch that falls silent just after a move or a hand-over soon

Callers would see: requests to a draining server for up to eleven seconds. What discovery has 4 s after a SIGHUP counts as notified then; a watch of the new discovery that falls silent in these seconds was found dead only at the end of its wait, 10 to 60 s later. The same in the new process of an upgrade, and in one that starts while discovery is silent.

Change: in the first 4 s after a watch replaced that of another discovery or process each of its calls waits for 1 s; the first call of any watch waits for its turn only; the new process of an upgrade polls at once, as its predecessor's watch ends with it.

TestSilentWatchAfterAMoveIsGivenUpSoon fails without it.

--- a/decide/discovery_backoff.go
+++ b/decide/discovery_backoff.go
@@ -4,7 +4,7 @@
 
 // The time budget of a router that must poll discovery, from the moment on which its list is known
 // to have been current. A change counts as notified notifiedMillis after discovery had it and could
-// be reached, or movedNotifiedMillis after a configuration that names another discovery. Each pause
+// be reached, or MovedNotifiedMillis after a configuration that names another discovery. Each pause
 // and each call is a part of that:
 //
 //   - A failed call is followed by the next one within MaxBackOffMillis, and a call that discovery
@@ -16,8 +16,8 @@
 const (
 	// notifiedMillis is the time after which a change counts as notified, whatever calls failed.
 	notifiedMillis = 6000
-	// movedNotifiedMillis is that time from a configuration on that names another discovery.
-	movedNotifiedMillis = 4000
+	// MovedNotifiedMillis is that time from a configuration on that names another discovery.
+	MovedNotifiedMillis = 4000
 	// MaxBackOffMillis is the longest time between two calls of a router whose calls fail.
 	MaxBackOffMillis = 3500
 	// MaxPollCallMillis is how long a call that is to be answered in its turn is waited for.
@@ -63,11 +63,11 @@
 	movedCallsEnd float64
 }
 
-// DiscoveryMoved takes that another discovery is polled from now on. The list that is held stays
-// until that one has answered.
+// DiscoveryMoved takes that another discovery is polled from now on, or by another process. The list
+// that is held stays until that one has answered.
 func (b *Balancer) DiscoveryMoved(now float64) {
 	b.begin(now)
-	b.discovery = discoveryPolling{pollAt: now, movedCallsEnd: now + movedNotifiedMillis}
+	b.discovery = discoveryPolling{pollAt: now, movedCallsEnd: now + MovedNotifiedMillis}
 	b.pollDiscovery()
 }
 
--- a/internal/router/config_update.go
+++ b/internal/router/config_update.go
@@ -6,20 +6,24 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"dockhinge.example/dockhinge/decide"
 )
 
 // runDiscovery follows the discovery that the configuration names, and takes new configurations,
-// until ctx ends. held is the list that the router starts with. onList takes each list besides the
-// loop. Another discovery is asked for the changes to the list that its configuration brings: those
+// until ctx ends. held is the list that the router starts with, and isHandover says that another
+// process of this router watches already. onList takes each list besides the loop. Another discovery is asked for the changes to the list that its configuration brings: those
 // take it a fraction of the time of a complete list for each router.
-func (l *loop) runDiscovery(ctx context.Context, cfg *Config, held endpointList, updates <-chan *Config,
-	onList func(endpointList)) {
+func (l *loop) runDiscovery(ctx context.Context, cfg *Config, held endpointList, isHandover bool,
+	updates <-chan *Config, onList func(endpointList)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	d := l.newWatch(cfg, onList)
 	d.hold(held)
+	if isHandover {
+		d.replacedAt = time.Now()
+	}
 	for {
 		watchContext, stopWatch := context.WithCancel(ctx)
 		l.post(func() { l.setDiscovery(d) }) // before anything that it sends
@@ -30,7 +34,7 @@
 			return
 		}
 		d = l.newWatch(cfg, onList)
-		d.replaceHeld(cfg.Known)
+		d.replace(cfg.Known)
 	}
 }
 
@@ -54,9 +58,8 @@
 // setDiscovery follows d from now on, and no discovery before it. The list that is held stays until d
 // gives a complete one.
 func (l *loop) setDiscovery(d *discovery) {
-	hasMoved := l.discovery != nil
 	l.discovery = d
-	if hasMoved && d.isPolled {
+	if d.isPolled && !d.replacedAt.IsZero() {
 		l.balancer.DiscoveryMoved(l.now())
 	}
 	l.staleGuard = staleGuard{} // its versions may be counted otherwise
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -42,8 +42,8 @@
 	// base is that list while it is not the one that the router holds, which is in the versions of
 	// another discovery. Without servers they are the same.
 	base endpointList
-	// lastCallFailed is set when a watch has ended, until the next call succeeds.
-	lastCallFailed bool
+	// replacedAt is when this watch replaced that of another discovery or process; zero: neither.
+	replacedAt time.Time
 }
 
 // discoveryTiming is how long discovery is waited for. A watch without changes and a dead one look
@@ -54,9 +54,13 @@
 	turnTimeout time.Duration
 	// watchWait is how long one call of a watch waits for changes.
 	watchWait time.Duration
-	// watchWaitAfterFailure is that of the first call after a failure or to another discovery, whose
-	// answer says that the list is current again.
-	watchWaitAfterFailure time.Duration
+	// firstWatchWait is that of the first call, whose answer says that the list is current.
+	firstWatchWait time.Duration
+	// newWatchWait is how long one call of a watch waits in the first newWatchDuration after it
+	// replaced that of another discovery or process: what discovery has by then counts as notified
+	// then, also where the watch has fallen silent before. 0 = as long as usual.
+	newWatchWait     time.Duration
+	newWatchDuration time.Duration
 	// watchSlack is how long the answer to a watch may take beyond its wait.
 	watchSlack time.Duration
 	// maxBackoff bounds the time between a failure of an agent and the next call. It is half of that
@@ -74,7 +78,6 @@
 	agentTiming = discoveryTiming{
 		turnTimeout:           250 * time.Millisecond,
 		watchWait:             2 * time.Second,
-		watchWaitAfterFailure: 2 * time.Second,
 		watchSlack:            250 * time.Millisecond,
 		maxBackoff:            100 * time.Millisecond,
 		maxBackoffAfterAnswer: 50 * time.Millisecond,
@@ -82,10 +85,12 @@
 	// sharedTiming is for one discovery for all routers. It works through calls one by one, so they
 	// are few and wait long.
 	sharedTiming = discoveryTiming{
-		turnTimeout:           decide.MaxPollCallMillis * time.Millisecond,
-		watchWait:             10 * time.Second,
-		watchWaitAfterFailure: time.Millisecond,
-		watchSlack:            time.Second,
+		turnTimeout:      decide.MaxPollCallMillis * time.Millisecond,
+		watchWait:        10 * time.Second,
+		firstWatchWait:   time.Millisecond,
+		newWatchWait:     time.Second,
+		newWatchDuration: decide.MovedNotifiedMillis * time.Millisecond,
+		watchSlack:       time.Second,
 	}
 )
 
@@ -235,7 +240,6 @@
 	list, err := d.firstCall(ctx)
 	for err == nil && ctx.Err() == nil { // once ctx has ended another discovery is followed
 		isAnswered = true
-		d.lastCallFailed = false
 		list = d.withBase(list)
 		if d.isPolled {
 			d.holdsList = true
@@ -250,9 +254,8 @@
 			}
 		}
 		calledAt = time.Now()
-		list, err = d.callWatch(ctx, list.Version, d.timing.watchWait, d.timing.watchSlack)
+		list, err = d.callWatch(ctx, list.Version, d.watchWait(), d.timing.watchSlack)
 	}
-	d.lastCallFailed = true
 	return isAnswered, err
 }
 
@@ -263,9 +266,10 @@
 	d.heldVersion = list.Version
 }
 
-// replaceHeld is hold for a list that the router does not hold: the first answer, completed by it,
-// replaces the one that is held.
-func (d *discovery) replaceHeld(list endpointList) {
+// replace has this discovery replace another. list is hold's, but one that the router does not hold:
+// the first answer, completed by it, replaces the one that is held.
+func (d *discovery) replace(list endpointList) {
+	d.replacedAt = time.Now()
 	d.hold(list)
 	if d.holdsList {
 		d.base = list
@@ -282,15 +286,21 @@
 	return base.with(answer)
 }
 
-// firstCall gets the complete list, or the changes to the one that is held: one call, not two.
+// firstCall gets the complete list, or the changes to the one that is held: one call, not two. It
+// waits for its turn, but not for changes: a silent discovery is found out soon.
 func (d *discovery) firstCall(ctx context.Context) (endpointList, error) {
-	switch {
-	case !d.holdsList:
+	if !d.holdsList {
 		return d.get(ctx, d.url, d.timing.turnTimeout)
-	case d.lastCallFailed || len(d.base.Servers) > 0:
-		return d.callWatch(ctx, d.heldVersion, d.timing.watchWaitAfterFailure, d.timing.turnTimeout)
 	}
-	return d.callWatch(ctx, d.heldVersion, d.timing.watchWait, d.timing.watchSlack)
+	return d.callWatch(ctx, d.heldVersion, d.timing.firstWatchWait, d.timing.turnTimeout)
+}
+
+// watchWait is how long the next call of a watch waits for changes.
+func (d *discovery) watchWait() time.Duration {
+	if d.timing.newWatchWait > 0 && time.Since(d.replacedAt) < d.timing.newWatchDuration {
+		return d.timing.newWatchWait
+	}
+	return d.timing.watchWait
 }
 
 // callWatch waits so long for the changes since a version. The error of a call that is not answered
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,6 +234,33 @@
 	receive(t, b.seen, "request at the server of the new list")
 }
 
+// Guards against a watch of another discovery that falls silent just after the move and is found dead
+// only at the end of its long wait: what discovery has 4 s after a move counts as notified then.
+func TestSilentWatchAfterAMoveIsGivenUpSoon(t *testing.T) {
+	a, o := startFake(t, hit), startFake(t, originOK)
+	entries := []listEntry{box("s-0000000b", a.addr), originAt(o.addr)}
+	r := servingPolled(t, entries...)
+	calls := make(chan string, 100)
+	var answered atomic.Int32
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.Query().Get("wait_ms")
+		if answered.Add(1) == 2 {
+			<-r.Context().Done() // silent
+			return
+		}
+		fmt.Fprint(w, `{"version":1,"full":false,"servers":[]}`)
+	}))
+	t.Cleanup(func() { second.CloseClientConnections(); second.Close() })
+	r.updates <- polled(t, testConfig(t, second.Listener.Addr().String(), full(entries...)))
+	movedAt := time.Now()
+	for _, what := range []string{"call", "watch that falls silent", "call after it"} {
+		receive(t, calls, what)
+	}
+	if took := time.Since(movedAt); took > 4*time.Second {
+		t.Errorf("the silent watch was replaced %v after the move", took)
+	}
+}
+
 // Guards against a router that waits long before it calls a crowded discovery again that a new
 // configuration names: a server that drains is notified of within the budget though the first calls
 // are turned away.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,7 @@
 
 	r.loop.onStart = r.restoreState
 	held := r.heldList()
+	isHandover := r.inherited != nil
 	wg.Go(func() { r.loop.run(work) })
 	wg.Go(func() { r.upstreams.sweep(work) })
 	if r.link != nil {
@@ -107,7 +108,7 @@
 		onDrainsKnown := func() { close(drainsKnown) }
 		wg.Go(func() { r.runAgreement(work, ctx, r.cfg.Agreement, onDrainsKnown) })
 	}
-	wg.Go(func() { r.loop.runDiscovery(work, r.cfg, held, updates, r.broadcastList) })
+	wg.Go(func() { r.loop.runDiscovery(work, r.cfg, held, isHandover, updates, r.broadcastList) })
 	r.awaitDrains(ctx, drainsKnown)
 	r.isServing.Store(true)
 	r.clients.wg.Go(r.clients.accept) // counted there, so that drain waits for a connection that is just being accepted
