Reject requests on connections beyond the limit instead of leaving them unread

Cause: the acceptor waited for a descriptor while no connection was idle; further connections stood in the listener's queue, taken by the machine and unread.

Change: up to eight connections beyond the limit, of the reserve of descriptors, are read for at most 0.3 s to reject their command, which was never forwarded, and closed.

TestRequestBeyondAllBusyConnectionsIsRejected and TestSilentOverflowConnectionsEndSoon have no answer within 10 s without the change.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -35,6 +35,10 @@
 type clientConn struct {
 	net.Conn
 	clients *clients
+	// quota is where its descriptor is from.
+	quota *descriptorQuota
+	// isOverflow is set where the connection is beyond the limit: its command is rejected.
+	isOverflow bool
 	// reader buffers the input. It belongs to the reader goroutine.
 	reader *bufio.Reader
 	// isReceivingLargeValue is set while a value is forwarded as it comes.
@@ -78,6 +82,14 @@
 // unanswered counts the commands that have no answer written. The caller holds mu.
 func (c *clientConn) unanswered() int { return len(c.pending) + c.answersInWrite }
 
+// firstCommandTimeout is the time for the connection's first command to be complete.
+func (c *clientConn) firstCommandTimeout() time.Duration {
+	if c.isOverflow {
+		return overflowCommandTimeout
+	}
+	return firstCommandTimeout
+}
+
 // idleSince reports whether the connection has no unanswered command, and since when. A connection
 // that has sent no command within firstCommandGrace counts as idle for longer than it is: else
 // silent connections, which are always young, would outlive connections that send requests.
@@ -179,6 +191,9 @@
 	isUnwritable := c.isUnwritable
 	lingerUntil := c.lastAnswerAt.Add(restAfterAnswer)
 	c.mu.Unlock()
+	if c.isOverflow { // the next one waits for its descriptor
+		lingerUntil = time.Time{}
+	}
 	if isRejected || c.reader.Buffered() > 0 || hasInput(c.Conn) {
 		lingerUntil = time.Now().Add(lingerTimeout)
 	}
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -118,6 +118,9 @@
 				return true
 			}
 		}
+		if c.isOverflow {
+			return false
+		}
 		if isFirst {
 			c.clients.countActive(c)
 		}
@@ -149,7 +152,7 @@
 	}
 	isRejected := false
 	if err == nil && cmd.isRequest() {
-		isRejected = !l.reserveValue(&cmd)
+		isRejected = c.isOverflow || !l.reserveValue(&cmd)
 	}
 	if err == nil && cmd.isWrite() {
 		isRejected, err = c.readWriteValue(&cmd, isRejected)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -48,6 +48,11 @@
 	// evictRetryDelay is when eviction is tried again: the connection that was to be evicted may have
 	// got a command just then.
 	evictRetryDelay = 10 * time.Millisecond
+	// maxOverflowConns is how many connections beyond the limit may be open at once, to reject their
+	// command. They are part of fdReserve.
+	maxOverflowConns = 8
+	// overflowCommandTimeout is the time for the command of such a connection to be complete.
+	overflowCommandTimeout = 300 * time.Millisecond
 )
 
 // clients serves the connections of clients. Its goroutines are accept, one reader for each
@@ -57,6 +62,8 @@
 	listener net.Listener
 	// connections has one descriptor for each connection that may be open.
 	connections descriptorQuota
+	// overflow has one descriptor for each connection that is beyond that.
+	overflow descriptorQuota
 	// readerPool holds *bufio.Reader: connections may come and go by the hundred.
 	readerPool sync.Pool
 	// isDraining is set when each connection is to end once nothing is unanswered on it.
@@ -80,6 +87,7 @@
 		loop:        l,
 		listener:    listener,
 		connections: newDescriptorQuota(limit),
+		overflow:    newDescriptorQuota(maxOverflowConns),
 		acceptDone:  make(chan struct{}),
 		conns:       map[*clientConn]struct{}{},
 	}
@@ -97,8 +105,7 @@
 		conn, err := s.listener.Accept()
 		switch {
 		case err == nil:
-			s.acquireConnection()
-			s.serve(conn)
+			s.serve(conn, s.acquireConnection())
 		case errors.Is(err, os.ErrDeadlineExceeded) && hasQueuedConnection(s.listener):
 			// Accept looks at its deadline before the queue: connections that stand there are taken
 			// all the same.
@@ -126,16 +133,22 @@
 	}
 }
 
-// acquireConnection takes a descriptor for a connection. When none is left, the connection that has
-// been idle for longest is evicted; where each has an unanswered command, the new one waits.
-func (s *clients) acquireConnection() {
+// acquireConnection takes a descriptor for a connection and returns the quota that it is of. When none
+// is left, the connection that has been idle for longest is evicted. Where each has an unanswered
+// command, a new one may wait past its client's deadline, so it gets a descriptor of overflow, and
+// its command is rejected.
+func (s *clients) acquireConnection() *descriptorQuota {
 	for !s.connections.tryAcquire() {
-		s.evictIdle(false)
+		if !s.evictIdle(false) && s.overflow.tryAcquire() {
+			return &s.overflow
+		}
 		select {
 		case <-s.connections.released:
+		case <-s.overflow.released:
 		case <-time.After(evictRetryDelay):
 		}
 	}
+	return &s.connections
 }
 
 // setProcessCount leaves this process its part of the descriptors, while several processes are one
@@ -146,14 +159,18 @@
 	}
 }
 
-// evictIdle ends the connection that has been idle for longest. With onlyActive set, only connections
-// count that have sent a command and have then been idle for restAfterAnswer.
-func (s *clients) evictIdle(onlyActive bool) {
+// evictIdle ends the connection that has been idle for longest, and reports whether there is one. With
+// onlyActive set, only connections count that have sent a command and have then been idle for
+// restAfterAnswer.
+func (s *clients) evictIdle(onlyActive bool) bool {
 	var longestIdle *clientConn
 	var idleSince time.Time
 	s.mu.Lock()
 	for c := range s.conns {
 		since, isIdle := c.idleSince()
+		if c.isOverflow {
+			continue
+		}
 		if onlyActive && (!c.isCountedAsActive.Load() || time.Since(since) < restAfterAnswer) {
 			continue
 		}
@@ -163,9 +180,11 @@
 		}
 	}
 	s.mu.Unlock()
-	if longestIdle != nil {
-		longestIdle.closeIfIdle()
+	if longestIdle == nil {
+		return false
 	}
+	longestIdle.closeIfIdle()
+	return true
 }
 
 // countActive counts a connection that has sent its first command, and evicts an idle one once these
@@ -179,18 +198,21 @@
 	}
 }
 
-// serve starts the reader goroutine of a connection, which ends when the connection is closed.
-func (s *clients) serve(conn net.Conn) {
+// serve starts the reader goroutine of a connection, which ends when the connection is closed. quota is
+// where its descriptor is from.
+func (s *clients) serve(conn net.Conn, quota *descriptorQuota) {
 	reader := s.readerPool.Get().(*bufio.Reader)
 	c := &clientConn{
 		Conn:       conn,
 		clients:    s,
+		quota:      quota,
+		isOverflow: quota == &s.overflow,
 		reader:     reader,
 		idleStart:  time.Now(),
 		unwritable: make(chan struct{}),
 	}
 	reader.Reset(c)
-	c.commandDeadline = c.idleStart.Add(firstCommandTimeout)
+	c.commandDeadline = c.idleStart.Add(c.firstCommandTimeout())
 	conn.SetReadDeadline(c.commandDeadline)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -215,7 +237,7 @@
 	s.mu.Unlock()
 	c.reader.Reset(nil)
 	s.readerPool.Put(c.reader)
-	s.connections.release()
+	c.quota.release()
 }
 
 // readiness answers mn: the router is used from MN on, so it must be able to serve.
