Count the reserve of both processes of an upgrade in the descriptor limit

Cause: the limit without one process's reserve of 40 was halved, so the second reserve came on top of it.

Change: each further process takes its reserve from the whole before it is divided.

--- a/internal/router/descriptors.go
+++ b/internal/router/descriptors.go
@@ -9,6 +9,8 @@
 	released chan struct{}
 	// routerLimit is the limit of all processes of this router together.
 	routerLimit int
+	// processReserve is how many each further process needs for other things.
+	processReserve int
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -48,7 +50,7 @@
 func (q *descriptorQuota) setProcessCount(processes int) (excess int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limit = q.routerLimit / processes
+	q.limit = processLimit(q.routerLimit, q.processReserve, processes)
 	return max(0, q.used-q.limit)
 }
 
@@ -57,3 +59,9 @@
 	defer q.mu.Unlock()
 	return int64(q.limit / 2)
 }
+
+// processLimit is the part of a router's limit that each of its processes has, where each further
+// process takes a reserve from the whole.
+func processLimit(routerLimit, processReserve, processes int) int {
+	return max(1, (routerLimit-(processes-1)*processReserve)/processes)
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -42,6 +42,8 @@
 	uploads atomic.Int64
 	// routerLimit is the limit of all processes of this router together.
 	routerLimit int
+	// processReserve is how many descriptors each further process needs for other things.
+	processReserve int
 
 	// mu guards the fields below, and idle and isRemoved of each target.
 	mu     sync.Mutex
@@ -100,7 +102,7 @@
 func (u *upstreams) setProcessCount(processes int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.limit = u.routerLimit / processes
+	u.limit = processLimit(u.routerLimit, u.processReserve, processes)
 	for u.openConns > u.limit && u.evictIdle() {
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,6 +81,8 @@
 		r.loop.latencies = new(latencyHistogram)
 	}
 	r.clients = newClients(r.loop, listener, descriptors*clientDescriptorParts/descriptorParts)
+	r.upstreams.processReserve = fdReserve * upstreamDescriptorParts / descriptorParts
+	r.clients.connections.processReserve = fdReserve * clientDescriptorParts / descriptorParts
 	return r, nil
 }
 
