Add a soak: fleets and orders of faults drawn from seeds

Need: faults show where planned ends, signals, moves of discovery, drains and faults of servers fall together, and no scenario had that.

Change: dockhinge-lab soak draws 3 to 8 routers, 4 to 12 servers, deadlines, windows and an order of faults from a seed, in one of three with a crowd, and plays it on real routers. New faults: end-routers (SIGKILL at the platform's earliest), signals in series, upgrade-one, discovery-silent, crowd. Clients stay on their connections to a router that was told to end. Each router has to end by itself after the run, within its limits of memory and descriptors. Breaches name the router.

--- a/cmd/dockhinge-lab/main.go
+++ b/cmd/dockhinge-lab/main.go
@@ -53,7 +53,7 @@
 			"Exit: 0 where all held, 3 where something did not, 1 where it could not be played."}
 	r.AddCommand(up(), run(), all(), changes(), steps(), suspects())
 	r.AddCommand(agree(), agreeCost(), observeCost(), hollowCommand(), capacityCommand(), holderCommand(), resourceCommand())
-	r.AddCommand(list(), against(), compare(), sweep(), costCommand(), relayCommand(), tallyCommand(), twin(), dutyCommand())
+	r.AddCommand(list(), against(), compare(), sweep(), costCommand(), relayCommand(), tallyCommand(), twin(), dutyCommand(), soakCommand())
 	return r
 }
 
--- /dev/null
+++ b/cmd/dockhinge-lab/soak.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+	"dockhinge.example/dockhinge/lab/soak"
+)
+
+// soakOptions are the flags of the soak command.
+type soakOptions struct {
+	common
+	seeds   int
+	first   uint64
+	seconds float64
+	side    int
+}
+
+func soakCommand() *cobra.Command {
+	var o soakOptions
+	cmd := &cobra.Command{Use: "soak", Short: "Runs drawn from seeds: ends, signals, moves, drains and faults together", Args: cobra.NoArgs,
+		Long: "Draws a fleet and an order of faults from each seed, plays it with real routers and judges it by the rules.\n" +
+			"A run that fails prints its command, what broke first and where its logs are.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return playSoak(cmd.Context(), o) }}
+	cmd.Flags().StringVar(&o.router, "router", "", "the command of one router (default: bin/dockhinge serve, built where it is not there)")
+	cmd.Flags().StringVar(&o.logs, "logs", "logs/soak", "keep the logs of runs that fail in this directory")
+	cmd.Flags().IntVar(&o.seeds, "seeds", 10, "runs")
+	cmd.Flags().Uint64Var(&o.first, "first", 1, "the first seed; the others follow it")
+	cmd.Flags().Float64Var(&o.seconds, "seconds", 15, "of load in each run")
+	cmd.Flags().IntVar(&o.side, "side", 1, "runs at a time")
+	return cmd
+}
+
+// playSoak plays all seeds, and returns errHeldNot where one of them failed.
+func playSoak(ctx context.Context, o soakOptions) error {
+	if o.seeds < 1 || o.side < 1 {
+		return errors.New("--seeds and --side: at least 1")
+	}
+	command, err := routerCommand(ctx, o.router)
+	if err != nil {
+		return err
+	}
+	seeds := make(chan uint64)
+	var mu sync.Mutex
+	var failed []uint64
+	var failures []error
+	var wg sync.WaitGroup
+	for range o.side {
+		wg.Go(func() {
+			for seed := range seeds {
+				text, isKept, err := playSeed(ctx, o, seed, command)
+				mu.Lock()
+				fmt.Print(text)
+				if !isKept {
+					failed = append(failed, seed)
+				}
+				if err != nil {
+					failures = append(failures, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range o.seeds {
+		if ctx.Err() == nil {
+			seeds <- o.first + uint64(i)
+		}
+	}
+	close(seeds)
+	wg.Wait()
+	fmt.Printf("%d seeds, %d failed: %v\n", o.seeds, len(failed), failed)
+	if len(failures) > 0 || ctx.Err() != nil {
+		return errors.Join(append(failures, ctx.Err())...)
+	}
+	if len(failed) > 0 {
+		return errHeldNot
+	}
+	return nil
+}
+
+// playSeed plays one seed. The text is what became of it; the logs of a run that kept all rules are removed. The error tells that it
+// could not be played.
+func playSeed(ctx context.Context, o soakOptions, seed uint64, command []string) (text string, isKept bool, err error) {
+	file, err := soak.Scenario(seed, o.seconds)
+	if err != nil {
+		return "", false, err
+	}
+	dir, err := fleet.LogDir(o.logs, file.Name)
+	if err != nil {
+		return "", false, err
+	}
+	dir, err = filepath.Abs(dir)
+	if err != nil {
+		return "", false, err
+	}
+	res, err := fleet.Run(ctx, file, fleet.Options{Command: command, Coord: coordCommand(), Dir: dir, MustEnd: true})
+	if err != nil {
+		return "", false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, dir)
+	}
+	if len(res.Failures) == 0 {
+		return fmt.Sprintf("seed %d: kept, %d tries, machine late by %.0f ms\n", seed, res.Load.Tries, res.LateMS), true, os.RemoveAll(dir)
+	}
+	text = fmt.Sprintf("seed %d: FAILED: dockhinge-lab soak --seeds 1 --first %d --seconds %v\n  machine late by %.0f ms, logs in %s\n",
+		seed, seed, o.seconds, res.LateMS, dir)
+	for _, failure := range res.Failures {
+		text += "  " + failure + "\n"
+	}
+	for _, broken := range res.Broken {
+		text += "  " + broken.String() + "\n"
+	}
+	for _, mark := range res.Marks {
+		text += fmt.Sprintf("  %6.2f s  %s\n", mark.AtS, mark.Text)
+	}
+	return text, false, nil
+}
--- a/lab/checker/checker_test.go
+++ b/lab/checker/checker_test.go
@@ -56,6 +56,8 @@
 			e.Kind = DiscoveryUp
 		case "called":
 			e.Kind = ListCalled
+		case "crowded":
+			e.Kind, e.Deadline = Crowded, 500
 		case "moved":
 			e.Kind = DiscoveryMoved
 		case "silent":
--- a/lab/checker/history.go
+++ b/lab/checker/history.go
@@ -57,6 +57,7 @@
 	byID         map[string]*request
 	killed       map[string][]float64 // by router
 	paused       map[string][]span    // by router
+	crowded      map[string][]span    // by router
 	drains       map[routerServer][]span
 	ran          map[string][]Event // by request
 	starts       []*start           // in the order of time
@@ -75,6 +76,7 @@
 		byID:         map[string]*request{},
 		killed:       map[string][]float64{},
 		paused:       map[string][]span{},
+		crowded:      map[string][]span{},
 		drains:       map[routerServer][]span{},
 		ran:          map[string][]Event{},
 		discovery:    newDiscoveryHistory(),
@@ -109,6 +111,8 @@
 		h.readyStart(e)
 	case Paused:
 		h.paused[e.Router] = append(h.paused[e.Router], span{e.At, e.At + e.Deadline})
+	case Crowded:
+		h.crowded[e.Router] = append(h.crowded[e.Router], span{e.At, e.At + e.Deadline})
 	case Told:
 		k := routerServer{e.Router, e.Server}
 		h.drains[k] = drainSpans(h.drains[k], e)
@@ -176,6 +180,14 @@
 	return slices.ContainsFunc(h.paused[q.sent.Router], func(x span) bool { return x.from <= until && x.to >= q.sent.At-r.SlackMS })
 }
 
+// wasCrowded reports whether idle clients filled the descriptors of the request's router when it got it: new connections may be shut
+// unread then.
+func (h *history) wasCrowded(q *request, r Rules) bool {
+	return slices.ContainsFunc(h.crowded[q.sent.Router], func(x span) bool {
+		return x.from-r.SlackMS <= q.sent.At && q.sent.At <= x.to+r.SlackMS
+	})
+}
+
 // wasKilled reports whether the request's router was killed while it held the request.
 func (h *history) wasKilled(q *request, r Rules) bool {
 	until := q.deadline() + r.SlackMS
--- a/lab/checker/refused_connection_test.go
+++ b/lab/checker/refused_connection_test.go
@@ -18,6 +18,9 @@
 		{"the router was killed", "", repeat(10, refused) + "4 killed"},
 		{"the router had been killed just before", "", "100 killed\n" + repeat(10, "120 sent read request=x{n}\n121 closed connection=new request=x{n}")},
 		{"it had been killed long before", "lost", "100 killed\n" + repeat(10, "900 sent read request=x{n}\n901 closed connection=new request=x{n}")},
+		{"idle clients filled its descriptors", "", repeat(10, refused) + "0 crowded"},
+		{"idle clients had left", "lost", "0 crowded\n" + repeat(10, "900 sent read request=x{n}\n901 closed connection=new request=x{n}")},
+		{"idle clients filled another's", "lost", repeat(10, refused) + "0 crowded router=other"},
 		{"it was stopped", "", repeat(10, refused) + "4 paused"},
 	})
 }
--- a/lab/checker/unanswered.go
+++ b/lab/checker/unanswered.go
@@ -10,6 +10,7 @@
 // judgeUnanswered bounds the requests that had no answer when their time was up, whether it came later or never.
 func judgeUnanswered(h *history, r Rules, add report) {
 	all, unanswered, lastAt := 0, 0, 0.0
+	byRouter := map[string]int{}
 	for _, q := range h.requests {
 		if !q.has {
 			continue
@@ -19,11 +20,12 @@
 			continue
 		}
 		unanswered++
+		byRouter[q.sent.Router]++
 		lastAt = max(lastAt, q.deadline())
 	}
 	limit := unansweredAllowance + unansweredRequestShare*float64(all)
 	if float64(unanswered) > limit {
-		add("unanswered", lastAt, "%d of %d requests had no answer when their time was up", unanswered, all)
+		add("unanswered", lastAt, "%d of %d requests had no answer when their time was up; by router: %v", unanswered, all, byRouter)
 	}
 }
 
--- a/lab/fakes/discovery.go
+++ b/lab/fakes/discovery.go
@@ -35,6 +35,7 @@
 	changed chan struct{} // closed at each change of the list and of down
 	silence chan struct{} // closed when open watches fall silent
 	down    bool
+	silent  bool
 	calls   int
 	doors   map[string]*door                  // by address
 	told    map[string]map[string]model.Entry // by router: the list as it was told last
@@ -185,6 +186,23 @@
 	d.turn()
 }
 
+// SetSilent has discovery leave all calls without an answer, watches included, or answer those that come from then on.
+func (d *Discovery) SetSilent(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if silent == d.silent {
+		return
+	}
+	d.silent = silent
+	kind := checker.DiscoveryUp
+	if silent {
+		kind = checker.DiscoveryDown
+		close(d.silence)
+		d.silence = make(chan struct{})
+	}
+	d.journal.Add(checker.Event{At: d.clock.Now(), Kind: kind})
+}
+
 // SilenceWatches has all watches that are open now fall silent: they are never answered, and their connections stay open.
 func (d *Discovery) SilenceWatches() {
 	d.mu.Lock()
@@ -263,6 +281,11 @@
 	d.mu.Lock()
 	d.calls++
 	d.journal.Add(checker.Event{At: d.clock.Now(), Kind: checker.ListCalled, Router: router})
+	if d.silent {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	wait, ok := d.queue(router, q.Get("after"))
 	down := d.down
 	d.mu.Unlock()
--- a/lab/fakes/front.go
+++ b/lab/fakes/front.go
@@ -18,6 +18,14 @@
 type fronted struct {
 	name, zone, addr string
 	from, until      float64 // when it is used; until is when its death is noticed
+	isEnding         bool    // it was told to end, and clients go on using the connections that they have
+}
+
+// Ending is a router that was told to end.
+type Ending struct {
+	Name, Addr string
+	// Share is that of the requests that its clients have.
+	Share float64
 }
 
 // ErrNoRouter tells that no router is known to live.
@@ -34,11 +42,11 @@
 	defer f.mu.Unlock()
 	for _, r := range f.routers {
 		if r.name == name {
-			r.zone, r.addr, r.until = zone, addr, forever
+			r.zone, r.addr, r.until, r.isEnding = zone, addr, forever, false
 			return
 		}
 	}
-	f.routers = append(f.routers, &fronted{name, zone, addr, f.clock.Now(), forever})
+	f.routers = append(f.routers, &fronted{name: name, zone: zone, addr: addr, from: f.clock.Now(), until: forever})
 }
 
 // Down tells that a router has died, which is noticed noticeMS later.
@@ -52,6 +60,31 @@
 	}
 }
 
+// End tells that a router was told to end: new connections go on coming for noticeMS, and clients use those that they have for as
+// long as they stay open.
+func (f *Front) End(name string, noticeMS float64) {
+	f.Down(name, noticeMS)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if r.name == name {
+			r.isEnding = true
+		}
+	}
+}
+
+// Endings lists the routers that were told to end and have not come back.
+func (f *Front) Endings() (all []Ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		if r.isEnding {
+			all = append(all, Ending{Name: r.name, Addr: r.addr, Share: 1 / float64(len(f.routers))})
+		}
+	}
+	return all
+}
+
 // Pick chooses a router for a client of a zone.
 func (f *Front) Pick(zone string) (name, addr string, err error) {
 	f.mu.Lock()
--- /dev/null
+++ b/lab/fleet/crowd.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"dockhinge.example/dockhinge/lab/checker"
+	"dockhinge.example/dockhinge/lab/scenario"
+)
+
+const (
+	// crowdDialTimeout is how long an idle client waits for its connection.
+	crowdDialTimeout = 500 * time.Millisecond
+	// crowdEndMS is how long after idle clients have left a router may be crowded still.
+	crowdEndMS = 1000.0
+)
+
+// crowd has idle clients open as many connections to each router as it may have descriptors, and keep them until the fault is over.
+func (fl *Fleet) crowd(ctx context.Context, f scenario.Fault) {
+	fl.mark("idle clients crowd all routers")
+	began := fl.clock.Now()
+	var mu sync.Mutex
+	var open []net.Conn
+	fl.sideBySide(fl.allRouters(), func(r *router) {
+		for range fl.File.Fleet.Sockets {
+			c, err := net.DialTimeout("tcp", r.listen, crowdDialTimeout)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+		}
+	})
+	wait(ctx, f.ForS)
+	for _, c := range open {
+		c.Close()
+	}
+	lasted := fl.clock.Now() - began + crowdEndMS
+	for _, r := range fl.allRouters() {
+		fl.journal.Add(checker.Event{At: began, Kind: checker.Crowded, Router: r.name, Deadline: lasted})
+	}
+	fl.mark("the crowd has left")
+}
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -100,6 +100,16 @@
 		for _, r := range fl.allRouters() {
 			r.signal(r.newest(), syscall.SIGHUP)
 		}
+	case "discovery-silent":
+		both("discovery is silent", fl.discovery.SetSilent)
+	case "end-routers":
+		fl.endRouters(ctx, f)
+	case "signals":
+		fl.signalSeries(ctx, f)
+	case "upgrade-one":
+		fl.upgradeOne(ctx)
+	case "crowd":
+		fl.crowd(ctx, f)
 	case "move-discovery":
 		fl.moveDiscovery(ctx, f)
 	case "coordinators-die":
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Patience time.Duration // how long planned changes may last beyond the load; 0: not at all
 	Dir      string        // for logs and configurations; it must be there
 	Ready    time.Duration
+	MustEnd  bool // each router has to end by itself, with all that it started, when it is told to after the run
 	Progress func(load.Now, *Fleet)
 	Say      func(format string, v ...any) // what happens, a line each
 }
@@ -96,7 +97,11 @@
 	if err := fl.start(ctx); err != nil {
 		return res, err
 	}
-	return fl.play(ctx)
+	res, err = fl.play(ctx)
+	if err == nil && o.MustEnd {
+		res.Failures = append(res.Failures, fl.endAll()...)
+	}
+	return res, err
 }
 
 func newFleet(f scenario.File, o Options) *Fleet {
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -28,6 +28,7 @@
 	dir                string
 	number             int
 	busy               sync.Mutex // whoever has it down
+	configBusy         sync.Mutex // whoever writes its configuration
 	label              string     // of its program's version, guarded by the fleet's mu
 
 	mu        sync.Mutex
@@ -43,9 +44,16 @@
 	expected bool // its end is; guarded by the router's mu
 	done     chan struct{}
 	end      error // how it ended; to be read once done is closed
+	started  time.Time
 	isReady  atomic.Bool
 }
 
+// reloadAfter is the time after a start before which no SIGHUP comes.
+const reloadAfter = time.Second
+
+// mayReload reports whether a SIGHUP may come: never before a process is ready, nor in its first second.
+func (p *process) mayReload() bool { return p.isReady.Load() && time.Since(p.started) >= reloadAfter }
+
 // given are the addresses that FreeAddr has given: whoever got one may not have bound it yet, or again.
 var given sync.Map
 
@@ -98,7 +106,7 @@
 	if err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
 	}
-	p := &process{cmd: cmd, admin: second, done: make(chan struct{})}
+	p := &process{cmd: cmd, admin: second, done: make(chan struct{}), started: time.Now()}
 	r.mu.Lock()
 	r.procs = append(r.procs, p)
 	r.mu.Unlock()
@@ -129,6 +137,8 @@
 	if err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
 	}
+	r.configBusy.Lock()
+	defer r.configBusy.Unlock()
 	next := r.configFile() + ".next"
 	if err := os.WriteFile(next, text, 0o600); err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
--- a/lab/fleet/result.go
+++ b/lab/fleet/result.go
@@ -193,6 +193,9 @@
 		res.Ill = append(res.Ill, x)
 	}
 	res.Failures = append(res.Failures, fl.judgeAccused(events)...)
+	if fl.o.MustEnd {
+		res.Failures = append(res.Failures, fl.judgeLimits()...)
+	}
 	res.Released = fl.released
 	if res.Released != nil {
 		res.Failures = append(res.Failures, res.Released.judge(fl.routers)...)
--- a/lab/fleet/rules.go
+++ b/lab/fleet/rules.go
@@ -9,7 +9,7 @@
 )
 
 // plannedFaults are those that operators bring about by themselves: routers have to go on serving through them.
-var plannedFaults = []string{"roll", "deploy", "shrink", "upgrade", "reload", "move-discovery", "change-servers", "change-routers", "release-routers"}
+var plannedFaults = []string{"roll", "deploy", "shrink", "upgrade", "reload", "move-discovery", "end-routers", "signals", "upgrade-one", "change-servers", "change-routers", "release-routers"}
 
 // hasOnlyPlanned reports whether a time line holds nothing else.
 func hasOnlyPlanned(faults []scenario.Fault) bool {
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -134,7 +134,7 @@
 // connection, or was killed, had read the request: it never sends the same one again, and request decides by its class whether
 // there is a further try.
 func (l *Load) try(id string, c Class, key, zone, tenant, idem string, size int, patience float64, again bool) attempt {
-	router, addr, err := l.front.Pick(zone)
+	router, addr, kept, err := l.pick(zone)
 	if err != nil {
 		return attempt{end: checker.Failed}
 	}
@@ -159,7 +159,10 @@
 		l.journal.Add(checker.Event{At: sent, Kind: checker.Sent, Request: id, Router: router, Class: c.Name, Idem: idem, Deadline: patience})
 		l.journal.Add(checker.Event{At: l.clock.Now(), Kind: k, Request: id, Router: router, NewConnection: newConnection})
 	}
-	conn, used, err := l.pool.take(addr, patience)
+	conn, used := kept, true
+	if conn == nil {
+		conn, used, err = l.pool.take(addr, patience)
+	}
 	if err != nil {
 		return attempt{end: checker.Failed}
 	}
@@ -207,6 +210,28 @@
 	return attempt{end: end, after: after, answered: true, reached: true}
 }
 
+// pick chooses a router for a client of a zone. A client of a router that was told to end stays on its connection while that is
+// open: it is returned too.
+func (l *Load) pick(zone string) (router, addr string, kept *conn, err error) {
+	for _, ending := range l.front.Endings() {
+		if l.uniform() >= ending.Share {
+			continue
+		}
+		if kept = l.pool.takeIdle(ending.Addr); kept != nil {
+			return ending.Name, ending.Addr, kept, nil
+		}
+	}
+	router, addr, err = l.front.Pick(zone)
+	return router, addr, nil, err
+}
+
+// uniform draws a number from 0 to 1.
+func (l *Load) uniform() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64()
+}
+
 // again draws whether a connection is kept.
 func (l *Load) again() bool {
 	l.mu.Lock()
@@ -299,17 +324,9 @@
 
 // take gives a connection, and whether it has been used before.
 func (p *pool) take(addr string, withinMS float64) (c *conn, used bool, err error) {
-	p.mu.Lock()
-	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
-		if p.clock.Now()-c.since < keepMS && c.alive() {
-			p.mu.Unlock()
-			return c, true, nil
-		}
-		c.Close()
+	if c := p.takeIdle(addr); c != nil {
+		return c, true, nil
 	}
-	p.mu.Unlock()
 	raw, err := net.DialTimeout("tcp", addr, time.Duration(withinMS*float64(time.Millisecond)))
 	if err != nil {
 		p.mu.Lock()
@@ -320,6 +337,21 @@
 	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, 4096)}, false, nil
 }
 
+// takeIdle gives an idle connection that is still open as far as is known; nil = there is none.
+func (p *pool) takeIdle(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
+		c := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		if p.clock.Now()-c.since < keepMS && c.alive() {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
 func (p *pool) put(addr string, c *conn) {
 	_ = c.SetDeadline(time.Time{})
 	c.since = p.clock.Now()
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -112,7 +112,7 @@
 	"crash": {"part"}, "silence": {"part"}, "spoil": {"part", "spoil"}, "slow": {"part", "bytes_s"}, "shrink": {"part"},
 	"deploy": {"part", "batch"}, "roll": {"batch"}, "discovery-down": nil, "watches-silent": nil, "rewind": {"versions"}, "origin-busy": nil,
 	"partition-there": {"part", "relays"}, "partition-back": {"part", "relays"}, "partition": {"part", "relays"},
-	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil, "move-discovery": nil,
+	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil, "move-discovery": nil, "discovery-silent": nil, "end-routers": {"part"}, "signals": {"part"}, "upgrade-one": nil, "crowd": nil,
 	"coordinators-die": {"coordinators"}, "coordinator-dies": {"coordinators"},
 	"change-servers": {"part", "out"}, "change-routers": {"part", "out"}, "release-routers": {"out"}, "kill-routers": {"part"}, "stop-routers": {"part"}, "cut-routers": {"part", "out"}, "tools-die": {"count", "out"}, "tools-stop": {"count", "out"},
 }
--- /dev/null
+++ b/lab/soak/soak.go
@@ -0,0 +1,173 @@
+// Package soak draws scenarios from seeds: fleets of a few routers whose planned ends, signals, moves of discovery, drains, cold
+// returns, faults of cache servers and crowds fall together. The same seed draws the same scenario.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"dockhinge.example/dockhinge/lab/model"
+	"dockhinge.example/dockhinge/lab/scenario"
+)
+
+const (
+	// base is the shipped scenario whose servers, classes and load a seed changes.
+	base = "ten"
+	// stream is that of the random numbers of a seed.
+	stream = 77
+	// firstFaultS is when the first fault may come, and quietEndS how long before the end the last one may.
+	firstFaultS = 2.0
+	quietEndS   = 5.0
+	// MinSeconds is the shortest load in which faults have room.
+	MinSeconds = 9.0
+	// crowdEvery is in how many runs one has a crowd.
+	crowdEvery = 3
+)
+
+// draw is a seed's random numbers with what has been drawn so far.
+type draw struct {
+	rng  *rand.Rand
+	file scenario.File
+}
+
+// Scenario draws the scenario of a seed, with a load of so many seconds.
+func Scenario(seed uint64, seconds float64) (scenario.File, error) {
+	if !(seconds >= MinSeconds) {
+		return scenario.File{}, fmt.Errorf("soak: %v seconds, at least %v are needed", seconds, MinSeconds)
+	}
+	file, err := scenario.Load(base)
+	if err != nil {
+		return scenario.File{}, err
+	}
+	d := draw{rng: rand.New(rand.NewPCG(seed, stream)), file: file}
+	d.file.Name = fmt.Sprintf("soak-%d", seed)
+	d.file.About = "Planned ends, signals, moves of discovery, drains and faults, drawn from a seed."
+	d.file.DurationS = seconds
+	d.file.WarmS = 0
+	d.file.Expect = scenario.Expect{Served: 1}
+	d.drawFleet()
+	d.drawClasses()
+	d.drawDiscovery()
+	d.drawFaults()
+	if d.rng.IntN(crowdEvery) == 0 {
+		d.drawCrowd()
+	}
+	return d.file.With("seed", fmt.Sprint(seed))
+}
+
+// between draws a number evenly.
+func (d *draw) between(low, high float64) float64 { return low + (high-low)*d.rng.Float64() }
+
+// count draws a whole number, both ends included.
+func (d *draw) count(low, high int) int { return low + d.rng.IntN(high-low+1) }
+
+func (d *draw) drawFleet() {
+	f := &d.file.Fleet
+	f.Routers = d.count(3, 8)
+	f.MemoryMB = 64
+	f.Sockets = 256
+	f.MaxAttempts = d.count(2, 4)
+	f.Cancel = d.rng.IntN(2) == 0
+	servers := d.count(4, 12)
+	kinds := append([]scenario.Kind(nil), d.file.Kinds...)
+	for i := range kinds {
+		kinds[i].Count = max(1, servers/len(kinds))
+	}
+	d.file.Kinds = kinds
+	d.file.Load.Rate = d.between(80, 500)
+	d.file.Load.Reconnect = d.between(0, 0.1)
+	d.file.Load.LateShare = 1 // a slow machine is no verdict
+	if d.rng.IntN(2) == 0 {
+		d.file.Load.DisconnectShare = 0.05
+	}
+}
+
+// drawClasses draws deadlines, and windows of repeats that may end before them.
+func (d *draw) drawClasses() {
+	classes := append(d.file.Classes[:0:0], d.file.Classes...)
+	deadlines := d.between(0.5, 2)
+	windows := d.between(0.1, 1.2)
+	for i := range classes {
+		classes[i].LimitMS *= deadlines
+		classes[i].AimMS *= min(1, deadlines)
+		classes[i].WindowMS *= windows
+	}
+	d.file.Classes = classes
+}
+
+// drawDiscovery draws how late discovery hears of changes, and how long its calls take: it may be crowded.
+func (d *draw) drawDiscovery() {
+	d.file.Discovery = model.DirectoryParams{LateMS: [2]float64{20, d.between(50, 1500)}, TimeoutMS: 2000}
+	if d.rng.IntN(2) == 0 {
+		d.file.Discovery.CallsPerS = 40
+		return
+	}
+	d.file.Discovery.LinesPerS = d.between(30, 120)
+	d.file.Discovery.CallLines = 10
+}
+
+// drawFaults draws an order of faults; each leaves room for what comes of it.
+func (d *draw) drawFaults() {
+	d.file.Faults = nil
+	kinds := []func(at float64) scenario.Fault{
+		d.ends, d.ends, d.signals, d.signals, d.move, d.move, d.drains, d.drains, d.coldReturns, d.hung, d.resetting, d.slow,
+		d.discoveryFault, d.upgrade,
+	}
+	last := d.file.DurationS - quietEndS
+	for at := firstFaultS; at < last; at += d.between(0.05, 1.5) {
+		d.file.Faults = append(d.file.Faults, kinds[d.rng.IntN(len(kinds))](at))
+	}
+}
+
+func (d *draw) ends(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "end-routers", Count: d.count(1, 2), Batch: d.count(1, 2), DownS: d.between(0, 1)}
+}
+
+func (d *draw) signals(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "signals", Count: d.count(1, 3), DownS: d.between(0, 1)}
+}
+
+func (d *draw) move(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "move-discovery", ForS: d.between(0, 1)}
+}
+
+func (d *draw) drains(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "shrink", Count: 1, DrainS: d.between(2, 10)}
+}
+
+func (d *draw) coldReturns(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "crash", Count: d.count(1, 2), ForS: d.between(0.3, 3)}
+}
+
+func (d *draw) hung(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "silence", Count: d.count(1, 2), ForS: d.between(0.5, 6)}
+}
+
+func (d *draw) resetting(at float64) scenario.Fault {
+	how := []string{"reset", "cut", "noise", "wrong-id", "busy"}
+	return scenario.Fault{AtS: at, What: "spoil", Spoil: how[d.rng.IntN(len(how))], Answers: d.between(0.1, 1), Count: 1, ForS: d.between(0.5, 4)}
+}
+
+func (d *draw) slow(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "slow", BytesS: d.between(2000, 20000), Count: 1, ForS: d.between(0.5, 4)}
+}
+
+func (d *draw) discoveryFault(at float64) scenario.Fault {
+	what := []string{"discovery-down", "discovery-silent", "watches-silent"}
+	return scenario.Fault{AtS: at, What: what[d.rng.IntN(len(what))], ForS: d.between(0.3, 3)}
+}
+
+func (d *draw) upgrade(at float64) scenario.Fault {
+	return scenario.Fault{AtS: at, What: "upgrade-one"}
+}
+
+// drawCrowd adds idle clients that take all descriptors, or a burst of requests.
+func (d *draw) drawCrowd() {
+	if d.rng.IntN(2) == 0 {
+		d.file.Load.Shape = "bursty"
+		d.file.Load.Burst = 0.9
+		d.file.Load.BurstMS = 1000
+		return
+	}
+	d.file.Faults = append(d.file.Faults, scenario.Fault{AtS: d.between(firstFaultS, 5), What: "crowd", ForS: d.between(1, 3)})
+}
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"dockhinge.example/dockhinge/lab/fleet"
+)
+
+// Guards against runs that can't be played again: a seed draws one scenario.
+func TestSeedDrawsOneScenario(t *testing.T) {
+	for seed := range uint64(200) {
+		a, err := Scenario(seed, 12)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		b, err := Scenario(seed, 12)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Load.Progress, b.Load.Progress = nil, nil
+		if !reflect.DeepEqual(a, b) {
+			t.Fatalf("seed %d drew two scenarios", seed)
+		}
+		if len(a.Faults) < 3 {
+			t.Errorf("seed %d: %d faults", seed, len(a.Faults))
+		}
+	}
+	if _, err := Scenario(1, MinSeconds-1); err == nil {
+		t.Error("too short a run was drawn")
+	}
+}
+
+// Guards against rules that break where planned ends, signals, moves of discovery and faults fall together.
+func TestSoakKeepsTheRules(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "dockhinge")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/dockhinge").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, seed := range []uint64{2, 9, 1042} { // two with a crowded discovery after a move, one with a silent one
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			file, err := Scenario(seed, 15)
+			if err != nil {
+				t.Fatal(err)
+			}
+			res, err := fleet.Run(t.Context(), file, fleet.Options{Command: []string{bin, "serve"}, Dir: t.TempDir(), MustEnd: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(res.Failures) > 0 {
+				t.Errorf("%s", strings.Join(res.Failures, "\n"))
+			}
+		})
+	}
+}
