--- a/cmd/dockhinge-coord/errors.go
+++ b/cmd/dockhinge-coord/errors.go
@@ -6,8 +6,9 @@
 	errNoCoordinators  = errors.New("--coordinators: none named")
 	errNoObservers     = errors.New("--observers: none named")
 	errNoLeaderAnswers = errors.New("no leader answers")
-	errLeaderTimeout   = errors.New("no answer in time: whether it was carried out is not known, look at members and status")
-	errNotConfirmed    = errors.New(
+	errLeaderTimeout   = errors.New(
+		"no answer in time: whether it was carried out is not known, look at members and status")
+	errNotConfirmed = errors.New(
 		"--i-have-waited: say that all others are ended and the longest time to live has passed")
 	errNoHaltReason     = errors.New("--why: say why; others will read it")
 	errNoReleaseStarted = errors.New("there has been no release")
--- a/cmd/dockhinge-coord/group.go
+++ b/cmd/dockhinge-coord/group.go
@@ -263,7 +263,8 @@
 	}
 	return c.withLeader(ctx, func(ctx context.Context, leader string) error {
 		if s.State != stateWaiting && !lacksVote(ctx, leader, s.Identity) {
-			return fmt.Errorf("%s: belongs to a group already, as %s; one that belongs to none is wanted", name, s.State)
+			return fmt.Errorf("%s: belongs to a group already, as %s; one that belongs to none is wanted",
+				name, s.State)
 		}
 		return client.Call(ctx, http.MethodPost, leader, "/v1/members", member, nil)
 	})
--- a/cmd/dockhinge-lab/soak.go
+++ b/cmd/dockhinge-lab/soak.go
@@ -25,11 +25,16 @@
 
 func soakCommand() *cobra.Command {
 	var o soakOptions
-	cmd := &cobra.Command{Use: "soak", Short: "Runs drawn from seeds: ends, signals, moves, drains and faults together", Args: cobra.NoArgs,
-		Long: "Draws a fleet and an order of faults from each seed, plays it with real routers and judges it by the rules.\n" +
-			"A run that fails prints its command, what broke first and where its logs are.",
-		RunE: func(cmd *cobra.Command, _ []string) error { return playSoak(cmd.Context(), o) }}
-	cmd.Flags().StringVar(&o.router, "router", "", "the command of one router (default: bin/dockhinge serve, built where it is not there)")
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Runs drawn from seeds: ends, signals, moves, drains and faults together",
+		Args:  cobra.NoArgs,
+		Long: "Draws a fleet and an order of faults from each seed, plays it with real routers and judges\n" +
+			"it by the rules. A run that fails prints its command, what broke first and where its logs are.",
+		RunE: func(cmd *cobra.Command, _ []string) error { return playSoak(cmd.Context(), o) },
+	}
+	cmd.Flags().StringVar(&o.router, "router", "",
+		"the command of one router (default: bin/dockhinge serve, built where it is not there)")
 	cmd.Flags().StringVar(&o.logs, "logs", "logs/soak", "keep the logs of runs that fail in this directory")
 	cmd.Flags().IntVar(&o.seeds, "seeds", 10, "runs")
 	cmd.Flags().Uint64Var(&o.first, "first", 1, "the first seed; the others follow it")
@@ -85,9 +90,11 @@
 	return nil
 }
 
-// playSeed plays one seed. The text is what became of it; the logs of a run that kept all rules are removed. The error tells that it
-// could not be played.
-func playSeed(ctx context.Context, o soakOptions, seed uint64, command []string) (text string, isKept bool, err error) {
+// playSeed plays one seed. The text is what became of it; the logs of a run that kept all rules are
+// removed. The error tells that it could not be played.
+func playSeed(
+	ctx context.Context, o soakOptions, seed uint64, command []string,
+) (text string, isKept bool, err error) {
 	file, err := soak.Scenario(seed, o.seconds)
 	if err != nil {
 		return "", false, err
@@ -105,10 +112,11 @@
 		return "", false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, dir)
 	}
 	if len(res.Failures) == 0 {
-		return fmt.Sprintf("seed %d: kept, %d tries, machine late by %.0f ms\n", seed, res.Load.Tries, res.LateMS), true, os.RemoveAll(dir)
+		text = fmt.Sprintf("seed %d: kept, %d tries, machine late by %.0f ms\n", seed, res.Load.Tries, res.LateMS)
+		return text, true, os.RemoveAll(dir)
 	}
-	text = fmt.Sprintf("seed %d: FAILED: dockhinge-lab soak --seeds 1 --first %d --seconds %v\n  machine late by %.0f ms, logs in %s\n",
-		seed, seed, o.seconds, res.LateMS, dir)
+	text = fmt.Sprintf("seed %d: FAILED: dockhinge-lab soak --seeds 1 --first %d --seconds %v\n", seed, seed, o.seconds)
+	text += fmt.Sprintf("  machine late by %.0f ms, logs in %s\n", res.LateMS, dir)
 	for _, failure := range res.Failures {
 		text += "  " + failure + "\n"
 	}
--- a/decide/rejection_test.go
+++ b/decide/rejection_test.go
@@ -165,7 +165,8 @@
 			cfg.MaxRetryAfterMillis = c.minRetryAfter
 			b, h := start(t, cfg, servers)
 			const sentAt = 100010
-			b.Request(sentAt, Request{ID: 1, Class: "keyed", Key: 9, HasKey: true, RemainingMillis: 600, IsWrite: c.toOrigin})
+			b.Request(sentAt, Request{ID: 1, Class: "keyed", Key: 9, HasKey: true, RemainingMillis: 600,
+				IsWrite: c.toOrigin})
 			b.AttemptEnded(sentAt+c.endedAt, ended(1, h.last().server, c.status, c.endedAt))
 			if len(h.sends) != 1 || h.rejected[1] != c.rejected || h.failed[1] != c.failed {
 				t.Errorf("sends %v, rejected %d, failed %d, want %d and %d",
--- a/internal/coord/node/membership.go
+++ b/internal/coord/node/membership.go
@@ -152,7 +152,8 @@
 // respond with it.
 func (n *Node) checkAddition(added raft.Server) error {
 	if !n.probeMembers([]raft.Server{added})[added.ID] {
-		return fmt.Errorf("members: %s does not respond, or is not the one that is meant: it gets no vote", added.Address)
+		return fmt.Errorf("members: %s does not respond, or is not the one that is meant: it gets no vote",
+			added.Address)
 	}
 	others := slices.DeleteFunc(n.servers(), func(server raft.Server) bool { return server.ID == added.ID })
 	return n.checkQuorum(append(others, added))
--- a/internal/router/config_update.go
+++ b/internal/router/config_update.go
@@ -13,8 +13,9 @@
 
 // runDiscovery follows the discovery that the configuration names, and takes new configurations,
 // until ctx ends. held is the list that the router starts with, and isHandover says that another
-// process of this router watches already. onList takes each list besides the loop. Another discovery is asked for the changes to the list that its configuration brings: those
-// take it a fraction of the time of a complete list for each router.
+// process of this router watches already. onList takes each list besides the loop. Another discovery
+// is asked for the changes to the list that its configuration brings: those take it a fraction of the
+// time of a complete list for each router.
 func (l *loop) runDiscovery(ctx context.Context, cfg *Config, held endpointList, isHandover bool,
 	updates <-chan *Config, onList func(endpointList)) {
 	var wg sync.WaitGroup
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -347,7 +347,8 @@
 			}
 			list, err := disc.firstCall(t.Context())
 			if err != nil || list.Version != 2 || calls.Load() != 1 || cutOff.Load() != 0 {
-				t.Errorf("got version %d, %v after %d calls, %d given up", list.Version, err, calls.Load(), cutOff.Load())
+				t.Errorf("got version %d, %v after %d calls, %d given up",
+					list.Version, err, calls.Load(), cutOff.Load())
 			}
 		})
 	}
--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -20,7 +20,8 @@
 	}
 	for i := range 5 * maxOverflowConns {
 		began := time.Now()
-		if got := dial(t, addr).ask(readOf(i+10, fmt.Sprint("more", i), 20000)); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+		got := dial(t, addr).ask(readOf(i+10, fmt.Sprint("more", i), 20000))
+		if !strings.HasPrefix(got, "SERVER_ERROR busy") {
 			t.Fatalf("request %d beyond the limit: got %q", i, got)
 		}
 		if took := time.Since(began); took > time.Second {
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -183,7 +183,8 @@
 // polled is a configuration of one of 300 routers that poll one discovery.
 func polled(t *testing.T, cfg *Config) *Config {
 	t.Helper()
-	return withSettings(t, withSettings(t, cfg, `"discovery":"push"`, `"discovery":"ask"`), `"balancers":1`, `"balancers":300`)
+	cfg = withSettings(t, cfg, `"discovery":"push"`, `"discovery":"ask"`)
+	return withSettings(t, cfg, `"balancers":1`, `"balancers":300`)
 }
 
 // servingPolled starts a router that polls discovery, over a list that it holds and that discovery
--- a/lab/checker/discovery_clock_test.go
+++ b/lab/checker/discovery_clock_test.go
@@ -35,7 +35,8 @@
 		{"a move delays nothing", "drain", "1000 listed s1 leaving\n4500 moved" + at(sent, "9060")},
 		{"a change later than 4 s after a move", "", "1000 moved\n5100 listed s1 leaving" + at(sent, "13140")},
 		{"another router's move", "", "1000 moved router=other\n1200 listed s1 leaving" + at(sent, "7060")},
-		{"a move while discovery is down", "", "800 down\n1000 moved\n1200 listed s1 leaving\n8000 up" + at(sent, "10040")},
+		{"a move while discovery is down", "",
+			"800 down\n1000 moved\n1200 listed s1 leaving\n8000 up" + at(sent, "10040")},
 		{"the router was stopped", "", listed + at(sent, "9060") + "\n9100 paused"},
 	})
 	pushed := rules
--- a/lab/fakes/discovery.go
+++ b/lab/fakes/discovery.go
@@ -300,22 +300,9 @@
 		http.Error(w, "not now", http.StatusServiceUnavailable)
 		return
 	}
-	var l model.List
-	if after := q.Get("after"); after == "" {
-		d.mu.Lock()
-		l = d.d.Whole()
-		d.mu.Unlock()
-	} else {
-		version, err := strconv.ParseInt(after, 10, 64)
-		patience, err2 := strconv.ParseFloat(q.Get("wait_ms"), 64)
-		if err != nil || err2 != nil || patience < 0 {
-			http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
-			return
-		}
-		if l, ok = d.watch(r.Context(), router, version, min(patience, 60000)); !ok {
-			http.Error(w, "not now", http.StatusServiceUnavailable)
-			return
-		}
+	l, ok := d.answer(w, r, router)
+	if !ok {
+		return
 	}
 	for i := range l.Servers {
 		l.Servers[i].Addr = address(l.Servers[i])
@@ -332,6 +319,25 @@
 	d.tell(router, l)
 }
 
+// answer is the list, or the changes to it, that a call is answered with. It is false where the call failed, which is answered.
+func (d *Discovery) answer(w http.ResponseWriter, r *http.Request, router string) (l model.List, ok bool) {
+	q := r.URL.Query()
+	after := q.Get("after")
+	if after == "" {
+		return d.List(), true
+	}
+	version, err := strconv.ParseInt(after, 10, 64)
+	patience, err2 := strconv.ParseFloat(q.Get("wait_ms"), 64)
+	if err != nil || err2 != nil || patience < 0 {
+		http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
+		return l, false
+	}
+	if l, ok = d.watch(r.Context(), router, version, min(patience, 60000)); !ok {
+		http.Error(w, "not now", http.StatusServiceUnavailable)
+	}
+	return l, ok
+}
+
 // queue is how long a call waits for its turn. A call that continues a watch does not, where calls cost by lines. The caller holds mu.
 func (d *Discovery) queue(router, after string) (wait float64, ok bool) {
 	now := d.clock.Now()
--- a/lab/fakes/front.go
+++ b/lab/fakes/front.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// Front deals out clients' connections over routers in turn, those of the client's zone first, and notices late that a
-// router has died.
+// Front deals out clients' connections over routers in turn, those of the client's zone first, and
+// notices late that a router has died.
 type Front struct {
 	clock *Clock
 
@@ -60,8 +60,8 @@
 	}
 }
 
-// End tells that a router was told to end: new connections go on coming for noticeMS, and clients use those that they have for as
-// long as they stay open.
+// End tells that a router was told to end: new connections go on coming for noticeMS, and clients
+// use those that they have for as long as they stay open.
 func (f *Front) End(name string, noticeMS float64) {
 	f.Down(name, noticeMS)
 	f.mu.Lock()
--- a/lab/fleet/crowd.go
+++ b/lab/fleet/crowd.go
@@ -17,7 +17,8 @@
 	crowdEndMS = 1000.0
 )
 
-// crowd has idle clients open as many connections to each router as it may have descriptors, and keep them until the fault is over.
+// crowd has idle clients open as many connections to each router as it may have descriptors, and
+// keep them until the fault is over.
 func (fl *Fleet) crowd(ctx context.Context, f scenario.Fault) {
 	fl.mark("idle clients crowd all routers")
 	began := fl.clock.Now()
--- a/lab/fleet/end_routers.go
+++ b/lab/fleet/end_routers.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// killAfterDeadline is the time from the longest deadline after SIGTERM to SIGKILL, and killDeadlineMS bounds that deadline.
+	// killAfterDeadline is the time from the longest deadline after SIGTERM to SIGKILL, and
+	// killDeadlineMS bounds that deadline.
 	killAfterDeadline = 700 * time.Millisecond
 	killDeadlineMS    = 3000.0
 	// noticeEndMS is how long new connections go on coming to a router that was told to end.
@@ -29,12 +30,15 @@
 	return time.Duration(min(longest, killDeadlineMS)*float64(time.Millisecond)) + killAfterDeadline
 }
 
-// endRouters has some routers told to end, a batch at a time, killed at the earliest time where they still run, and started again.
+// endRouters has some routers told to end, a batch at a time, killed at the earliest time where
+// they still run, and started again.
 func (fl *Fleet) endRouters(ctx context.Context, f scenario.Fault) {
 	routers := fl.pickRouters(f)
 	fl.mark("%d routers are told to end, %d at a time", len(routers), max(1, f.Batch))
 	for batch := range slices.Chunk(routers, max(1, f.Batch)) {
-		fl.sideBySide(batch, func(r *router) { fl.endAndStart(ctx, r, f.DownS, func(p *process) { r.signal(p, syscall.SIGTERM) }) })
+		fl.sideBySide(batch, func(r *router) {
+			fl.endAndStart(ctx, r, f.DownS, func(p *process) { r.signal(p, syscall.SIGTERM) })
+		})
 		if ctx.Err() != nil {
 			return
 		}
@@ -54,8 +58,9 @@
 	return routers[:max(0, min(count, len(routers)))]
 }
 
-// endAndStart has a router's newest process ended by signals, the first of which is SIGTERM or followed by it at once, kills it at the
-// earliest time, and starts it again. It does nothing where another fault has the router down.
+// endAndStart has a router's newest process ended by signals, the first of which is SIGTERM or
+// followed by it at once, kills it at the earliest time, and starts it again. It does nothing where
+// another fault has the router down.
 func (fl *Fleet) endAndStart(ctx context.Context, r *router, downS float64, end func(p *process)) {
 	if !r.busy.TryLock() {
 		return
@@ -76,7 +81,8 @@
 	}
 }
 
-// awaitEnd waits for the end of a process that was sent SIGTERM just now, and kills it once it may be.
+// awaitEnd waits for the end of a process that was sent SIGTERM just now, and kills it once it may
+// be.
 func (fl *Fleet) awaitEnd(r *router, p *process) {
 	select {
 	case <-p.done:
@@ -87,8 +93,8 @@
 	}
 }
 
-// endAll tells all routers to end, without a load, and tells which did not end by themselves before they may be killed: one that
-// waits for something that it started never does.
+// endAll tells all routers to end, without a load, and tells which did not end by themselves before
+// they may be killed: one that waits for something that it started never does.
 func (fl *Fleet) endAll() (failures []string) {
 	var mu sync.Mutex
 	fl.sideBySide(fl.allRouters(), func(r *router) {
@@ -124,10 +130,12 @@
 			most.FDs = max(most.FDs, s.Routers[r.name].FDs)
 		}
 		if most.RSSMB > float64(fl.File.Fleet.MemoryMB) {
-			failures = append(failures, fmt.Sprintf("router %s had %.0f MB of %d", r.name, most.RSSMB, fl.File.Fleet.MemoryMB))
+			failures = append(failures,
+				fmt.Sprintf("router %s had %.0f MB of %d", r.name, most.RSSMB, fl.File.Fleet.MemoryMB))
 		}
 		if most.FDs > fl.File.Fleet.Sockets {
-			failures = append(failures, fmt.Sprintf("router %s had %d descriptors of %d", r.name, most.FDs, fl.File.Fleet.Sockets))
+			failures = append(failures,
+				fmt.Sprintf("router %s had %d descriptors of %d", r.name, most.FDs, fl.File.Fleet.Sockets))
 		}
 	}
 	return failures
--- a/lab/fleet/move_discovery.go
+++ b/lab/fleet/move_discovery.go
@@ -12,8 +12,9 @@
 // reloadPollS is the time between two looks whether a process may be sent a SIGHUP.
 const reloadPollS = 0.05
 
-// moveDiscovery has discovery move to other addresses: each router gets a configuration that names its new one and a SIGHUP, one
-// router after the other over the fault's time. The old address accepts no new connection from then on.
+// moveDiscovery has discovery move to other addresses: each router gets a configuration that names
+// its new one and a SIGHUP, one router after the other over the fault's time. The old address
+// accepts no new connection from then on.
 func (fl *Fleet) moveDiscovery(ctx context.Context, f scenario.Fault) {
 	routers := fl.allRouters()
 	fl.mark("discovery moves")
@@ -32,8 +33,9 @@
 	fl.mark("discovery has moved for all routers")
 }
 
-// moveDiscoveryOf moves it for one router, once its process may be sent a SIGHUP. A router that is down finds the new address at its
-// start; the old one stays then, as a process may just be starting with it.
+// moveDiscoveryOf moves it for one router, once its process may be sent a SIGHUP. A router that is
+// down finds the new address at its start; the old one stays then, as a process may just be
+// starting with it.
 func (fl *Fleet) moveDiscoveryOf(ctx context.Context, r *router) error {
 	p := r.newest()
 	for p != nil && !p.mayReload() {
--- a/lab/fleet/signals.go
+++ b/lab/fleet/signals.go
@@ -10,14 +10,16 @@
 	"dockhinge.example/dockhinge/lab/scenario"
 )
 
-// signal sequences: h is a SIGHUP with the same discovery, m one that moves it, t a SIGTERM. After the first t the time to SIGKILL runs.
+// signal sequences: h is a SIGHUP with the same discovery, m one that moves it, t a SIGTERM. After
+// the first t the time to SIGKILL runs.
 var signalSequences = []string{"hhh", "hm", "mh", "mmm", "ht", "mt", "tt", "th", "tm", "hth", "mtt", "hmhm"}
 
 const (
 	// Gaps between the signals of a series: within milliseconds or within seconds.
 	maxShortGap = 20 * time.Millisecond
 	maxLongGap  = 1500 * time.Millisecond
-	// maxUpgradeTermDelay is how long after the new process is ready the old one gets SIGTERM at the latest.
+	// maxUpgradeTermDelay is how long after the new process is ready the old one gets SIGTERM at
+	// the latest.
 	maxUpgradeTermDelay = 2 * time.Second
 )
 
@@ -108,7 +110,8 @@
 	}
 }
 
-// upgradeOne starts a new process beside the old one of a router, signals both, and ends the old one once the new is ready.
+// upgradeOne starts a new process beside the old one of a router, signals both, and ends the old
+// one once the new is ready.
 func (fl *Fleet) upgradeOne(ctx context.Context) {
 	for _, r := range fl.pickRouters(scenario.Fault{Count: 1}) {
 		if !r.busy.TryLock() {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -1,5 +1,6 @@
-// Package soak draws scenarios from seeds: fleets of a few routers whose planned ends, signals, moves of discovery, drains, cold
-// returns, faults of cache servers and crowds fall together. The same seed draws the same scenario.
+// Package soak draws scenarios from seeds: fleets of a few routers whose planned ends, signals,
+// moves of discovery, drains, cold returns, faults of cache servers and crowds fall together. The
+// same seed draws the same scenario.
 package soak
 
 import (
@@ -15,7 +16,8 @@
 	base = "ten"
 	// stream is that of the random numbers of a seed.
 	stream = 77
-	// firstFaultS is when the first fault may come, and quietEndS how long before the end the last one may.
+	// firstFaultS is when the first fault may come, and quietEndS how long before the end the last
+	// one may.
 	firstFaultS = 2.0
 	quietEndS   = 5.0
 	// MinSeconds is the shortest load in which faults have room.
@@ -95,7 +97,8 @@
 	d.file.Classes = classes
 }
 
-// drawDiscovery draws how late discovery hears of changes, and how long its calls take: it may be crowded.
+// drawDiscovery draws how late discovery hears of changes, and how long its calls take: it may be
+// crowded.
 func (d *draw) drawDiscovery() {
 	d.file.Discovery = model.DirectoryParams{LateMS: [2]float64{20, d.between(50, 1500)}, TimeoutMS: 2000}
 	if d.rng.IntN(2) == 0 {
@@ -110,8 +113,8 @@
 func (d *draw) drawFaults() {
 	d.file.Faults = nil
 	kinds := []func(at float64) scenario.Fault{
-		d.ends, d.ends, d.signals, d.signals, d.move, d.move, d.drains, d.drains, d.coldReturns, d.hung, d.resetting, d.slow,
-		d.discoveryFault, d.upgrade,
+		d.ends, d.ends, d.signals, d.signals, d.move, d.move, d.drains, d.drains,
+		d.coldReturns, d.hung, d.resetting, d.slow, d.discoveryFault, d.upgrade,
 	}
 	last := d.file.DurationS - quietEndS
 	for at := firstFaultS; at < last; at += d.between(0.05, 1.5) {
@@ -120,7 +123,8 @@
 }
 
 func (d *draw) ends(at float64) scenario.Fault {
-	return scenario.Fault{AtS: at, What: "end-routers", Count: d.count(1, 2), Batch: d.count(1, 2), DownS: d.between(0, 1)}
+	return scenario.Fault{AtS: at, What: "end-routers", Count: d.count(1, 2), Batch: d.count(1, 2),
+		DownS: d.between(0, 1)}
 }
 
 func (d *draw) signals(at float64) scenario.Fault {
@@ -145,7 +149,8 @@
 
 func (d *draw) resetting(at float64) scenario.Fault {
 	how := []string{"reset", "cut", "noise", "wrong-id", "busy"}
-	return scenario.Fault{AtS: at, What: "spoil", Spoil: how[d.rng.IntN(len(how))], Answers: d.between(0.1, 1), Count: 1, ForS: d.between(0.5, 4)}
+	return scenario.Fault{AtS: at, What: "spoil", Spoil: how[d.rng.IntN(len(how))],
+		Answers: d.between(0.1, 1), Count: 1, ForS: d.between(0.5, 4)}
 }
 
 func (d *draw) slow(at float64) scenario.Fault {
@@ -169,5 +174,6 @@
 		d.file.Load.BurstMS = 1000
 		return
 	}
-	d.file.Faults = append(d.file.Faults, scenario.Fault{AtS: d.between(firstFaultS, 5), What: "crowd", ForS: d.between(1, 3)})
+	crowd := scenario.Fault{AtS: d.between(firstFaultS, 5), What: "crowd", ForS: d.between(1, 3)}
+	d.file.Faults = append(d.file.Faults, crowd)
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// Guards against rules that break where planned ends, signals, moves of discovery and faults fall together.
+// Guards against rules that break where planned ends, signals, moves of discovery and faults fall
+// together.
 func TestSoakKeepsTheRules(t *testing.T) {
 	bin := filepath.Join(t.TempDir(), "dockhinge")
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/dockhinge").CombinedOutput(); err != nil {
@@ -48,7 +49,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			res, err := fleet.Run(t.Context(), file, fleet.Options{Command: []string{bin, "serve"}, Dir: t.TempDir(), MustEnd: true})
+			options := fleet.Options{Command: []string{bin, "serve"}, Dir: t.TempDir(), MustEnd: true}
+			res, err := fleet.Run(t.Context(), file, options)
 			if err != nil {
 				t.Fatal(err)
 			}
