--- a/lab/checker/discovery_clock.go
+++ b/lab/checker/discovery_clock.go
@@ -62,14 +62,15 @@
 	return at
 }
 
-// toldByClock is when a change of the list counts as told to a router at the latest. Of several times the earliest holds; only
-// what is pushed counts no sooner than moveClockMillis after a move that came before the change.
+// toldByClock is when a change of the list counts as told to a router at the latest. Of several times
+// the earliest holds; only what is pushed counts no sooner than moveClockMillis after a move that came
+// before the change. A move says nothing of what discovery could tell nobody within that time.
 func (d *discoveryHistory) toldByClock(router string, listedAt float64, isPushed bool) float64 {
 	told := d.toldByWatch(router, listedAt, isPushed)
 	for _, movedAt := range d.moves[router] {
-		byMove := max(movedAt+moveClockMillis, d.reachableAt(max(movedAt, listedAt)))
+		byMove := movedAt + moveClockMillis
 		switch {
-		case listedAt > movedAt+moveClockMillis:
+		case d.reachableAt(max(movedAt, listedAt)) > byMove:
 		case isPushed && listedAt >= movedAt:
 			told = max(told, byMove)
 		default:
