Keep the budget of a move until its end, also after an answer

Callers would see: requests to a draining server up to 2 s over its grace, where the new discovery answered, then was down and came back within 4 s of the move: after the first answer the pauses were of the usual length again.

Change: an answer ends the row of failures, and the budget ends with its 4 s.

--- a/decide/discovery_backoff.go
+++ b/decide/discovery_backoff.go
@@ -58,8 +58,8 @@
 	pollAt float64
 	// failures counts the calls that failed in a row.
 	failures int
-	// movedCallsEnd is until when a call to another discovery may be accepted and still be answered
-	// in time, ms; 0 = the discovery has not changed since the last answer.
+	// movedCallsEnd is until when calls to another discovery share the budget of the move, ms, also
+	// after an answer: what that discovery has by then counts as notified. 0 = it never changed.
 	movedCallsEnd float64
 }
 
--- a/decide/endpoints.go
+++ b/decide/endpoints.go
@@ -42,7 +42,8 @@
 		b.discovery.pollAt = now + b.pollBackoffMillis()
 		return
 	}
-	b.discovery = discoveryPolling{pollAt: math.Inf(1)}
+	b.discovery.pollAt = math.Inf(1)
+	b.discovery.failures = 0
 	if b.cfg.PollEndpoints && kind == RestoredEndpoints {
 		b.discovery.pollAt = now + b.firstPollMillis()
 	}
