--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -14,28 +14,29 @@
 
 // The events, by who sees them.
 const (
-	Sent          Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
-	Answered                  // a client: a whole answer (Request, Answer, Sum)
-	Extra                     // a client: an answer to what it has an answer for already (Request)
-	Closed                    // a client: the router ended the connection before a whole answer (Request, NewConnection)
-	Left                      // a client: it waited past the deadline and the slack, and closed its connection (Request)
-	Disconnected              // a client: it closed its connection before its deadline, without an answer (Request)
-	Whole                     // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint, Work)
-	Over                      // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
-	Malformed                 // a server: it was sent a command in a form that no client sends (Server)
-	Ran                       // a server: an effect was carried out (Request, Server, Idem)
-	Started                   // a server: its process started (Server)
-	Fell                      // a server: it was cold and has been pushed over (Server), by what came since Began
-	Told                      // discovery: a router was told a server's state (Router, Server, State, ServerStartedAt)
-	Listed                    // discovery: its list has a new state of a server from now on (Server, State, ServerStartedAt)
-	DiscoveryDown             // discovery: it can't be reached any more
-	DiscoveryUp               // discovery: it can be reached again
-	ListCalled                // discovery: a router called for the list or for what is new (Router)
-	WatchSilent               // discovery: a router's watch fell silent (Router), with Deadline ms of its wait left
-	RouterStarted             // the lab: a router's process was started (Router)
-	RouterReady               // the lab: the process that was started last is ready (Router)
-	Killed                    // the lab: a router was killed or has crashed (Router)
-	Paused                    // the lab: a router's process was stopped (Router), and went on after Deadline ms
+	Sent           Kind = iota // a client: a request's last byte is written (Request, Router, Class, Deadline, Idem)
+	Answered                   // a client: a whole answer (Request, Answer, Sum)
+	Extra                      // a client: an answer to what it has an answer for already (Request)
+	Closed                     // a client: the router ended the connection before a whole answer (Request, NewConnection)
+	Left                       // a client: it waited past the deadline and the slack, and closed its connection (Request)
+	Disconnected               // a client: it closed its connection before its deadline, without an answer (Request)
+	Whole                      // a server: an attempt's last byte has come (Request, Server, Began, TimeoutHint, Work)
+	Over                       // a server: an attempt is over, before its answer is written (Request, Server, End, Sum)
+	Malformed                  // a server: it was sent a command in a form that no client sends (Server)
+	Ran                        // a server: an effect was carried out (Request, Server, Idem)
+	Started                    // a server: its process started (Server)
+	Fell                       // a server: it was cold and has been pushed over (Server), by what came since Began
+	Told                       // discovery: a router was told a server's state (Router, Server, State, ServerStartedAt)
+	Listed                     // discovery: its list has a new state of a server from now on (Server, State, ServerStartedAt)
+	DiscoveryDown              // discovery: it can't be reached any more
+	DiscoveryUp                // discovery: it can be reached again
+	ListCalled                 // discovery: a router called for the list or for what is new (Router)
+	WatchSilent                // discovery: a router's watch fell silent (Router), with Deadline ms of its wait left
+	RouterStarted              // the lab: a router's process was started (Router)
+	RouterReady                // the lab: the process that was started last is ready (Router)
+	Killed                     // the lab: a router was killed or has crashed (Router)
+	DiscoveryMoved             // the lab: a router was sent a configuration that names another discovery (Router)
+	Paused                     // the lab: a router's process was stopped (Router), and went on after Deadline ms
 )
 
 // Answer is what a client was given.
@@ -207,7 +208,7 @@
 		add("answer", until, "request %s: no final answer by its deadline", id)
 	}
 	for _, a := range q.answers[:min(1, len(q.answers))] {
-		judgeAnswer(q, a, class, add)
+		judgeAnswer(q, a, class, r, add)
 	}
 	if len(q.attempts) > r.MaxAttempts && r.MaxAttempts > 0 {
 		add("attempts", q.attempts[r.MaxAttempts].whole, "request %s: %d attempts, %d at most", id, len(q.attempts), r.MaxAttempts)
@@ -236,16 +237,30 @@
 }
 
 // judgeAnswer holds an answer against what servers made, and a refusal against what may have run.
-func judgeAnswer(q *request, a Event, class Class, add report) {
-	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.whole <= a.At && t.end != Missed && t.end != Turned })
+func judgeAnswer(q *request, a Event, class Class, r Rules, add report) {
+	mayHaveRun := slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.mayHaveRunBy(a.At) })
 	switch {
 	case a.Answer == Served && !slices.ContainsFunc(q.attempts, func(t *attempt) bool { return t.end == Made && t.sum == a.Sum }):
 		add("value", a.At, "request %s: served what no server made for it", a.Request)
 	case a.Answer == Refused && mayHaveRun && (class.Effect == Once || class.Effect == Keyed && class.Scope != "all"):
 		add("effect", a.At, "request %s of class %s: refused as harmless to repeat, and it may have run", a.Request, q.sent.Class)
+	case a.Answer == Refused && class.Effect == Keyed && isRefusedPastWindow(q, a, class, r):
+		add("effect", a.At, "request %s of class %s: refused as harmless to repeat after its window, and it may have run", a.Request, q.sent.Class)
 	}
 }
 
+// isRefusedPastWindow reports whether a refusal came when servers no longer dropped a repeat of an attempt that may have run.
+func isRefusedPastWindow(q *request, a Event, class Class, r Rules) bool {
+	return slices.ContainsFunc(q.attempts, func(t *attempt) bool {
+		return t.mayHaveRunBy(a.At) && a.At-t.began > class.WindowMS+r.SlackMS
+	})
+}
+
+// mayHaveRunBy reports whether an attempt may have run by a time.
+func (t *attempt) mayHaveRunBy(at float64) bool {
+	return t.whole <= at && t.end != Missed && t.end != Turned
+}
+
 // judgePair holds an attempt against one before it.
 func judgePair(id string, before, a *attempt, class Class, r Rules, add report) {
 	if before.over > a.whole+r.SlackMS {
