--- a/lab/fakes/discovery.go
+++ b/lab/fakes/discovery.go
@@ -35,6 +35,7 @@
 	changed chan struct{} // closed at each change of the list and of down
 	silence chan struct{} // closed when open watches fall silent
 	down    bool
+	silent  bool
 	calls   int
 	doors   map[string]*door                  // by address
 	told    map[string]map[string]model.Entry // by router: the list as it was told last
@@ -185,6 +186,23 @@
 	d.turn()
 }
 
+// SetSilent has discovery leave all calls without an answer, watches included, or answer those that come from then on.
+func (d *Discovery) SetSilent(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if silent == d.silent {
+		return
+	}
+	d.silent = silent
+	kind := checker.DiscoveryUp
+	if silent {
+		kind = checker.DiscoveryDown
+		close(d.silence)
+		d.silence = make(chan struct{})
+	}
+	d.journal.Add(checker.Event{At: d.clock.Now(), Kind: kind})
+}
+
 // SilenceWatches has all watches that are open now fall silent: they are never answered, and their connections stay open.
 func (d *Discovery) SilenceWatches() {
 	d.mu.Lock()
@@ -263,6 +281,11 @@
 	d.mu.Lock()
 	d.calls++
 	d.journal.Add(checker.Event{At: d.clock.Now(), Kind: checker.ListCalled, Router: router})
+	if d.silent {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	wait, ok := d.queue(router, q.Get("after"))
 	down := d.down
 	d.mu.Unlock()
@@ -277,22 +300,9 @@
 		http.Error(w, "not now", http.StatusServiceUnavailable)
 		return
 	}
-	var l model.List
-	if after := q.Get("after"); after == "" {
-		d.mu.Lock()
-		l = d.d.Whole()
-		d.mu.Unlock()
-	} else {
-		version, err := strconv.ParseInt(after, 10, 64)
-		patience, err2 := strconv.ParseFloat(q.Get("wait_ms"), 64)
-		if err != nil || err2 != nil || patience < 0 {
-			http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
-			return
-		}
-		if l, ok = d.watch(r.Context(), router, version, min(patience, 60000)); !ok {
-			http.Error(w, "not now", http.StatusServiceUnavailable)
-			return
-		}
+	l, ok := d.answer(w, r, router)
+	if !ok {
+		return
 	}
 	for i := range l.Servers {
 		l.Servers[i].Addr = address(l.Servers[i])
@@ -309,6 +319,25 @@
 	d.tell(router, l)
 }
 
+// answer is the list, or the changes to it, that a call is answered with. It is false where the call failed, which is answered.
+func (d *Discovery) answer(w http.ResponseWriter, r *http.Request, router string) (l model.List, ok bool) {
+	q := r.URL.Query()
+	after := q.Get("after")
+	if after == "" {
+		return d.List(), true
+	}
+	version, err := strconv.ParseInt(after, 10, 64)
+	patience, err2 := strconv.ParseFloat(q.Get("wait_ms"), 64)
+	if err != nil || err2 != nil || patience < 0 {
+		http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
+		return l, false
+	}
+	if l, ok = d.watch(r.Context(), router, version, min(patience, 60000)); !ok {
+		http.Error(w, "not now", http.StatusServiceUnavailable)
+	}
+	return l, ok
+}
+
 // queue is how long a call waits for its turn. A call that continues a watch does not, where calls cost by lines. The caller holds mu.
 func (d *Discovery) queue(router, after string) (wait float64, ok bool) {
 	now := d.clock.Now()
