--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -35,24 +35,30 @@
 	}
 }
 
-// testRate bounds the requests a second, so that a busy machine breaks no rule.
-const testRate = 100
-
-// Guards against rules that break where planned ends, signals, moves of discovery and faults fall
-// together.
+// Guards against rules that break where planned ends, signals, moves of discovery and faults fall together.
 func TestSoakKeepsTheRules(t *testing.T) {
+	playSeeds(t, 37, 1042)
+}
+
+// Guards against the same at a high rate, with a discovery that is crowded after a move.
+func TestSoakKeepsTheRulesAtAHighRate(t *testing.T) {
+	playSeeds(t, 14)
+}
+
+// playSeeds plays seeds side by side with real routers; each has to keep all rules.
+func playSeeds(t *testing.T, seeds ...uint64) {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "dockhinge")
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/dockhinge").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range []uint64{14, 37, 1042} { // a discovery that is crowded, and one that is silent, after a move
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			file, err := Scenario(seed, 15)
 			if err != nil {
 				t.Fatal(err)
 			}
-			file.Load.Rate = min(file.Load.Rate, testRate)
 			options := fleet.Options{Command: []string{bin, "serve"}, Dir: t.TempDir(), MustEnd: true}
 			res, err := fleet.Run(t.Context(), file, options)
 			if err != nil {
