Show that a publish taken during an upgrade is never answered

Cause: told to end while another process of the router runs, a process closes its clients' connections max(3 s, longest deadline) after SIGTERM, but owes answers until min(longest deadline, 3 s) + 0.5 s. At a plain restart the first period begins half a second later, which hides it.

Nothing of the router is changed.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*scene) error{
 	"1": playSecondCopy,
+	"2": playUpgrade,
 }
 
 func main() {
