Show that commands read before a restart are never answered

Cause: min(longest deadline, 3 s) + 0.5 s after SIGTERM the router stops reading commands, and drops those that wait in a connection's buffer because 16 before them are open: they have been taken, and get neither an answer nor a refusal.

Nothing of the router is changed.

--- a/review/play/main.go
+++ b/review/play/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*scene) error{
 	"1": playSecondCopy,
 	"2": playUpgrade,
+	"3": playPipelined,
 }
 
 func main() {
--- a/review/play/slotted.go
+++ b/review/play/slotted.go
@@ -28,3 +28,12 @@
 	}
 	return nil
 }
+
+// siteClasses are the classes of the first site.
+func siteClasses() []class {
+	return []class{
+		{"fetch", "repeatable", 600, 1200, 5000},
+		{"publish", "by_key", 600, 1500, 3000},
+		{"release-tag", "once", 600, 1200, 5000},
+	}
+}
