--- a/review/play/main.go
+++ b/review/play/main.go
@@ -47,7 +47,7 @@
 		fmt.Fprintln(os.Stderr, "play:", err)
 		return exitNotRun
 	}
-	err = run(s)
+	err = s.runBounded(run)
 	s.close()
 	verdict, code := "held: the rule was kept", exitHeld
 	switch {
--- a/review/play/scene.go
+++ b/review/play/scene.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -39,6 +41,25 @@
 	return s, nil
 }
 
+// playTimeout is how long a case may take; the longest takes half a minute.
+const playTimeout = 100 * time.Second
+
+// runBounded runs a case until its end, until a signal ends it, or for playTimeout.
+func (s *scene) runBounded(run func(*scene) error) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- run(s) }()
+	select {
+	case err := <-ended:
+		return err
+	case sent := <-signals:
+		return fmt.Errorf("ended from outside: %v", sent)
+	case <-time.After(playTimeout):
+		return fmt.Errorf("not at its end after %v", playTimeout)
+	}
+}
+
 // atEnd has a function called at the end of the case.
 func (s *scene) atEnd(end func()) {
 	s.mu.Lock()
