End case 1 with 2 if its router has ended or hardly served

Cause: with its router gone in the middle, a run of case 1 without the disruption found no request that ran twice and exited with 0, though it had not been played to its end.

Change: such a run, and one with under half of the requests served, exits with 2; SIGHUP ends a case like SIGTERM.

--- a/review/play/router.go
+++ b/review/play/router.go
@@ -208,3 +208,13 @@
 	r.scene.note(r.name, "SIGTERM")
 	return r.cmd.Process.Signal(syscall.SIGTERM)
 }
+
+// hasEnded reports whether the process has ended.
+func (r *routerProcess) hasEnded() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/play/scene.go
+++ b/review/play/scene.go
@@ -47,7 +47,7 @@
 // runBounded runs a case until its end, until a signal ends it, or for playTimeout.
 func (s *scene) runBounded(run func(*scene) error) error {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
 	ended := make(chan error, 1)
 	go func() { ended <- run(s) }()
 	select {
--- a/review/play/secondcopy.go
+++ b/review/play/secondcopy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -122,7 +123,11 @@
 	}
 	answers := s.sendCopyRequests(r.listen)
 	time.Sleep(time.Second) // until nothing is out any more
-	return s.judgeCopies(answers, book)
+	err = s.judgeCopies(answers, book)
+	if err == nil && r.hasEnded() {
+		err = errors.New("the router has ended")
+	}
+	return err
 }
 
 // copyID returns the id of a request.
@@ -183,6 +188,9 @@
 		return fmt.Errorf("%w: of %d requests that must never run twice, %d have; %d were refused though they had run",
 			errBroken, len(answers), twice, harmful)
 	}
+	if 2*served < len(answers) {
+		return fmt.Errorf("only %d of %d requests were served", served, len(answers))
+	}
 	return nil
 }
 
