Answer all commands that a client has sent before its router ends

Cause: a connection has at most 16 unanswered commands, and those behind them wait in its buffer and the socket's. When all answers were due, the reading of every connection ended and both buffers were dropped, though their commands had been taken.

Change: connections are read until nothing is unanswered on them and nothing has been received. Once all answers are due each command is rejected as soon as it is read, so this ends with the client's first pause. The reading of sockets ends 50 ms before the end of all connections; what a buffer holds then is still answered, and a command in part is rejected. This holds for any number of commands, as it no longer depends on what waits where.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -41,6 +41,8 @@
 	isOverflow bool
 	// reader buffers the input. It belongs to the reader goroutine.
 	reader *bufio.Reader
+	// unknownCommands counts the unknown commands received. It belongs to the reader goroutine.
+	unknownCommands int
 	// isReceivingLargeValue is set while a large value is being received and forwarded.
 	isReceivingLargeValue atomic.Bool
 	// isCountedAsActive is set once clients.activeConns counts the connection.
@@ -195,7 +197,7 @@
 	if c.isOverflow { // other connections wait for its descriptor
 		lingerUntil = time.Time{}
 	}
-	if isRejected || c.reader.Buffered() > 0 || hasInput(c.Conn) {
+	if isRejected || c.hasMoreInput() {
 		lingerUntil = time.Now().Add(lingerTimeout)
 	}
 	if hasDisconnected || isUnwritable {
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -12,10 +12,13 @@
 	"dockhinge.example/dockhinge/internal/metrics"
 )
 
-// Read reads input for the connection's buffer. If an idle connection is ended by an expired read
-// deadline while the rest of a command has already been received, the command is still read: its
-// client could not tell that it was dropped.
+// Read reads input for the connection's buffer, until no further input is accepted. If an idle
+// connection is ended by an expired read deadline while the rest of a command has already been
+// received, the command is still read: its client could not tell that it was dropped.
 func (c *clientConn) Read(b []byte) (int, error) {
+	if !c.acceptsInput() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForLateInput() {
 		return c.Conn.Read(b)
@@ -63,8 +66,6 @@
 	switch {
 	case c.isUnwritable:
 		return net.ErrClosed
-	case c.clients.commandsClosed.Load():
-		return os.ErrDeadlineExceeded
 	case c.unanswered() > 0:
 		c.SetReadDeadline(time.Time{})
 	case c.isDraining: // commands already received are still answered
@@ -75,6 +76,13 @@
 	return nil
 }
 
+// acceptsInput reports whether further input is read. Commands that the buffer holds are read even
+// if it is not.
+func (c *clientConn) acceptsInput() bool { return !c.clients.inputClosed.Load() }
+
+// hasMoreInput reports whether input behind the last command has been received.
+func (c *clientConn) hasMoreInput() bool { return c.reader.Buffered() > 0 || hasInput(c.Conn) }
+
 // receivedCommand is a completely received command.
 type receivedCommand struct {
 	command
@@ -87,7 +95,6 @@
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
 // connection's time is up. It reports whether the client was rejected, which includes quit.
 func (c *clientConn) readCommands() (isRejected bool) {
-	unknownCommands := 0
 	for isFirst := true; ; isFirst = false {
 		if err := c.awaitFirstByte(); err != nil {
 			c.endReading(err)
@@ -96,27 +103,10 @@
 		c.beginCommand(isFirst)
 		received, err := c.receiveCommand()
 		if err != nil && !errors.Is(err, errMalformed) {
-			c.endReading(err)
-			return false
+			return c.endCommand(err)
 		}
-		r := c.appendResponse()
-		switch {
-		case err != nil:
-			r.answer([]byte("CLIENT_ERROR " + err.Error() + "\r\n"))
+		if !c.handleCommand(received, err) {
 			return true
-		case received.isRequest():
-			c.submit(received, r)
-		case received.verb == verbNoOperation:
-			r.answer(c.clients.readiness())
-		case received.verb == verbQuit:
-			r.answer(nil)
-			return true
-		default:
-			r.answer([]byte("ERROR\r\n"))
-			unknownCommands++
-			if unknownCommands == maxUnknownCommands {
-				return true
-			}
 		}
 		if c.isOverflow {
 			return false
@@ -131,11 +121,34 @@
 	}
 }
 
+// handleCommand answers a received command or submits it. parseErr is the error of a malformed one.
+// It reports whether the connection may carry further commands.
+func (c *clientConn) handleCommand(received receivedCommand, parseErr error) bool {
+	r := c.appendResponse()
+	switch {
+	case parseErr != nil:
+		r.answer([]byte("CLIENT_ERROR " + parseErr.Error() + "\r\n"))
+		return false
+	case received.isRequest():
+		c.submit(received, r)
+	case received.verb == verbNoOperation:
+		r.answer(c.clients.readiness())
+	case received.verb == verbQuit:
+		r.answer(nil)
+		return false
+	default:
+		r.answer([]byte("ERROR\r\n"))
+		c.unknownCommands++
+		return c.unknownCommands < maxUnknownCommands
+	}
+	return true
+}
+
 // awaitFirstByte waits for a command's first byte. A command that arrives just as the idle time
 // ends is still accepted, because its client can't know that the time is over.
 func (c *clientConn) awaitFirstByte() error {
 	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.clients.commandsClosed.Load() && hasInput(c.Conn) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.acceptsInput() && hasInput(c.Conn) {
 		c.beginCommand(false)
 		_, err = c.reader.Peek(1)
 	}
@@ -197,6 +210,18 @@
 	return isRejected, err
 }
 
+// endCommand handles the error that ended the reading of a command before its end. If no further
+// input is accepted, the command is rejected: its last bytes may be in transit, and its client
+// would wait for the answer. It reports whether the client was rejected.
+func (c *clientConn) endCommand(err error) (isRejected bool) {
+	if c.acceptsInput() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endReading(err)
+		return false
+	}
+	c.appendResponse().answer(rejectedAnswer(c.clients.loop.rules.Load().retryAfterMillis))
+	return true
+}
+
 // endReading handles the error that ended the reading of a connection. If the connection's time was
 // up, accepted commands are still answered; if the client has disconnected, they are abandoned.
 func (c *clientConn) endReading(err error) {
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -50,9 +50,10 @@
 	// received a command at that moment.
 	evictRetryDelay = 10 * time.Millisecond
 	// maxOverflowConns is the maximum number of open connections beyond the limit, which only have
-	// their command rejected. Their descriptors are part of fdReserve.
+	// their commands rejected. Their descriptors are part of fdReserve.
 	maxOverflowConns = 8
-	// overflowCommandTimeout is how long the command of such a connection may take to be complete.
+	// overflowCommandTimeout is how long a command of such a connection may take to be complete, and
+	// how long after its start the connection is read.
 	overflowCommandTimeout = 300 * time.Millisecond
 )
 
@@ -69,8 +70,9 @@
 	readerPool sync.Pool
 	// isDraining is set when each connection is to be closed once nothing is unanswered on it.
 	isDraining atomic.Bool
-	// commandsClosed is set when no further command is accepted.
-	commandsClosed atomic.Bool
+	// inputClosed is set when no further input is read from any connection. Commands that have been
+	// read are still answered.
+	inputClosed atomic.Bool
 	// activeConns counts the open connections that have sent a command.
 	activeConns atomic.Int64
 	// acceptDone is closed when accept has ended.
@@ -137,7 +139,7 @@
 // acquireConnection acquires a descriptor for a connection and returns its quota. If none is left,
 // it evicts the connection that has been idle for longest. If every connection has an unanswered
 // command, a new one could wait past its client's deadline. It then gets a descriptor from
-// overflow, and its command is rejected.
+// overflow, and its commands are rejected.
 func (s *clients) acquireConnection() *descriptorQuota {
 	for !s.connections.tryAcquire() {
 		if !s.evictIdle(false) && s.overflow.tryAcquire() {
@@ -251,9 +253,9 @@
 }
 
 // drain closes every connection once nothing is unanswered on it, and returns when all are closed.
-// Connections whose clients keep sending are never idle. Therefore no further command is accepted
-// once commandsEnd is done, and connections still open when connectionsEnd is done are closed.
-func (s *clients) drain(commandsEnd, connectionsEnd context.Context) {
+// Connections whose clients keep sending may never be idle. Therefore no further input is read once
+// inputEnd is done, and connections still open when connectionsEnd is done are closed.
+func (s *clients) drain(inputEnd, connectionsEnd context.Context) {
 	s.startDrain()
 	allClosed := make(chan struct{})
 	go func() { // ends with the last connection, at connectionsEnd at the latest
@@ -263,8 +265,8 @@
 	select {
 	case <-allClosed:
 		return
-	case <-commandsEnd.Done():
-		s.stopReadingCommands()
+	case <-inputEnd.Done():
+		s.closeInput()
 	case <-connectionsEnd.Done():
 	}
 	select {
@@ -289,18 +291,16 @@
 	}
 }
 
-// stopReadingCommands stops the reading of every connection; clients send unread commands to
-// another router. A completely received command and a large value being received are still
-// accepted.
-func (s *clients) stopReadingCommands() {
+// closeInput stops the reading of every connection. Commands that a connection's buffer holds are
+// still answered, one that it holds in part is rejected; clients send unread commands to another
+// router.
+func (s *clients) closeInput() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.commandsClosed.Store(true)
+	s.inputClosed.Store(true)
 	for c := range s.conns {
 		c.mu.Lock()
-		if !c.isReceivingLargeValue.Load() {
-			c.SetReadDeadline(expiredDeadline)
-		}
+		c.SetReadDeadline(expiredDeadline)
 		c.mu.Unlock()
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,9 @@
 	minStopMillis = 3000.0
 	// answerMarginMillis is the 0.5 s in the formula above.
 	answerMarginMillis = 500.0
+	// lastAnswersTime is how long before the end of all connections the reading of commands ends:
+	// what was read until then is answered in that time.
+	lastAnswersTime = 50 * time.Millisecond
 )
 
 // Router is a router with its listener, clients, loop, connections to servers, and links to the
@@ -151,10 +154,12 @@
 //  2. New connections are accepted for acceptAfterStop, then those left in the listener's queue.
 //     This is skipped if another process of this router is running: it accepts from the same queue.
 //  3. The listener is closed.
-//  4. Each connection is closed once nothing is unanswered on it. From lastAnswerMillis after
-//     SIGTERM no further command is read. At the end of the grace period, which begins when the
-//     listener is closed, the remaining connections are closed. The router is not ready from step 4
-//     on.
+//  4. Each connection is read until nothing is unanswered on it, and then closed. From
+//     lastAnswerMillis after SIGTERM on every command is answered as soon as it is read, so a
+//     connection stays open only for a value that is still being written, for a command that is
+//     still being received, or for a client that sends without a pause. Shortly before the end of
+//     the grace period, which begins when the listener is closed, nothing more is read; at its end
+//     the remaining connections are closed. The router is not ready from step 4 on.
 //
 // Run then ends the loop, discovery, the client of the coordinators and the links to other
 // processes, and the process exits.
@@ -163,17 +168,17 @@
 	stoppedAt := l.now()
 	lastAnswerMillis := min(l.longestDeadline(), minStopMillis) + answerMarginMillis
 	l.post(func() { l.answerAllBy(stoppedAt + lastAnswerMillis) })
-	commandsEnd, cancelCommands := context.WithTimeout(context.Background(), ms(lastAnswerMillis))
-	defer cancelCommands()
 	if r.peers.count() == 0 {
 		time.Sleep(acceptAfterStop)
 		r.clients.acceptQueued()
 	}
 	r.clients.listener.Close()
 	gracePeriod := ms(max(minStopMillis, l.longestDeadline()))
+	inputEnd, cancelInput := context.WithTimeout(context.Background(), gracePeriod-lastAnswersTime)
+	defer cancelInput()
 	connectionsEnd, cancelConnections := context.WithTimeout(context.Background(), gracePeriod)
 	defer cancelConnections()
-	r.clients.drain(commandsEnd, connectionsEnd)
+	r.clients.drain(inputEnd, connectionsEnd)
 }
 
 // longestDeadline returns the longest deadline of all classes, in milliseconds. Any goroutine may
