Reject all commands of a connection beyond the limit, not only the first

Callers that reached a router whose connections were all in use got an answer to the first command of a new connection and its end; commands sent with it had been read and were never answered.

Result: TestAllCommandsOfOverflowConnectionAreRejected (2, 17 and 400 commands) fails without the change at the second command and passes with it; TestOverflowConnectionOfBusyClientIsClosedSoon holds the bound.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -37,10 +37,13 @@
 	clients *clients
 	// quota is the quota that the connection's descriptor was acquired from.
 	quota *descriptorQuota
-	// isOverflow is set if the connection is beyond the limit, so that its command is rejected.
+	// isOverflow is set if the connection is beyond the limit, so that its commands are rejected.
 	isOverflow bool
 	// reader buffers the input. It belongs to the reader goroutine.
 	reader *bufio.Reader
+	// isInputClosed is set when no further input is read from this connection. It belongs to the
+	// reader goroutine.
+	isInputClosed bool
 	// unknownCommands counts the unknown commands received. It belongs to the reader goroutine.
 	unknownCommands int
 	// isReceivingLargeValue is set while a large value is being received and forwarded.
@@ -92,6 +95,14 @@
 	return firstCommandTimeout
 }
 
+// laterCommandTimeout is how long after its first byte a later command must be complete.
+func (c *clientConn) laterCommandTimeout() time.Duration {
+	if c.isOverflow {
+		return overflowCommandTimeout
+	}
+	return commandTimeout
+}
+
 // idleSince reports whether the connection has no unanswered command, and since when. A connection
 // without a command after firstCommandGrace gets silentConnPenalty added to its idle time.
 // Otherwise silent connections, which are always young, would outlive those that send requests.
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -45,7 +45,7 @@
 	defer c.mu.Unlock()
 	c.isReadingCommand = true
 	if !isFirst || c.isDraining {
-		c.commandDeadline = time.Now().Add(commandTimeout)
+		c.commandDeadline = time.Now().Add(c.laterCommandTimeout())
 		c.SetReadDeadline(c.commandDeadline)
 	}
 }
@@ -78,7 +78,7 @@
 
 // acceptsInput reports whether further input is read. Commands that the buffer holds are read even
 // if it is not.
-func (c *clientConn) acceptsInput() bool { return !c.clients.inputClosed.Load() }
+func (c *clientConn) acceptsInput() bool { return !c.isInputClosed && !c.clients.inputClosed.Load() }
 
 // hasMoreInput reports whether input behind the last command has been received.
 func (c *clientConn) hasMoreInput() bool { return c.reader.Buffered() > 0 || hasInput(c.Conn) }
@@ -95,6 +95,7 @@
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
 // connection's time is up. It reports whether the client was rejected, which includes quit.
 func (c *clientConn) readCommands() (isRejected bool) {
+	overflowEnd := time.Now().Add(overflowCommandTimeout)
 	for isFirst := true; ; isFirst = false {
 		if err := c.awaitFirstByte(); err != nil {
 			c.endReading(err)
@@ -109,9 +110,12 @@
 			return true
 		}
 		if c.isOverflow {
-			return false
+			c.isInputClosed = time.Now().After(overflowEnd)
+			if !c.hasMoreInput() {
+				return false
+			}
 		}
-		if isFirst {
+		if isFirst && !c.isOverflow {
 			c.clients.countActive(c)
 		}
 		if err := c.awaitNextCommand(); err != nil {
--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,46 @@
 		t.Errorf("after silent connections: got %q", got)
 	}
 }
+
+// Guards against commands that are read and never answered: a connection beyond the limit had only
+// its first command rejected, and those sent with it were dropped.
+func TestAllCommandsOfOverflowConnectionAreRejected(t *testing.T) {
+	for _, commands := range []int{2, maxPipelined + 1, 400} {
+		t.Run(fmt.Sprint(commands), func(t *testing.T) {
+			silent := startFakeServer(t, func(string) string { return "" })
+			entries := []listEntry{cacheEntry("s-0000000b", silent.addr), originEntry(silent.addr)}
+			_, _, addr := startLoopAndClients(t, 192, 1, entries...)
+			busy := dialClient(t, addr)
+			busy.send(readCommandOfKey(1, "busy", 20000) + "\r\n")
+			receive(t, silent.received, "request at the silent server")
+			c := dialClient(t, addr)
+			c.send(pipelineOf(commands))
+			for n := range commands {
+				if got := c.nextAnswer(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+					t.Fatalf("command %d: got %q", n, got)
+				}
+			}
+			if got := c.nextAnswer(); got != "EOF" {
+				t.Errorf("after the answers: got %q", got)
+			}
+		})
+	}
+}
+
+// Guards against a client that keeps its overflow connection by sending without a pause: it keeps
+// all other clients out.
+func TestOverflowConnectionOfBusyClientIsClosedSoon(t *testing.T) {
+	silent := startFakeServer(t, func(string) string { return "" })
+	_, _, addr := startLoopAndClients(t, 192, 1, cacheEntry("s-0000000b", silent.addr), originEntry(silent.addr))
+	busy := dialClient(t, addr)
+	busy.send(readCommandOfKey(1, "busy", 20000) + "\r\n")
+	receive(t, silent.received, "request at the silent server")
+	c := dialClient(t, addr)
+	go io.Copy(io.Discard, c)
+	for sentSince := time.Now(); time.Since(sentSince) < testTimeout; {
+		if _, err := io.WriteString(c, pipelineOf(1000)); err != nil {
+			return
+		}
+	}
+	t.Error("the connection is still open")
+}
