Count all times of a shutdown from SIGTERM, in one budget

Cause: the end of connections counted from the closing of the listener, the end of answers from SIGTERM. At a restart the listener closes 0.5 s after SIGTERM, at an upgrade at once, so connections ended half a second before the last answers.

Change: shutdownSchedule is the one budget of a shutdown, counted from SIGTERM. Answers are due 0.2 s before the earliest SIGKILL by the stricter reading of the platform's rule, as before; connections end 0.05 s before the latest, whether or not new connections are accepted meanwhile.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,21 +13,6 @@
 	"dockhinge.example/dockhinge/internal/metrics"
 )
 
-// Times after SIGTERM. The platform sends SIGKILL no earlier than 0.7 s after the longest deadline.
-// It is not specified whether that deadline counts as at least 3 s or at most 3 s. All answers are
-// due at min(deadline, 3 s) + 0.5 s, which satisfies both.
-const (
-	// acceptAfterStop is how long new connections are accepted; clients still open them for 0.4 s.
-	acceptAfterStop = 500 * time.Millisecond
-	// minStopMillis is the 3 s in the formula above.
-	minStopMillis = 3000.0
-	// answerMarginMillis is the 0.5 s in the formula above.
-	answerMarginMillis = 500.0
-	// lastAnswersTime is how long before the end of all connections the reading of commands ends:
-	// what was read until then is answered in that time.
-	lastAnswersTime = 50 * time.Millisecond
-)
-
 // Router is a router with its listener, clients, loop, connections to servers, and links to the
 // other processes of the same router.
 type Router struct {
@@ -49,6 +34,9 @@
 // ms converts milliseconds to a Duration.
 func ms(millis float64) time.Duration { return time.Duration(millis * float64(time.Millisecond)) }
 
+// inMillis converts a Duration to milliseconds.
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // The division of the router's descriptors, in twentieths.
 const (
 	upstreamDescriptorParts = 9
@@ -147,45 +135,3 @@
 		slog.Warn("the servers drained by the fleet are not known yet: using discovery's list alone")
 	}
 }
-
-// shutDown performs the shutdown after SIGTERM:
-//
-//  1. All open and future requests are answered by lastAnswerMillis from now.
-//  2. New connections are accepted for acceptAfterStop, then those left in the listener's queue.
-//     This is skipped if another process of this router is running: it accepts from the same queue.
-//  3. The listener is closed.
-//  4. Each connection is read until nothing is unanswered on it, and then closed. From
-//     lastAnswerMillis after SIGTERM on every command is answered as soon as it is read, so a
-//     connection stays open only for a value that is still being written, for a command that is
-//     still being received, or for a client that sends without a pause. Shortly before the end of
-//     the grace period, which begins when the listener is closed, nothing more is read; at its end
-//     the remaining connections are closed. The router is not ready from step 4 on.
-//
-// Run then ends the loop, discovery, the client of the coordinators and the links to other
-// processes, and the process exits.
-func (r *Router) shutDown() {
-	l := r.loop
-	stoppedAt := l.now()
-	lastAnswerMillis := min(l.longestDeadline(), minStopMillis) + answerMarginMillis
-	l.post(func() { l.answerAllBy(stoppedAt + lastAnswerMillis) })
-	if r.peers.count() == 0 {
-		time.Sleep(acceptAfterStop)
-		r.clients.acceptQueued()
-	}
-	r.clients.listener.Close()
-	gracePeriod := ms(max(minStopMillis, l.longestDeadline()))
-	inputEnd, cancelInput := context.WithTimeout(context.Background(), gracePeriod-lastAnswersTime)
-	defer cancelInput()
-	connectionsEnd, cancelConnections := context.WithTimeout(context.Background(), gracePeriod)
-	defer cancelConnections()
-	r.clients.drain(inputEnd, connectionsEnd)
-}
-
-// longestDeadline returns the longest deadline of all classes, in milliseconds. Any goroutine may
-// call it.
-func (l *loop) longestDeadline() (longest float64) {
-	for _, rule := range l.rules.Load().classes {
-		longest = max(longest, rule.DeadlineMillis)
-	}
-	return longest
-}
--- a/internal/router/timeout_hint_test.go
+++ b/internal/router/timeout_hint_test.go
@@ -238,9 +238,8 @@
 			time.Sleep(holdTime)
 			answeredAt := time.Now()
 			answer.open()
-			checkHint(t, receive(t, o.received, "its fetch"), min(l.longestDeadline(),
-				minStopMillis)+answerMarginMillis,
-				stoppedAt, answeredAt)
+			answersDue := newShutdownSchedule(ms(l.longestDeadline())).answersDue
+			checkHint(t, receive(t, o.received, "its fetch"), inMillis(answersDue), stoppedAt, answeredAt)
 			if got := c.nextAnswer(); got != "VA 5 Ow0 fresh" {
 				t.Errorf("got %q", got)
 			}
