Close a connection to a cache server after an answer without an id

Requests that may be repeated had two attempts out at once.

Cause: SERVER_ERROR busy and failed carry no id. A cache server may send an answer a second time some milliseconds late, and the connection then carried the next request: the duplicate was taken for its answer, and it counted as never run, or as failed, while it was running.

Change: a connection is closed after an answer without an id, as a request on it could never be sure of its answer. This holds at any delay, unlike a rest of fixed length.

--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -88,7 +88,9 @@
 }
 
 // readReply reads a cache server's answer to a command. After an error the connection can't be used
-// again.
+// again. Nor can it after an error line, which has no id: a server may send an answer a second time,
+// and a late duplicate would be taken for the answer to the connection's next request. That request
+// would count as never run, or as failed, while it is still running.
 func readReply(r *bufio.Reader, c *command) (reply, error) {
 	got := reply{load: decide.NoLoadReport}
 	line, report, err := readAnswerLine(r)
@@ -111,10 +113,12 @@
 	case kind == "EN":
 		got.status = decide.Miss
 		err = got.setFlags(c, flags)
-	case kind == "SERVER_ERROR" && flags[0] == "busy": // an error line has no id
+	case kind == "SERVER_ERROR" && flags[0] == "busy":
 		got.status = decide.QueueFull
+		got.closesConnection = true
 	case kind == "SERVER_ERROR" && flags[0] == "failed":
 		got.status = decide.Failed
+		got.closesConnection = true
 	default:
 		err = malformed("answer %q", parts)
 	}
