Discard late duplicates of answers that have an id, and of load reports

Health checks that met such a duplicate counted as unanswered, which is evidence against a server.

Cause: the answer to the last request of a connection came a second time when the connection already carried the next one. Its id showed that it belonged to another request; the attempt then ended as malformed and the connection was closed, though the answer to the attempt was still to come.

Change: a connection remembers the id of the answer that it carried last. An answer with that id, or statistics after a health check, is discarded, once, and the request or health check goes on waiting. Any other id is malformed, as before.

--- a/internal/router/duplicate_answer_test.go
+++ b/internal/router/duplicate_answer_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"dockhinge.example/dockhinge/decide"
 )
 
 // duplicatingServer is a cache server that has every value. The first request with id a gets a given
@@ -21,6 +23,8 @@
 	hasAnsweredFirst atomic.Bool
 	// received has the id of each request.
 	received chan string
+	// connections counts the connections accepted.
+	connections atomic.Int32
 }
 
 // workTime is how long a duplicatingServer works on a request.
@@ -37,6 +41,7 @@
 			if err != nil {
 				return
 			}
+			s.connections.Add(1)
 			go s.serve(c)
 		}
 	}()
@@ -52,6 +57,9 @@
 		io.WriteString(c, previous)
 		time.Sleep(workTime)
 		answer := "VA 5 O{id} h1\r\nhello\r\n"
+		if lines.Text() == "stats load" {
+			answer = "STAT qps 3\r\nSTAT util 0.1\r\nEND\r\n"
+		}
 		if id == "a" && s.hasAnsweredFirst.CompareAndSwap(false, true) {
 			answer = s.first
 		}
@@ -90,3 +98,75 @@
 func readOfClass(class, id string) string {
 	return fmt.Sprintf("mg 7f3a9c21e0b4d655 v O%s Pc=%s,t=t,d=60000,k=%s", id, class, id)
 }
+
+// Guards against a request that fails, or is repeated at once, because the last answer of its
+// connection came a second time: what has the id of the last request is discarded, and the
+// connection is kept.
+func TestDuplicateOfAnswerWithIDIsDiscarded(t *testing.T) {
+	const valueBytes = maxBufferedValue + 1
+	for name, first := range map[string]string{
+		"value":       "VA 5 O{id} h1\r\nhello\r\n",
+		"large value": fmt.Sprintf("VA %d O{id} h1\r\n%s\r\n", valueBytes, strings.Repeat("v", valueBytes)),
+		"miss":        "EN O{id} h0\r\n",
+	} {
+		for _, class := range []string{"read", "put", "bill"} {
+			t.Run(class+", "+name, func(t *testing.T) {
+				s := &duplicatingServer{first: first}
+				o := startFakeServer(t, originAnswer)
+				_, _, addr := startLoopAndClients(t, 192, 40, cacheEntry("s-0000000b", s.start(t)),
+					originEntry(o.addr))
+				c := dialClient(t, addr)
+				c.exchange(readOfClass(class, "a"))
+				if got := c.exchange(readOfClass(class, "b")); got != "VA 5 Ob hello" {
+					t.Errorf("got %.40q", got)
+				}
+				if attempts := receivedSoFar(s.received); len(attempts) != 2 {
+					t.Errorf("the server received %q, want a and b", attempts)
+				}
+				if n := s.connections.Load(); n != 1 {
+					t.Errorf("%d connections, want 1", n)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a health check that counts as unanswered, which is evidence against the server, and
+// a request that fails, because the last answer of their connection came a second time.
+func TestDuplicateIsDiscardedByAndAfterHealthCheck(t *testing.T) {
+	s := &duplicatingServer{first: "VA 5 O{id} h1\r\nhello\r\n"}
+	u := newTestUpstreams(t, 10*time.Second, 10)
+	server := u.add(s.start(t), false)
+	for _, id := range []string{"a", "b"} {
+		cmd := newReadCommand()
+		cmd.id = id
+		got := u.roundTrip(t.Context(), server, cmd, unconditionalHooks)
+		if got.status != decide.OK {
+			t.Errorf("request %s: status %v", id, got.status)
+		}
+		status, load := u.checkHealth(t.Context(), server)
+		if status != decide.OK || load.Utilization != 0.1 {
+			t.Errorf("health check after %s: status %v, %+v", id, status, load)
+		}
+	}
+	if n := s.connections.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
+
+// Guards against an answer that is discarded though it is not a duplicate: one with the id of an
+// earlier request, or of none.
+func TestForeignAnswerIsMalformed(t *testing.T) {
+	for _, answer := range []string{"VA 5 Oc h1\r\nhello\r\n", "EN Oc\r\n", "VA 5 h1\r\nhello\r\n"} {
+		s := startFakeServer(t, answerOnce("VA 5 Oa h1\r\nhello\r\n", func(string) string { return answer }))
+		u := newTestUpstreams(t, 10*time.Second, 10)
+		server := u.add(s.addr, false)
+		for n, want := range []decide.AttemptStatus{decide.OK, decide.MalformedResponse} {
+			cmd := newReadCommand()
+			cmd.id = string(rune('a' + n))
+			if got := u.roundTrip(t.Context(), server, cmd, unconditionalHooks); got.status != want {
+				t.Errorf("%q, request %s: status %v, want %v", answer, cmd.id, got.status, want)
+			}
+		}
+	}
+}
--- a/internal/router/health_check.go
+++ b/internal/router/health_check.go
@@ -45,10 +45,18 @@
 	if _, err := io.WriteString(c, command); err != nil {
 		return decide.NoLoadReport, err
 	}
-	if err := c.awaitFirstByte(); err != nil {
-		return decide.NoLoadReport, err
+	for {
+		if err := c.awaitFirstByte(); err != nil {
+			return decide.NoLoadReport, err
+		}
+		load, err := read(c.reader)
+		if err == nil {
+			c.last = lastAnswer{isStatistics: !t.isOrigin}
+		}
+		if err == nil || !c.skipDuplicate(err) {
+			return load, err
+		}
 	}
-	return read(c.reader)
 }
 
 // readStatsLoad reads a cache server's statistics.
@@ -63,6 +71,9 @@
 			return readLoad(strings.Join(fields, ",")), nil
 		}
 		var name, value string
+		if err := foreignAnswer(string(line)); err != nil && len(fields) == 0 {
+			return decide.NoLoadReport, err
+		}
 		if n, _ := fmt.Sscanf(string(line), "STAT %s %s", &name, &value); n != 2 {
 			return decide.NoLoadReport, malformed("statistics line %q", line)
 		}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -127,13 +127,13 @@
 
 // readValueAnswer reads the rest of an answer with a value. The first flag is the value's length.
 func (got *reply) readValueAnswer(r *bufio.Reader, c *command, flags []string) error {
-	if err := checkAnswerID(c, flags[1:]); err != nil {
-		return err // the value belongs to another request and is not read
-	}
 	n, err := readLength(flags[0])
 	if err != nil {
 		return err
 	}
+	if err := checkAnswerID(c, flags[1:], n); err != nil {
+		return err // the value belongs to another request and is not read
+	}
 	if n > maxBufferedValue {
 		got.streamedBytes = n
 		got.hasLineEnd = true
@@ -168,7 +168,7 @@
 
 // setFlags sets the results of a read that an answer's flags contain.
 func (got *reply) setFlags(c *command, flags []string) error {
-	if err := checkAnswerID(c, flags); err != nil {
+	if err := checkAnswerID(c, flags, noValue); err != nil {
 		return err
 	}
 	for _, flag := range flags {
@@ -182,12 +182,12 @@
 	return nil
 }
 
-// checkAnswerID returns an error for an answer with another request's id. Such an answer was left
-// over on the connection and must not reach this client.
-func checkAnswerID(c *command, flags []string) error {
+// checkAnswerID returns an error for an answer with another request's id, whose value has the given
+// length. Such an answer was left over on the connection and must not reach this client.
+func checkAnswerID(c *command, flags []string, valueBytes int) error {
 	id, err := answerID(flags)
 	if err == nil && id != c.id {
-		err = malformed("answer for id %q, want %q", id, c.id)
+		err = &foreignAnswerError{id: id, wantedID: c.id, valueBytes: valueBytes}
 	}
 	return err
 }
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -24,6 +24,8 @@
 	remainingBytes int
 	// idleSince is when the connection was opened or last released.
 	idleSince time.Time
+	// last is the answer that it carried last; a duplicate of it may still arrive.
+	last lastAnswer
 }
 
 // Limits on the size and duration of an answer, whatever length it announces.
@@ -144,17 +146,29 @@
 	return wire, u.readOrigin, err
 }
 
+// receiveAnswer reads the answer up to a value that is to be streamed. hasBegun is set once a part of
+// the answer was received.
+func (x upstreamExchange) receiveAnswer() (got reply, hasBegun bool, err error) {
+	for {
+		if err = x.conn.awaitFirstByte(); err != nil {
+			return replyWithoutAnswer(decide.Reset), false, err
+		}
+		got, err = x.read(x.conn.reader, x.command)
+		if err == nil && !x.target.isOrigin { // the origin's answers have no id
+			x.conn.last = lastAnswer{requestID: x.command.id}
+		}
+		if err == nil || !x.conn.skipDuplicate(err) {
+			return got, true, err
+		}
+	}
+}
+
 // readAnswer reads the answer to a completely written command and releases the connection. A
 // malformed or incomplete answer shows that the server has run the request; if the
 // connection ends before any answer, it is unknown whether the request has run.
 func (u *upstreams) readAnswer(x upstreamExchange, hooks attemptHooks) reply {
 	hooks.afterWrite()
-	got := reply{load: decide.NoLoadReport}
-	err := x.conn.awaitFirstByte()
-	hasBegun := err == nil
-	if hasBegun {
-		got, err = x.read(x.conn.reader, x.command)
-	}
+	got, hasBegun, err := x.receiveAnswer()
 	if err == nil && got.streamedBytes > 0 {
 		err = errStreamAborted
 		if stream := hooks.openStream(got); stream != nil {
