Close a connection to the origin after a refusal or error, rest it 100 ms

Change: a connection to the origin is closed after any answer other than 200, so that no duplicate can prove anything of another request, at any delay; after a 200 it rests for 100 ms instead of 20.

Result: TestDuplicateOfOriginRefusalIsNotTakenForAnAnswer fails without the change for 503, 504 and 500.

--- a/internal/router/duplicate_answer_test.go
+++ b/internal/router/duplicate_answer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -170,3 +171,53 @@
 		}
 	}
 }
+
+// serveDuplicatingOrigin answers a connection's requests as an origin, each with the given answer, and
+// sends the last answer again when the next request has arrived.
+func serveDuplicatingOrigin(c net.Conn, answer string) {
+	defer c.Close()
+	previous := ""
+	for r := bufio.NewReader(c); ; {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		io.WriteString(c, previous)
+		previous = answer
+		answer = httpAnswer("200 OK", "fresh")
+		io.WriteString(c, previous)
+	}
+}
+
+// Guards against a request that is sent again, or refused though it runs: the origin's last refusal
+// or error came a second time, later than its connection rests, and was taken for the answer to the
+// next request.
+func TestDuplicateOfOriginRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	for _, first := range []string{
+		httpAnswer("503 Service Unavailable", "", "X-Unprocessed: 1"),
+		httpAnswer("504 Gateway Timeout", "", "X-Unprocessed: 1"),
+		httpAnswer("500 Internal Server Error", ""),
+	} {
+		t.Run(first[:len("HTTP/1.1 503")], func(t *testing.T) {
+			t.Parallel()
+			ln := listenLocal(t)
+			go func() {
+				answer := first
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go serveDuplicatingOrigin(c, answer)
+					answer = httpAnswer("200 OK", "fresh")
+				}
+			}()
+			u := newTestUpstreams(t, 10*time.Second, 10)
+			origin := u.add(ln.Addr().String(), true)
+			u.roundTrip(t.Context(), origin, newReadCommand(), unconditionalHooks)
+			time.Sleep(originIdleMinimum)
+			if got := u.roundTrip(t.Context(), origin, newReadCommand(), unconditionalHooks); got.status != decide.OK {
+				t.Errorf("status %v", got.status)
+			}
+		})
+	}
+}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -210,6 +210,8 @@
 	got.closesConnection = resp.Close
 	got.status = originStatus(resp)
 	if got.status != decide.OK {
+		// A late duplicate would prove of the next request that it never ran, or has failed.
+		got.closesConnection = true
 		return got, nil
 	}
 	if body == nil && resp.ContentLength > maxBufferedValue {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -64,7 +64,7 @@
 	// originIdleMinimum is how long a connection to the origin stays unused after an answer. HTTP
 	// answers carry no request id, so a late duplicate of the last answer would be taken for the
 	// answer to the next request. If it arrives within this time, the connection is closed.
-	originIdleMinimum = 20 * time.Millisecond
+	originIdleMinimum = 100 * time.Millisecond
 	// maxIdleMargin limits how much earlier than the server the pool closes an idle connection.
 	maxIdleMargin = time.Second
 	// uploadConnDivisor is a divisor: large writes, which last as long as slow clients take, may
