--- a/lab/fakes/fakes_test.go
+++ b/lab/fakes/fakes_test.go
@@ -215,7 +215,7 @@
 			got := p.get("k", "1")
 			isComplete := got == "VA 5 O1 h1" && p.line() == "1 k s"
 			switch corruption {
-			case "twice":
+			case "twice", "late":
 				if !isComplete || p.line() != "VA 5 O1 h1" {
 					t.Errorf("no second copy after %q", got)
 				}
--- a/lab/fakes/server.go
+++ b/lab/fakes/server.go
@@ -51,10 +51,10 @@
 }
 
 // Corruptions are the ways to corrupt an answer: cut (broken off at a random byte), noise, wrong-id,
-// twice (the answer is sent twice), long (a length of 3 GB), endless (a line without an end), busy
-// (rejected although nothing is full), reset (the connection is reset in place of an answer). In all
-// cases but busy the request has run.
-var Corruptions = []string{"cut", "noise", "wrong-id", "twice", "long", "endless", "busy", "reset"}
+// twice (the answer is sent twice), late (it is sent a second time some milliseconds later), long (a
+// length of 3 GB), endless (a line without an end), busy (rejected although nothing is full), reset
+// (the connection is reset in place of an answer). In all cases but busy the request has run.
+var Corruptions = []string{"cut", "noise", "wrong-id", "twice", "late", "long", "endless", "busy", "reset"}
 
 // Stats counts the requests, connections and load report calls of a server.
 type Stats struct{ Served, Missed, Turned, Failed, Conns, Probes int64 }
@@ -531,6 +531,10 @@
 		return c.writeThrottled(s.codec.write(sl.req, a), f.BytesPerS) == nil
 	case "twice":
 		return c.writeThrottled(append(text, text...), f.BytesPerS) == nil
+	case "late":
+		err := c.writeThrottled(text, f.BytesPerS)
+		c.duplicateLate(text)
+		return err == nil
 	case "long":
 		_ = c.writeThrottled(fmt.Appendf(nil, "VA 3221225472 O%s h1\r\n", sl.req.id), 0)
 		return c.writeEndless("x")
