Read on behind a request that the settings don't allow

Callers that had sent several commands at once, one of them of a class that a SIGHUP had just dropped, got its error and the end of their connection; the commands behind it had been read and were never answered.

A command that can't be parsed still ends its connection, as nobody knows where the next one begins.

Change: the error is answered at once, as before; the value, if any, is read and dropped, and reading goes on. The limits on a command's time hold for the value as well.

--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -90,6 +90,8 @@
 	receivedAt float64
 	// isRejected is set if there is no capacity for its value or its answer.
 	isRejected bool
+	// ruleError is the error of a request that the settings don't allow; nil if they do.
+	ruleError error
 }
 
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
@@ -133,6 +135,9 @@
 	case parseErr != nil:
 		r.answer([]byte("CLIENT_ERROR " + parseErr.Error() + "\r\n"))
 		return false
+	case received.ruleError != nil:
+		r.answer([]byte("CLIENT_ERROR " + received.ruleError.Error() + "\r\n"))
+		return c.discardValue(&received.command) == nil // the client may have sent valid commands behind it
 	case received.isRequest():
 		c.submit(received, r)
 	case received.verb == verbNoOperation:
@@ -160,21 +165,23 @@
 }
 
 // receiveCommand reads a command with its value. The value is discarded if there is no capacity for
-// it, and not read if the command is malformed.
+// it, and not read if the command is malformed or the settings don't allow the request.
 func (c *clientConn) receiveCommand() (receivedCommand, error) {
 	l := c.clients.loop
 	cmd, err := readCommand(c.reader)
-	if err == nil {
-		err = l.checkCommand(&cmd)
+	if err != nil {
+		return receivedCommand{}, err
 	}
-	isRejected := false
-	if err == nil && cmd.isRequest() {
-		isRejected = c.isOverflow || !l.reserveValue(&cmd)
+	received := receivedCommand{ruleError: l.checkCommand(&cmd)}
+	if received.ruleError == nil && cmd.isRequest() {
+		received.isRejected = c.isOverflow || !l.reserveValue(&cmd)
 	}
-	if err == nil && cmd.isWrite() {
-		isRejected, err = c.readWriteValue(&cmd, isRejected)
+	if received.ruleError == nil && cmd.isWrite() {
+		received.isRejected, err = c.readWriteValue(&cmd, received.isRejected)
 	}
-	return receivedCommand{command: cmd, receivedAt: l.now(), isRejected: isRejected}, err
+	received.command = cmd
+	received.receivedAt = l.now()
+	return received, err
 }
 
 // submit passes a request to the loop. If there is no capacity for it, it is rejected here, so that
@@ -214,6 +221,19 @@
 	return isRejected, err
 }
 
+// discardValue reads the value of a command, if it has one, and discards it.
+func (c *clientConn) discardValue(cmd *command) (err error) {
+	switch {
+	case !cmd.isWrite():
+		return nil
+	case cmd.valueBytes <= maxBufferedValue:
+		_, err = readValue(c.reader, cmd.valueBytes, true)
+	default:
+		err = c.readLargeValue(cmd.valueBytes, nil)
+	}
+	return err
+}
+
 // endCommand handles the error that ended the reading of a command before its end. If no further
 // input is accepted, the command is rejected: its last bytes may be in transit, and its client
 // would wait for the answer. It reports whether the client was rejected.
--- a/internal/router/command_test.go
+++ b/internal/router/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -130,3 +131,29 @@
 		}
 	})
 }
+
+// Guards against commands that are never answered because an earlier one of their connection is not
+// allowed by the settings, as after a reload that has dropped its class: its connection was closed,
+// and what had been received behind it was dropped.
+func TestCommandsBehindOneThatSettingsForbidAreAnswered(t *testing.T) {
+	large := strings.Repeat("v", maxBufferedValue+1)
+	for name, forbidden := range map[string]string{
+		"read of unknown class":        "mg k v Oa1 Pc=unheard,d=9\r\n",
+		"write of unknown class":       "ms k 2 Oa1 Pc=unheard,d=9\r\nab\r\n",
+		"large write of unknown class": fmt.Sprintf("ms k %d Oa1 Pc=unheard,d=9\r\n%s\r\n", len(large), large),
+		"write without its key":        "ms k 2 Oa1 Pc=put,d=9\r\nab\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startFakeServer(t, hitAnswer)
+			_, _, addr := startLoopAndClients(t, 192, 40, cacheEntry("s-0000000b", s.addr), originEntry(s.addr))
+			c := dialClient(t, addr)
+			c.send(forbidden + readCommandOf("ok", 2000) + "\r\n")
+			if got := c.nextAnswer(); !strings.HasPrefix(got, "CLIENT_ERROR ") {
+				t.Errorf("got %q", got)
+			}
+			if got := c.nextAnswer(); got != "VA 5 Ook hello" {
+				t.Errorf("behind it: got %q", got)
+			}
+		})
+	}
+}
