--- a/internal/router/duplicate_answer_test.go
+++ b/internal/router/duplicate_answer_test.go
@@ -35,22 +35,11 @@
 func (s *duplicatingServer) start(t *testing.T) (addr string) {
 	t.Helper()
 	s.received = make(chan string, 1000)
-	ln := listenLocal(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.connections.Add(1)
-			go s.serve(c)
-		}
-	}()
-	return ln.Addr().String()
+	return serveConns(t, s.serve)
 }
 
 func (s *duplicatingServer) serve(c net.Conn) {
-	defer c.Close()
+	s.connections.Add(1)
 	previous := ""
 	for lines := bufio.NewScanner(c); lines.Scan(); {
 		id := requestIDOf(lines.Text())
@@ -175,7 +164,6 @@
 // serveDuplicatingOrigin answers a connection's requests as an origin, each with the given answer, and
 // sends the last answer again when the next request has arrived.
 func serveDuplicatingOrigin(c net.Conn, answer string) {
-	defer c.Close()
 	previous := ""
 	for r := bufio.NewReader(c); ; {
 		if _, err := http.ReadRequest(r); err != nil {
@@ -199,20 +187,16 @@
 	} {
 		t.Run(first[:len("HTTP/1.1 503")], func(t *testing.T) {
 			t.Parallel()
-			ln := listenLocal(t)
-			go func() {
+			var connections atomic.Int32
+			addr := serveConns(t, func(c net.Conn) {
 				answer := first
-				for {
-					c, err := ln.Accept()
-					if err != nil {
-						return
-					}
-					go serveDuplicatingOrigin(c, answer)
+				if connections.Add(1) > 1 {
 					answer = httpAnswer("200 OK", "fresh")
 				}
-			}()
+				serveDuplicatingOrigin(c, answer)
+			})
 			u := newTestUpstreams(t, 10*time.Second, 10)
-			origin := u.add(ln.Addr().String(), true)
+			origin := u.add(addr, true)
 			u.roundTrip(t.Context(), origin, newReadCommand(), unconditionalHooks)
 			time.Sleep(originIdleMinimum)
 			if got := u.roundTrip(t.Context(), origin, newReadCommand(), unconditionalHooks); got.status != decide.OK {
--- a/internal/router/fakes_test.go
+++ b/internal/router/fakes_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// serveConns serves each connection to a loopback address on a goroutine of its own, until the test
+// ends, and returns the address.
+func serveConns(t testing.TB, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	ln := listenLocal(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // fakeServer is a server on a loopback socket. serve handles each connection and records the lines
 // and bodies received.
 type fakeServer struct {
--- a/internal/router/shutdown_pipeline_test.go
+++ b/internal/router/shutdown_pipeline_test.go
@@ -73,21 +73,10 @@
 // of the given length, the first half at once and the rest when the gate is opened.
 func startSlowValueServer(t *testing.T, valueBytes int, rest gate) (addr string) {
 	t.Helper()
-	ln := listenLocal(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveSlowValue(c, valueBytes, rest)
-		}
-	}()
-	return ln.Addr().String()
+	return serveConns(t, func(c net.Conn) { serveSlowValue(c, valueBytes, rest) })
 }
 
 func serveSlowValue(c net.Conn, valueBytes int, rest gate) {
-	defer c.Close()
 	line := make([]byte, maxLineBytes)
 	n, err := c.Read(line)
 	if err != nil {
