--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 6 to 10: clients, cache servers, origin and node list, in one program. It needs the
+# build of the deploy file for the router, which each case starts by the line run.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+mkdir -p bin
+go build -o bin/review-stand ./review/stand
