Review: a server left out by hand comes back after a new version that was killed

Cause: a new process replaces the old one's hand-over socket. If it dies, no later process finds the old one, and starts without the operators' calls that the old one has accepted. Nothing is fixed.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -41,6 +41,7 @@
 
 // cases are the cases by name. Each returns what breaks the rule; "" = the rule held.
 var cases = map[string]func(*world) (string, error){
+	"ban":  playBan,
 	"cut":  playCut,
 	"end":  playEnd,
 	"slow": playSlow,
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -71,3 +71,15 @@
 	}
 	return found
 }
+
+// since returns how many attempts have reached a server since a time.
+func (r *runs) since(server string, at time.Time) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.all {
+		if one.server == server && one.at.After(at) {
+			n++
+		}
+	}
+	return n
+}
