Review: the adapter floods the simulator if its clock begins below zero

Cause: the decision module takes a negative time of the first event for none yet, and starts its housekeeping timer with each event again. Nothing is fixed.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -39,12 +39,16 @@
 	exitNotRun
 )
 
+// simulatedCase is the case that needs the simulator's adapter, and no router.
+const simulatedCase = "clock"
+
 // cases are the cases by name. Each returns what breaks the rule; "" = the rule held.
 var cases = map[string]func(*world) (string, error){
-	"ban":  playBan,
-	"cut":  playCut,
-	"end":  playEnd,
-	"slow": playSlow,
+	"ban":         playBan,
+	"cut":         playCut,
+	"end":         playEnd,
+	"slow":        playSlow,
+	simulatedCase: playClock,
 }
 
 // playTime bounds a case, which is over long before.
@@ -83,9 +87,11 @@
 	defer w.killRouters()
 	ended := make(chan result, 1)
 	go func() {
-		if err := w.start(cacheCount); err != nil {
-			ended <- result{err: err}
-			return
+		if name != simulatedCase {
+			if err := w.start(cacheCount); err != nil {
+				ended <- result{err: err}
+				return
+			}
 		}
 		broken, err := cases[name](w)
 		ended <- result{broken, err}
