--- a/review/stand/ban.go
+++ b/review/stand/ban.go
@@ -70,7 +70,8 @@
 	}
 	defer c.conn.Close()
 	for i := range banKeys {
-		if err := c.send(get(fmt.Sprintf("%016x", i), fmt.Sprintf("%s%d", round, i), w.site.classes[0].Name, 1100)); err != nil {
+		key, id := fmt.Sprintf("%016x", i), fmt.Sprintf("%s%d", round, i)
+		if err := c.send(get(key, id, w.site.classes[0].Name, 1100)); err != nil {
 			return err
 		}
 		c.conn.SetReadDeadline(time.Now().Add(answerWait)) //nolint:errcheck // it is open
