--- a/review/stand/router.go
+++ b/review/stand/router.go
@@ -90,7 +90,7 @@
 	return map[string]any{
 		"name": "n1", "listen": listen, "admin_addr": admin, "discovery": w.discovery.addr(),
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  w.discovery.whole(), "settings": w.site.settings(),
+		"known": w.discovery.whole(), "settings": w.site.settings(),
 	}
 }
 
