--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# The node list answers each call late, within the time in which the site lets calls wait. It exits with 1 if the
-# rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves out the
+# A client reads long values that came without a length slowly, but without a pause.
+# It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves out the
 # disruption. It needs the build of the deploy file and review/build-2.sh.
 set -u
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
@@ -8,4 +8,4 @@
 RUN_LINE=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 export RUN_LINE
 [ -n "$RUN_LINE" ] && [ -x bin/dockhinge ] && [ -x bin/review-stand ] || exit 2
-exec bin/review-stand stale "$here/record.txt"
+exec bin/review-stand chunked "$here/record.txt"
--- a/review/stand/ban.go
+++ b/review/stand/ban.go
@@ -71,7 +71,7 @@
 	defer c.conn.Close()
 	for i := range banKeys {
 		key, id := fmt.Sprintf("%016x", i), fmt.Sprintf("%s%d", round, i)
-		if err := c.send(get(key, id, w.site.classes[0].Name, 1100)); err != nil {
+		if err := c.send(get(key, id, "fetch", 1100)); err != nil {
 			return err
 		}
 		c.conn.SetReadDeadline(time.Now().Add(answerWait)) //nolint:errcheck // it is open
--- a/review/stand/discovery.go
+++ b/review/stand/discovery.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -38,8 +37,6 @@
 	mu      sync.Mutex
 	version int64
 	entries []entry
-	// delay is how long each call waits until it is its turn.
-	delay time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -103,10 +100,6 @@
 // ServeHTTP answers a call for the whole list, or one call of a watch.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.record.event("the list is asked: %s", r.URL.RequestURI())
-	if !d.awaitTurn(r.Context()) {
-		d.record.event("given up after less than the wait: %s", r.URL.RequestURI())
-		return
-	}
 	after := r.URL.Query().Get("after")
 	if after == "" {
 		d.write(w, d.whole())
@@ -132,27 +125,6 @@
 	}
 }
 
-// awaitTurn waits until it is a call's turn, and reports whether its caller has waited too.
-func (d *discovery) awaitTurn(ctx context.Context) bool {
-	d.mu.Lock()
-	delay := d.delay
-	d.mu.Unlock()
-	select {
-	case <-time.After(delay):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// slowDown makes each call from now on wait for its turn.
-func (d *discovery) slowDown(delay time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.delay = delay
-	d.record.event("each call of the list waits %v for its turn", delay)
-}
-
 func (d *discovery) write(w http.ResponseWriter, l list) {
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(l) //nolint:errcheck // the caller may have gone
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,7 +17,6 @@
 	record    *record
 	runs      *runs
 	dir       string
-	site      site
 	discovery *discovery
 	origin    *origin
 	caches    []*cache
@@ -30,8 +29,11 @@
 	trouble bool
 }
 
-// cacheCount is the number of cache servers.
-const cacheCount = 3
+// cacheCount is the number of cache servers, and cacheKind their kind.
+const (
+	cacheCount = 3
+	cacheKind  = "std-4c"
+)
 
 // The exit codes.
 const (
@@ -40,16 +42,13 @@
 	exitNotRun
 )
 
-// staleCase is the case at the other deployment.
-const staleCase = "stale"
-
 // cases are the cases by name. Each returns what breaks the rule; "" = the rule held.
 var cases = map[string]func(*world) (string, error){
 	"ban":     playBan,
 	"cut":     playCut,
 	"end":     playEnd,
 	"slow":    playSlow,
-	staleCase: playStale,
+	"chunked": playChunked,
 }
 
 // playTime bounds a case, which is over long before.
@@ -84,11 +83,11 @@
 		return exitNotRun, err
 	}
 	defer os.RemoveAll(dir)
-	w := &world{record: rec, runs: &runs{}, dir: dir, site: addis, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{record: rec, runs: &runs{}, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	defer w.killRouters()
 	ended := make(chan result, 1)
 	go func() {
-		if err := w.start(name); err != nil {
+		if err := w.start(); err != nil {
 			ended <- result{err: err}
 			return
 		}
@@ -125,10 +124,7 @@
 }
 
 // start starts the stand-ins and one router.
-func (w *world) start(name string) (err error) {
-	if name == staleCase {
-		w.site = skiftlaget
-	}
+func (w *world) start() (err error) {
 	if w.discovery, err = newDiscovery(w.record); err != nil {
 		return err
 	}
@@ -143,10 +139,7 @@
 			return err
 		}
 		w.caches = append(w.caches, c)
-		w.list(name, c.addr(), w.site.kind)
-	}
-	if name == staleCase && w.trouble {
-		w.discovery.slowDown(staleDelay)
+		w.list(name, c.addr(), cacheKind)
 	}
 	listen, err := freeAddr()
 	if err != nil {
--- a/review/stand/origin.go
+++ b/review/stand/origin.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +20,8 @@
 	work time.Duration
 	// size is the length of the values that it gives.
 	size int
+	// hidesLength says that it gives values in chunks, without a length in front.
+	hidesLength bool
 }
 
 func newOrigin(rec *record, all *runs) (*origin, error) {
@@ -34,6 +36,13 @@
 
 func (o *origin) addr() string { return o.ln.Addr().String() }
 
+// give sets the length of its values, and whether they come without it.
+func (o *origin) give(size int, hidesLength bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.size, o.hidesLength = size, hidesLength
+}
+
 // ServeHTTP answers a read with a value and a write with its receipt.
 func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" || r.URL.Path == "/load" {
@@ -49,7 +58,7 @@
 	one := o.runs.add(&run{server: "origin", id: id, key: key, write: r.Method == http.MethodPut})
 	o.record.event("origin got %s %s id=%s facts=%s", r.Method, key, id, r.Header.Get("X-Facts"))
 	o.mu.Lock()
-	work, size := o.work, o.size
+	work, size, hidesLength := o.work, o.size, o.hidesLength
 	o.mu.Unlock()
 	time.Sleep(work)
 	o.runs.finish(one)
@@ -57,6 +66,9 @@
 	if one.write {
 		body = "receipt-" + id
 	}
-	fmt.Fprint(w, body)
+	if !hidesLength {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	io.WriteString(w, body) //nolint:errcheck // the router may have given up
 	o.record.event("origin carried out %s %s id=%s", r.Method, key, id)
 }
--- a/review/stand/router.go
+++ b/review/stand/router.go
@@ -34,52 +34,29 @@
 	ended   chan struct{}
 }
 
-// site is what differs between the deployments of the kit.
-type site struct {
-	kind           string
-	classes        []class
-	drainGrace     int
-	connectTimeout int
-	connIdle       int
-	maxAttempts    int
-	maxRetryAfter  int
-	secondCopies   bool
-}
-
-var (
-	addis = site{
-		kind: "std-4c",
-		classes: []class{
-			{"fetch", "repeatable", "all", 5000, 600, 1200, 2, 0, false},
-			{"publish", "by_key", "all", 3000, 600, 1500, 10, 0, false},
-			{"release-tag", "once", "all", 5000, 600, 1200, 2, 0, false},
-		},
-		drainGrace: 2000, connectTimeout: 250, connIdle: 10000, maxAttempts: 3, maxRetryAfter: 1500,
+// classes are those of addis-build-cache.
+func classes() []class {
+	return []class{
+		{"fetch", "repeatable", "all", 5000, 600, 1200, 2, 0, false},
+		{"publish", "by_key", "all", 3000, 600, 1500, 10, 0, false},
+		{"release-tag", "once", "all", 5000, 600, 1200, 2, 0, false},
 	}
-	skiftlaget = site{
-		kind: "large",
-		classes: []class{
-			{"view-schedule", "repeatable", "all", 5000, 300, 1500, 1, 0, false},
-			{"change-shift", "by_key", "all", 2500, 600, 2500, 5, 0, false},
-		},
-		drainGrace: 500, connectTimeout: 150, connIdle: 30000, maxAttempts: 5, maxRetryAfter: 1200, secondCopies: true,
-	}
-)
+}
 
-// settings returns the settings of a small fleet of the site.
-func (s site) settings() map[string]any {
+// settings returns the settings of a small fleet of addis-build-cache.
+func settings() map[string]any {
 	return map[string]any{
-		"balancers": 4, "myNumber": 0, "zone": "adama", "zones": []string{"adama"}, "categories": s.classes,
-		"kinds": []string{s.kind, "origin"}, "discovery": "ask", "family": "cache",
+		"balancers": 4, "myNumber": 0, "zone": "adama", "zones": []string{"adama"}, "categories": classes(),
+		"kinds": []string{cacheKind, "origin"}, "discovery": "ask", "family": "cache",
 		"familyInfo": map[string]any{"mode": "aside", "originKind": 1},
 		"loadInfo":   map[string]any{"columns": []string{}, "how": "none"},
 		"caps": map[string]any{
-			"cancel": true, "connIdle": s.connIdle, "connectTimeout": s.connectTimeout, "maxAttempts": s.maxAttempts,
-			"maxRetryAfter": s.maxRetryAfter, "mayProbe": false, "openCap": 20000, "peers": false, "retryAfter": true,
-			"secondCopies": s.secondCopies, "streamsPerConn": 1,
+			"cancel": true, "connIdle": 10000, "connectTimeout": 250, "maxAttempts": 3, "maxRetryAfter": 1500,
+			"mayProbe": false, "openCap": 20000, "peers": false, "retryAfter": true, "secondCopies": false,
+			"streamsPerConn": 1,
 		},
 		"rules": map[string]any{
-			"cold": 8800, "coldFrom": 0.3, "drainGrace": s.drainGrace, "graceToAnswer": 20, "mustAskIn": 10000,
+			"cold": 8800, "coldFrom": 0.3, "drainGrace": 2000, "graceToAnswer": 20, "mustAskIn": 10000,
 			"overloadFactor": 3, "overloadFor": 2000,
 		},
 	}
@@ -90,7 +67,7 @@
 	return map[string]any{
 		"name": "n1", "listen": listen, "admin_addr": admin, "discovery": w.discovery.addr(),
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known": w.discovery.whole(), "settings": w.site.settings(),
+		"known": w.discovery.whole(), "settings": settings(),
 	}
 }
 
