--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A new version is killed once it is ready, and started again; a cache server is left out by hand.
+# A cache server's connection breaks in the middle of a long value, with other commands behind it.
 # It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. TROUBLE=0 leaves out the
 # disruption. It needs the build of the deploy file and review/build-2.sh.
 set -u
@@ -8,4 +8,4 @@
 RUN_LINE=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
 export RUN_LINE
 [ -n "$RUN_LINE" ] && [ -x bin/dockhinge ] && [ -x bin/review-stand ] || exit 2
-exec bin/review-stand ban "$here/record.txt"
+exec bin/review-stand cut "$here/record.txt"
