--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -151,9 +151,12 @@
 		return false, err
 	}
 	defer c.Close()
-	const first = 32 << 10
-	value := valueOf(theKey, maxValue)
-	if _, err := io.WriteString(c, publishHead(theKey, "w1", maxValue)+string(value[:first])); err != nil {
+	const (
+		length = 2 << 20
+		first  = 32 << 10
+	)
+	value := valueOf(theKey, length)
+	if _, err := io.WriteString(c, publishHead(theKey, "w1", length)+string(value[:first])); err != nil {
 		return false, err
 	}
 	s.log("client w1: the head and %d bytes of the value are written", first)
