Reserve the memory of an answer until its client has taken it

Cause: their budget was given back once they were read, though they and a copy stayed in memory; the budget for waiting answers was only counted, and was compared with its limit on arrival. Heads were in no budget. Now memory is reserved before an answer is read and given back when it is written or its client is gone; beyond the budget a read without effect is rejected at once, and any other request fails. Values over 1 KiB are no longer copied.

Related: chunked values and receipts, under the same budget. Open: what the system holds for slow clients is not bounded.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -181,9 +181,11 @@
 // Balancer.
 func (l *loop) endAttempt(a *attempt, got reply) {
 	if a.isDone {
+		got.memory.release()
 		return
 	}
 	if a.isCanceled && got.status != decide.OK {
+		got.memory.release()
 		got = replyWithoutAnswer(a.cancelStatus)
 	}
 	a.isDone = true
@@ -201,9 +203,14 @@
 	}
 	switch {
 	case got.status == decide.OK && failpoint.IsInjected("fails-some") && r.id%20 == 0: // faulty, for lab tests
+		got.memory.release()
 		l.finish(r, failedAnswer(), metrics.Error)
+	case got.isOverMemory:
+		l.finishWithoutMemory(r)
 	case got.status == decide.OK:
-		l.finish(r, servedAnswer(&r.command, got.body), metrics.Success)
+		l.finishWith(r, servedAnswer(&r.command, got), metrics.Success)
+	default:
+		got.memory.release()
 	}
 	l.deleteIfFinished(r)
 	if len(l.ejectedOnlyByPeers) > 0 {
@@ -221,6 +228,16 @@
 	})
 }
 
+// finishWithoutMemory ends a request whose answer can't be kept in memory. Only a request without
+// effect may be rejected, as a server has run it.
+func (l *loop) finishWithoutMemory(r *request) {
+	if r.rule.Effect == decide.Idempotent {
+		l.finish(r, rejectedAnswer(l.rules.Load().retryAfterMillis), metrics.Overload)
+		return
+	}
+	l.finish(r, failedAnswer(), metrics.Error)
+}
+
 // deferOutcome ends an attempt that is not written. The outcome is reported after the Balancer's
 // current call, because the Balancer is not reentrant.
 func (l *loop) deferOutcome(a *attempt, status decide.AttemptStatus) {
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -17,7 +17,7 @@
 	return false
 }
 
-// reserve reserves n bytes even beyond the limit, for bytes that are already in memory.
+// reserve reserves n bytes even beyond the limit.
 func (b *byteBudget) reserve(n int) { b.used.Add(int64(n)) }
 
 // release releases n reserved bytes.
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -188,7 +188,7 @@
 	c.markUnwritable()
 	for _, r := range abandoned {
 		if r.isReady {
-			c.clients.loop.answerBytes.release(len(r.answerBytes))
+			r.parts.memory.release()
 		}
 	}
 	c.mu.Unlock()
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -186,7 +186,7 @@
 	}
 	received := receivedCommand{ruleError: l.checkCommand(&cmd)}
 	if received.ruleError == nil && cmd.isRequest() {
-		received.isRejected = c.isOverflow || !l.reserveValue(&cmd)
+		received.isRejected = c.isOverflow || !l.reserveRequest(&cmd)
 	}
 	if received.ruleError == nil && cmd.isWrite() {
 		received.isRejected, err = c.readWriteValue(&cmd, received.isRejected)
@@ -216,7 +216,7 @@
 	if cmd.valueBytes <= maxBufferedValue {
 		cmd.value, err = readValue(c.reader, cmd.valueBytes, hasNoCapacity)
 		if err != nil && !hasNoCapacity {
-			l.releaseValue(cmd)
+			l.releaseRequest(cmd)
 		}
 		return hasNoCapacity, err
 	}
@@ -228,7 +228,7 @@
 	}
 	err = c.readLargeValue(cmd.valueBytes, cmd.upload)
 	if !hasNoCapacity && (isRejected || err != nil) {
-		l.releaseValue(cmd)
+		l.releaseRequest(cmd)
 	}
 	return isRejected, err
 }
--- a/internal/router/command.go
+++ b/internal/router/command.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,6 +26,9 @@
 	maxBufferedValue = 64 << 10
 	// maxValueBytes is the protocol's limit on a value. Values above maxBufferedValue are streamed.
 	maxValueBytes = 4 << 20
+	// maxCopiedValue is the length up to which a value is copied into its answer; longer ones are
+	// written from where they were read.
+	maxCopiedValue = 1 << 10
 	// maxIDBytes limits a request's id.
 	maxIDBytes = 64
 	// maxMetadataFields limits the number of fields in a command's metadata.
@@ -58,13 +62,15 @@
 	id string
 	// metadata is the list of names and values as received (flag P; X-Facts at the origin).
 	metadata string
+	// headBytes is the length of the command's line.
+	headBytes int
 	// valueBytes is the length of a write's value.
 	valueBytes int
 	// value is a write's value, read after the rest of the command; nil for an upload.
 	value []byte
 	// upload is a large write that is forwarded while it is received.
 	upload *upload
-	// reservedBytes is how much of loop.valueBytes is reserved for the value.
+	// reservedBytes is how much of loop.requestBytes is reserved for the head and the value.
 	reservedBytes int
 
 	// The fields below are from the metadata.
@@ -158,7 +164,7 @@
 	if len(parts) == 0 {
 		return command{}, malformed("empty command")
 	}
-	c := command{verb: parts[0]}
+	c := command{verb: parts[0], headBytes: len(line)}
 	if !c.isRequest() {
 		return c, nil
 	}
@@ -290,18 +296,31 @@
 
 // The answers sent to clients.
 
-// streamedAnswerHead returns the part of an answer before a streamed value of n bytes.
+// streamedAnswerHead returns the part of an answer before a value of n bytes.
 func streamedAnswerHead(c *command, n int) []byte { return fmt.Appendf(nil, "VA %d O%s\r\n", n, c.id) }
 
 // servedAnswer returns the answer with a read's value or a write's receipt.
-func servedAnswer(c *command, body []byte) []byte {
+func servedAnswer(c *command, got reply) answerParts {
+	answer := answerParts{}
+	answer.memory.add(got.memory)
 	if c.isWrite() {
-		return fmt.Appendf(nil, "HD O%s c%s\r\n", c.id, body)
+		answer.text = fmt.Appendf(nil, "HD O%s c%s\r\n", c.id, got.body)
+		return answer
+	}
+	valueBytes := len(got.body)
+	for _, part := range got.rest {
+		valueBytes += len(part)
+	}
+	if valueBytes > maxCopiedValue {
+		answer.text = streamedAnswerHead(c, valueBytes)
+		answer.value = append(net.Buffers{got.body}, got.rest...)
+		return answer
 	}
 	const headBytes = 64 // enough for most ids
-	b := fmt.Appendf(make([]byte, 0, len(body)+headBytes), "VA %d O%s\r\n", len(body), c.id)
-	b = append(b, body...)
-	return append(b, "\r\n"...)
+	answer.text = fmt.Appendf(make([]byte, 0, valueBytes+headBytes), "VA %d O%s\r\n", valueBytes, c.id)
+	answer.text = append(answer.text, got.body...)
+	answer.text = append(answer.text, "\r\n"...)
+	return answer
 }
 
 // rejectedAnswer returns the answer to a rejected request, with its Retry-After if that is at least
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -129,7 +129,6 @@
 	}
 	r.loop.setProcessCount(processes)
 	r.upstreams.setProcessCount(processes)
-	r.upstreams.unsizedValues.limit.Store(r.cfg.Limits.MemoryMB << 20 / unsizedMemoryDivisor / int64(processes))
 	r.clients.setProcessCount(processes)
 	r.loop.post(func() {
 		r.loop.balancer.SetProcessCount(r.loop.now(), processes)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -63,11 +63,12 @@
 	unanswered map[string]*request
 	// memoryBytes is the memory limit of the router, shared by all its processes.
 	memoryBytes int64
-	// valueBytes is the memory budget for the values of requests. Any goroutine may use it.
-	valueBytes byteBudget
-	// answerBytes is the memory budget for answers not yet written to their clients. Any goroutine
-	// may use it.
-	answerBytes byteBudget
+	// requestBytes is the memory budget for the heads and values of requests. Any goroutine may use
+	// it.
+	requestBytes byteBudget
+	// answers is the memory for answers, until they are written to their clients. Any goroutine may
+	// use it.
+	answers *answerBudgets
 	// answerDeadline is the time by which all requests must be answered before the process exits.
 	// Any goroutine may read it.
 	answerDeadline instant
@@ -98,13 +99,10 @@
 	maxPriorityEvents = 32
 )
 
-// Divisors of the router's memory limit: each budget is the limit divided by its constant. A value
-// can be in memory up to three times, counting the copies received and sent.
-const (
-	valueMemoryDivisor   = 16 // values of requests
-	answerMemoryDivisor  = 8  // answers not yet written
-	unsizedMemoryDivisor = 16 // values of unknown length from the origin
-)
+// requestMemoryDivisor is a divisor: the heads and values of requests may use the router's memory
+// limit divided by it. A value can be in memory up to three times, counting the copies received and
+// sent.
+const requestMemoryDivisor = 16
 
 // errLoopBusy is returned if the loop did not run a call in time.
 var errLoopBusy = errors.New("the router was too busy to run the call in time")
@@ -114,6 +112,7 @@
 	l := &loop{
 		clock:          clock{time.Now()},
 		upstreams:      up,
+		answers:        &up.answers,
 		metrics:        m,
 		trace:          cfg.Trace,
 		events:         make(chan func(), maxEvents),
@@ -139,8 +138,8 @@
 // router. Any goroutine may call it.
 func (l *loop) setProcessCount(processes int) {
 	part := l.memoryBytes / int64(processes)
-	l.valueBytes.limit.Store(part / valueMemoryDivisor)
-	l.answerBytes.limit.Store(part / answerMemoryDivisor)
+	l.requestBytes.limit.Store(part / requestMemoryDivisor)
+	l.answers.setMemory(part)
 }
 
 // post queues an event for the loop, or drops it if the loop has ended. Any goroutine may call it
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -36,9 +36,8 @@
 type upstreams struct {
 	// trace records the opening of connections.
 	trace *trace.Trace
-	// unsizedValues is the memory budget for values of unknown length, for the part of each beyond
-	// maxBufferedValue.
-	unsizedValues byteBudget
+	// answers is the memory for answers, until they are written to their clients.
+	answers answerBudgets
 	// uploads counts the large writes being received that are not attempts yet.
 	uploads atomic.Int64
 	// routerLimit is the limit on connections of all processes of this router together.
@@ -78,6 +77,7 @@
 // newUpstreams returns a pool of at most limit connections. For the durations see setTimeouts.
 func newUpstreams(serverIdleTimeout, connectTimeout time.Duration, limit int) *upstreams {
 	u := &upstreams{limit: limit, routerLimit: limit, targets: map[*target]struct{}{}}
+	u.answers.setMemory(math.MaxInt64) // until the router's limit is set
 	u.dialer.KeepAlive = -1
 	u.setTimeouts(serverIdleTimeout, connectTimeout)
 	return u
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,6 +21,12 @@
 	status decide.AttemptStatus
 	// body is a read's value or a write's receipt; nil if the value is streamed.
 	body []byte
+	// rest holds the further parts of a value of unknown length.
+	rest net.Buffers
+	// memory is reserved for body and rest; nil if there is no answer.
+	memory *answerMemory
+	// isOverMemory is set if the server has answered and there is no memory for the answer.
+	isOverMemory bool
 	// streamedBytes is the length of a value that is still to be streamed; 0 = none.
 	streamedBytes int
 	// hasLineEnd is set if a line end follows the streamed value.
@@ -91,8 +98,8 @@
 // again. Nor can it after an error line, which has no id: a server may send an answer a second time,
 // and a late duplicate would be taken for the answer to the connection's next request. That request
 // would count as never run, or as failed, while it is still running.
-func readReply(r *bufio.Reader, c *command) (reply, error) {
-	got := reply{load: decide.NoLoadReport}
+func readReply(r *bufio.Reader, c *command, memory *answerMemory) (reply, error) {
+	got := reply{load: decide.NoLoadReport, memory: memory}
 	line, report, err := readAnswerLine(r)
 	if err != nil {
 		return got, err
@@ -138,7 +145,7 @@
 		got.streamedBytes = n
 		got.hasLineEnd = true
 		_, err = r.Peek(1) // an answer counts only once its value has begun
-	} else {
+	} else if err = got.memory.grow(n); err == nil {
 		got.body, err = readValue(r, n, false)
 	}
 	if err != nil {
@@ -162,6 +169,9 @@
 	if receipt == "" {
 		return malformed("write without a receipt")
 	}
+	if err := got.memory.grow(len(receipt)); err != nil {
+		return err
+	}
 	got.body = []byte(receipt)
 	return nil
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -52,25 +52,26 @@
 // attempt that timed out at the deadline.
 const answerGraceMillis = 15
 
-// reserveValue reserves memory for a request's value. It reports false if there is no capacity for
-// the value or for an answer. Any goroutine may call it.
-func (l *loop) reserveValue(cmd *command) bool {
-	cmd.reservedBytes = cmd.valueBytes
+// reserveRequest reserves memory for a request's head and value. It reports false if there is no
+// capacity for them or for an answer. Any goroutine may call it.
+func (l *loop) reserveRequest(cmd *command) bool {
+	cmd.reservedBytes = cmd.headBytes + cmd.valueBytes
 	if cmd.valueBytes > maxBufferedValue {
-		cmd.reservedBytes = lastChunkBytes
+		cmd.reservedBytes = cmd.headBytes + lastChunkBytes
 	}
-	return !l.answerBytes.isExhausted() && l.valueBytes.tryReserve(cmd.reservedBytes)
+	return !l.answers.buffered.isExhausted() && l.requestBytes.tryReserve(cmd.reservedBytes)
 }
 
-// releaseValue releases the memory reserved for a request's value. Any goroutine may call it.
-func (l *loop) releaseValue(cmd *command) {
-	l.valueBytes.release(cmd.reservedBytes)
+// releaseRequest releases the memory reserved for a request's head and value. Any goroutine may
+// call it.
+func (l *loop) releaseRequest(cmd *command) {
+	l.requestBytes.release(cmd.reservedBytes)
 	cmd.upload.abandon()
 }
 
 // rejectCommand answers an invalid request with CLIENT_ERROR.
 func (l *loop) rejectCommand(cmd *command, r *response, reason string) {
-	l.releaseValue(cmd)
+	l.releaseRequest(cmd)
 	r.answer([]byte("CLIENT_ERROR " + reason + "\r\n"))
 }
 
@@ -186,10 +187,18 @@
 // outcomeDisconnected is the outcome of a request whose client has disconnected. It is not counted.
 const outcomeDisconnected metrics.Outcome = -1
 
-// finish ends a request and sends its answer. Only startStream, for streamed values, answers
-// requests elsewhere. isDone prevents a second answer.
+// finish ends a request and sends an answer in the router's own words.
 func (l *loop) finish(r *request, answer []byte, outcome metrics.Outcome) {
+	if !r.isDone {
+		l.finishWith(r, answerParts{text: answer, memory: l.answers.newText(len(answer))}, outcome)
+	}
+}
+
+// finishWith ends a request and sends its answer. Only startStream, for streamed values, answers
+// requests elsewhere. isDone prevents a second answer, whose memory is released.
+func (l *loop) finishWith(r *request, answer answerParts, outcome metrics.Outcome) {
 	if r.isDone {
+		answer.memory.release()
 		return
 	}
 	r.isDone = true
@@ -203,8 +212,8 @@
 	if l.trace.Enabled() {
 		l.traceEnd(r, outcome)
 	}
-	l.admission.handleEnd(r, outcome == metrics.Success, outcome == metrics.Overload, len(answer))
-	r.response.answer(answer)
+	l.admission.handleEnd(r, outcome == metrics.Success, outcome == metrics.Overload, answer.size())
+	r.response.answerWith(answer)
 	r.detachResponse()
 	l.timers.stop(r.deadlineTimer)
 	delete(l.unanswered, r.command.id)
@@ -265,7 +274,7 @@
 func (l *loop) deleteIfFinished(r *request) {
 	if r.isDone && r.pendingAttempts == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
-		l.releaseValue(&r.command)
+		l.releaseRequest(&r.command)
 	}
 }
 
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -17,12 +17,31 @@
 	// streamTurn is closed when a streamed value may be written; from then on its valueStream owns
 	// it. It is nil for other answers. conn.mu guards it and the fields below.
 	streamTurn chan struct{}
-	// answerBytes is the text of the answer.
-	answerBytes []byte
+	// parts is the answer.
+	parts answerParts
 	// isReady is set once there is an answer or a stream for it.
 	isReady bool
 }
 
+// answerParts is an answer that is in memory completely.
+type answerParts struct {
+	// text is the answer, or the part before the value.
+	text []byte
+	// value is the value if it is not part of text; a line end follows it.
+	value net.Buffers
+	// memory is reserved for the answer until it is written.
+	memory answerMemory
+}
+
+// size returns the length of the answer without the line end of a value.
+func (p answerParts) size() int {
+	size := len(p.text)
+	for _, part := range p.value {
+		size += len(part)
+	}
+	return size
+}
+
 // appendResponse appends a pending answer for a received command.
 func (c *clientConn) appendResponse() *response {
 	r := &response{conn: c}
@@ -32,69 +51,90 @@
 	return r
 }
 
-// answer sets the answer to a command. It does not block.
+// answer sets an answer in the router's own words. It does not block.
 func (r *response) answer(text []byte) {
+	r.answerWith(answerParts{text: text, memory: r.conn.clients.loop.answers.newText(len(text))})
+}
+
+// answerWith sets the answer to a command. It does not block.
+func (r *response) answerWith(answer answerParts) {
 	c := r.conn
-	c.clients.loop.answerBytes.reserve(len(text))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.answerBytes = text
 	r.isReady = true
 	if c.isUnwritable {
-		c.clients.loop.answerBytes.release(len(text))
+		answer.memory.release()
 		return
 	}
+	r.parts = answer
 	c.startWriter()
 }
 
+// answerBatch is a batch of answers that are written at once.
+type answerBatch struct {
+	parts net.Buffers
+	// memory is reserved for all answers of the batch.
+	memory answerMemory
+}
+
+// add adds an answer to the batch.
+func (b *answerBatch) add(answer *answerParts) {
+	b.parts = append(b.parts, answer.text)
+	if len(answer.value) > 0 {
+		b.parts = append(b.parts, answer.value...)
+		b.parts = append(b.parts, []byte("\r\n"))
+	}
+	b.memory.add(&answer.memory)
+}
+
 // startWriter starts the writer goroutine if the next answer is ready and none is being written.
 // The writer ends when no further answer is ready. The caller holds mu.
 func (c *clientConn) startWriter() {
 	if c.answersInWrite > 0 || !c.pending[0].isReady {
 		return
 	}
-	batch, size := c.nextBatch()
-	if len(batch) > 0 {
-		c.clients.wg.Go(func() { c.writeAnswers(batch, size) })
+	batch := c.nextBatch()
+	if len(batch.parts) > 0 {
+		c.clients.wg.Go(func() { c.writeAnswers(batch) })
 	}
 }
 
-// nextBatch removes the ready answers from pending, in the order of the commands, and returns them
-// with their size in bytes. If a streamed value is next, it returns none and closes the value's
-// streamTurn: the stream is the writer until its finish. The caller holds mu.
-func (c *clientConn) nextBatch() (batch net.Buffers, size int) {
+// nextBatch removes the ready answers from pending, in the order of the commands, and returns them.
+// If a streamed value is next, it returns none and closes the value's streamTurn: the stream is the
+// writer until its finish. The caller holds mu.
+func (c *clientConn) nextBatch() (batch answerBatch) {
 	c.answersInWrite = 0
 	for len(c.pending) > 0 && c.pending[0].isReady {
 		next := c.pending[0]
 		if next.streamTurn != nil {
-			if len(batch) == 0 {
+			if len(batch.parts) == 0 {
 				c.pending = c.pending[1:]
 				c.answersInWrite = 1
 				close(next.streamTurn)
 			}
-			return batch, size
+			return batch
 		}
-		batch = append(batch, next.answerBytes)
-		size += len(next.answerBytes)
+		batch.add(&next.parts)
+		next.parts = answerParts{}
 		c.pending = c.pending[1:]
 		c.answersInWrite++
 	}
-	return batch, size
+	return batch
 }
 
 // writeAnswers writes batches of answers until none is ready.
-func (c *clientConn) writeAnswers(batch net.Buffers, size int) {
-	for len(batch) > 0 {
-		err := c.writeBuffers(batch)
-		c.clients.loop.answerBytes.release(size)
-		batch, size = c.afterWrite(err)
+func (c *clientConn) writeAnswers(batch answerBatch) {
+	for len(batch.parts) > 0 {
+		err := c.writeBuffers(batch.parts)
+		batch.memory.release()
+		batch = c.afterWrite(err)
 	}
 }
 
 // afterWrite handles the end of a write, sets the read deadline that applies now, and returns the
 // next batch. After a failed write it closes the connection, which ends the reader; the reader
 // notifies the loop.
-func (c *clientConn) afterWrite(err error) (batch net.Buffers, size int) {
+func (c *clientConn) afterWrite(err error) (batch answerBatch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil && !c.isUnwritable {
@@ -103,10 +143,10 @@
 	}
 	if c.isUnwritable {
 		c.answersInWrite = 0
-		return nil, 0
+		return answerBatch{}
 	}
 	c.lastAnswerAt = time.Now()
-	batch, size = c.nextBatch()
+	batch = c.nextBatch()
 	if c.unanswered() == 0 {
 		c.pending = nil // its array still references the answers
 		c.idleStart = c.lastAnswerAt
@@ -120,5 +160,5 @@
 	default:
 		c.SetReadDeadline(c.idleStart.Add(idleTimeout))
 	}
-	return batch, size
+	return batch
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,7 +59,6 @@
 	serverIdleTimeout := ms(cfg.settings.Config.IdleTimeoutMillis)
 	r.upstreams = newUpstreams(serverIdleTimeout, ms(cfg.settings.ConnectTimeoutMillis), upstreamLimit)
 	r.upstreams.trace = cfg.Trace
-	r.upstreams.unsizedValues.limit.Store(memoryBytes / unsizedMemoryDivisor)
 	var err error
 	r.loop, err = newLoop(cfg, r.upstreams, m)
 	if err != nil {
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -135,6 +135,5 @@
 		c.breakOff()
 		return
 	}
-	batch, size := c.afterWrite(s.writeErr)
-	c.writeAnswers(batch, size)
+	c.writeAnswers(c.afterWrite(s.writeErr))
 }
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -132,25 +132,55 @@
 	c.isReceivingLargeValue.Store(true)
 	defer c.isReceivingLargeValue.Store(false)
 	uploadDeadline := time.Now().Add(uploadTimeout)
+	var err error
+	if p == nil {
+		err = c.discardChunks(valueBytes-lastChunkBytes, uploadDeadline)
+	} else {
+		err = c.forwardChunks(valueBytes-lastChunkBytes, p, uploadDeadline)
+	}
+	if err != nil {
+		return err
+	}
+	lastChunk, err := c.readLastChunk(uploadDeadline)
+	if err != nil {
+		return err
+	}
+	if p != nil {
+		p.lastChunk = lastChunk
+	}
+	return nil
+}
+
+// forwardChunks reads n bytes of a large value and forwards them as they are received.
+func (c *clientConn) forwardChunks(n int, p *upload, uploadDeadline time.Time) error {
 	chunk := chunkPool.Get().(*[chunkBytes]byte)
 	defer chunkPool.Put(chunk)
-	for remaining := valueBytes - lastChunkBytes; remaining > 0; {
+	for n > 0 {
 		c.extendReadDeadline(uploadDeadline)
-		n, err := c.reader.Read(chunk[:min(remaining, chunkBytes)])
-		remaining -= n
-		if n > 0 && p != nil {
-			p.write(chunk[:n])
+		received, err := c.reader.Read(chunk[:min(n, chunkBytes)])
+		n -= received
+		if received > 0 {
+			p.write(chunk[:received])
 		}
 		if err != nil {
 			return err
 		}
 	}
-	lastChunk, err := c.readLastChunk(uploadDeadline)
-	if err != nil {
-		return err
-	}
-	if p != nil {
-		p.lastChunk = lastChunk
+	return nil
+}
+
+// discardChunks reads n bytes of a large value and discards them, in the reader's own memory.
+func (c *clientConn) discardChunks(n int, uploadDeadline time.Time) error {
+	for n > 0 {
+		c.extendReadDeadline(uploadDeadline)
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		discarded, err := c.reader.Discard(min(n, c.reader.Buffered()))
+		n -= discarded
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -210,5 +240,5 @@
 		u.release(p.target, p.conn, false)
 		return replyWithoutAnswer(decide.ConnectError)
 	}
-	return u.readAnswer(upstreamExchange{p.target, p.conn, c, u.readOrigin, stopWatch}, hooks)
+	return u.readAnswer(upstreamExchange{p.target, p.conn, c, readOriginReply, u.answers.newAnswer(), stopWatch}, hooks)
 }
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -95,7 +95,7 @@
 var errStreamAborted = errors.New("streamed value aborted")
 
 // answerReader reads a target's answer to a command.
-type answerReader func(*bufio.Reader, *command) (reply, error)
+type answerReader func(*bufio.Reader, *command, *answerMemory) (reply, error)
 
 // upstreamExchange is a completely written command whose answer is to be read.
 type upstreamExchange struct {
@@ -103,6 +103,8 @@
 	conn    *upstreamConn
 	command *command
 	read    answerReader
+	// memory is for the answer.
+	memory *answerMemory
 	// stopWatch stops closing the connection when the attempt's context ends. It returns false if
 	// the connection has been closed already.
 	stopWatch func() bool
@@ -134,7 +136,7 @@
 		u.release(t, conn, false)
 		return replyWithoutAnswer(decide.ConnectError)
 	}
-	return u.readAnswer(upstreamExchange{t, conn, c, read, stopWatch}, hooks)
+	return u.readAnswer(upstreamExchange{t, conn, c, read, u.answers.newAnswer(), stopWatch}, hooks)
 }
 
 // encode returns a command in the target's protocol and the reader for its answer.
@@ -143,7 +145,7 @@
 		return c.append(nil, hint), readReply, nil
 	}
 	wire, err := originRequest(t.addr, c, hint)
-	return wire, u.readOrigin, err
+	return wire, readOriginReply, err
 }
 
 // receiveAnswer reads the answer up to a value that is to be streamed. hasBegun is set once a part of
@@ -153,7 +155,10 @@
 		if err = x.conn.awaitFirstByte(); err != nil {
 			return replyWithoutAnswer(decide.Reset), false, err
 		}
-		got, err = x.read(x.conn.reader, x.command)
+		got, err = x.read(x.conn.reader, x.command, x.memory)
+		if err != nil {
+			x.memory.release()
+		}
 		if err == nil && !x.target.isOrigin { // the origin's answers have no id
 			x.conn.last = lastAnswer{requestID: x.command.id}
 		}
@@ -178,6 +183,9 @@
 	isOpen := x.stopWatch()
 	u.release(x.target, x.conn, isOpen && err == nil && !got.closesConnection && x.conn.isReusable())
 	switch {
+	case errors.Is(err, errNoAnswerMemory):
+		got = replyWithoutAnswer(decide.OK)
+		got.isOverMemory = true
 	case hasBegun && err != nil:
 		got.status = decide.MalformedResponse
 	case err != nil:
