Forward nothing behind a read until its answer is whole

Cause: up to sixteen commands of a connection are forwarded at once, and after half a value only the end of the connection is left. Now a command waits, before it is carried out, until the answer to the read before it is in memory or written; its time begins after that. Writes go on at once.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -61,6 +61,9 @@
 	mu sync.Mutex
 	// pending holds the answers not yet taken by a writer, in the order of the commands.
 	pending []*response
+	// openRead is the read whose answer may still turn out to be too long for memory; nil if there is
+	// none. No command behind it is carried out.
+	openRead *response
 	// answersInWrite counts the answers that the writer has taken but not written yet.
 	answersInWrite int
 	// isUnwritable is set once nothing can be written any more.
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -77,6 +77,30 @@
 	return nil
 }
 
+// awaitOpenRead waits, before a command is carried out, until the answer to the last read is in memory
+// or written. A value that is too long for memory can break off, and then nothing behind it can be
+// answered on this connection: a request that was forwarded would be lost, another one is sent again
+// by its client. The command's time, and the time to receive the rest of it, begin after the wait.
+func (c *clientConn) awaitOpenRead() error {
+	c.mu.Lock()
+	hasOpenRead := c.openRead != nil
+	c.mu.Unlock()
+	if !hasOpenRead {
+		return nil
+	}
+	if c.watchForDisconnect(func() bool { return c.openRead == nil }, 0) {
+		return io.EOF
+	}
+	c.mu.Lock()
+	isUnwritable := c.isUnwritable
+	c.mu.Unlock()
+	if isUnwritable {
+		return net.ErrClosed
+	}
+	c.beginCommand(false)
+	return nil
+}
+
 // acceptsInput reports whether further input is read. Commands that the buffer holds are read even
 // if it is not.
 func (c *clientConn) acceptsInput() bool {
@@ -184,6 +208,9 @@
 	if err != nil {
 		return receivedCommand{}, err
 	}
+	if err := c.awaitOpenRead(); err != nil {
+		return receivedCommand{}, err
+	}
 	received := receivedCommand{ruleError: l.checkCommand(&cmd)}
 	if received.ruleError == nil && cmd.isRequest() {
 		received.isRejected = c.isOverflow || !l.reserveRequest(&cmd)
@@ -205,6 +232,9 @@
 		r.answer(rejectedAnswer(l.rules.Load().retryAfterMillis))
 		return
 	}
+	if received.verb == verbRead {
+		r.open()
+	}
 	l.post(func() { l.handleArrival(received.command, received.receivedAt, r) })
 }
 
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -51,6 +51,26 @@
 	return r
 }
 
+// open marks the response as that of a read whose answer may be long.
+func (r *response) open() {
+	c := r.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openRead = r
+}
+
+// closeOpenRead marks a response as complete, in memory or written, and wakes the reader if it waits
+// for that. The caller holds mu.
+func (c *clientConn) closeOpenRead(r *response) {
+	if c.openRead != r {
+		return
+	}
+	c.openRead = nil
+	if c.isWatchingForDisconnect {
+		c.SetReadDeadline(expiredDeadline)
+	}
+}
+
 // answer sets an answer in the router's own words. It does not block.
 func (r *response) answer(text []byte) {
 	r.answerWith(answerParts{text: text, memory: r.conn.clients.loop.answers.newText(len(text))})
@@ -62,6 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.isReady = true
+	c.closeOpenRead(r)
 	if c.isUnwritable {
 		answer.memory.release()
 		return
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -135,5 +135,9 @@
 		c.breakOff()
 		return
 	}
-	c.writeAnswers(c.afterWrite(s.writeErr))
+	batch := c.afterWrite(s.writeErr)
+	c.mu.Lock()
+	c.closeOpenRead(s.response)
+	c.mu.Unlock()
+	c.writeAnswers(batch)
 }
