Await a long value as long as its client waits

Now a value whose head has come may take as long as the attempt, and the attempt is canceled only at the end of its request or of its time.

The package's tests passed but for TestKeysStayHomeIfConnectionsFailEverywhere, which is known to fail beside load. Not affected: short answers. Open: values of unknown length, and large requests that a server reads slowly.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -55,6 +55,10 @@
 	// timeoutTimer calls timeOut.
 	timeoutTimer *timer
 	phase        atomic.Int32
+	// isAnswering is set, on the attempt's goroutine, once the head of a long answer was received.
+	// Then only the end of the request or of its time cancels the attempt: its server is not slow to
+	// accept it, and the connection would be cut off in the middle of a sound answer.
+	isAnswering atomic.Bool
 }
 
 // The phases of an attempt.
@@ -134,6 +138,7 @@
 		isNotRepeatable: a.request.rule.Effect != decide.Idempotent,
 		beforeWrite:     func() timeoutHint { return l.startWriting(a, client, limits) },
 		afterWrite:      func() { l.metrics.Dispatches.Add(1) },
+		beforeValue:     func() { a.isAnswering.Store(true) },
 		openStream: func(got reply) *valueStream {
 			stream = l.openValueStream(ctx, a, got)
 			return stream
@@ -253,10 +258,16 @@
 	}
 }
 
-// Cancel cancels attempt n of a request.
+// Cancel cancels attempt n of a request, unless its server is giving a long answer that the request
+// still waits for.
 func (l *loop) Cancel(id uint32, n int) {
-	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
-		l.cancel(r.attempts[n])
+	r := l.requests[id]
+	if r == nil || n < 0 || n >= len(r.attempts) {
+		return
+	}
+	a := r.attempts[n]
+	if r.isDone || !a.isAnswering.Load() {
+		l.cancel(a)
 	}
 }
 
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -118,8 +118,7 @@
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, originBody{}, malformed("origin answer: status %d", resp.StatusCode)
 		case resp.StatusCode >= http.StatusOK && r.isStreamed(resp):
-			_, err := r.Peek(1) // an answer counts only once its body has begun
-			return resp, originBody{}, err
+			return resp, originBody{}, nil
 		case resp.StatusCode >= http.StatusOK:
 			endsWithConnection := bytes.Contains(bytes.ToLower(head), []byte("\nconnection: close\r\n"))
 			body, err := r.readBody(resp, endsWithConnection)
--- a/internal/router/pool_test.go
+++ b/internal/router/pool_test.go
@@ -31,7 +31,7 @@
 	old.idleSince = originalIdleSince
 	u.mu.Unlock()
 	u.roundTrip(t.Context(), target, newReadCommand(),
-		attemptHooks{false, func() timeoutHint { return 0 }, noHook, noStream})
+		attemptHooks{false, func() timeoutHint { return 0 }, noHook, noHook, noStream})
 	if kept := idleConns(u, target); len(kept) != 2 || kept[0] != old || !kept[0].idleSince.Equal(originalIdleSince) {
 		t.Errorf("the idle time was reset: %v", kept)
 	}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -144,7 +144,6 @@
 	if n > maxBufferedValue {
 		got.streamedBytes = n
 		got.hasLineEnd = true
-		_, err = r.Peek(1) // an answer counts only once its value has begun
 	} else if err = got.memory.grow(n); err == nil {
 		got.body, err = readValue(r, n, false)
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -32,8 +32,9 @@
 const (
 	// maxAnswerBytes leaves capacity for chunk headers and provisional answers.
 	maxAnswerBytes = 2*maxHeadBytes + maxBufferedValue + maxValueBytes
-	// answerTimeout is how long the rest of an answer may take after its first byte. It is below
-	// the usual latency objective, so that a read can still be retried in time.
+	// answerTimeout is how long the rest of an answer may take after its first byte, up to a value
+	// that is streamed. It is below the usual latency objective, so that a read can still be retried
+	// in time.
 	answerTimeout = 250 * time.Millisecond
 )
 
@@ -60,6 +61,17 @@
 	return c.SetReadDeadline(time.Now().Add(answerTimeout))
 }
 
+// awaitValue waits for the first byte of a value that is to be streamed: an answer counts only once
+// its value has begun. The server has accepted the request with the head of its answer, so it may
+// take as long as the attempt does: when the attempt's time is up, the connection is closed.
+func (c *upstreamConn) awaitValue() error {
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
 // isReusable reports whether the connection is free of input after the answer that was read. Any
 // other input belongs to no request.
 func (c *upstreamConn) isReusable() bool {
@@ -85,6 +97,8 @@
 	beforeWrite func() timeoutHint
 	// afterWrite is called after the last byte was written.
 	afterWrite func()
+	// beforeValue is called when the head of an answer was received whose value is to be streamed.
+	beforeValue func()
 	// openStream returns the stream to the client for a large value, or nil if the request has
 	// ended.
 	openStream func(got reply) *valueStream
@@ -150,7 +164,7 @@
 
 // receiveAnswer reads the answer up to a value that is to be streamed. hasBegun is set once a part of
 // the answer was received.
-func (x upstreamExchange) receiveAnswer() (got reply, hasBegun bool, err error) {
+func (x upstreamExchange) receiveAnswer(hooks attemptHooks) (got reply, hasBegun bool, err error) {
 	for {
 		if err = x.conn.awaitFirstByte(); err != nil {
 			return replyWithoutAnswer(decide.Reset), false, err
@@ -162,6 +176,11 @@
 		if err == nil && !x.target.isOrigin { // the origin's answers have no id
 			x.conn.last = lastAnswer{requestID: x.command.id}
 		}
+		if err == nil && got.streamedBytes > 0 {
+			hooks.beforeValue()
+			err = x.conn.awaitValue()
+			return got, true, err
+		}
 		if err == nil || !x.conn.skipDuplicate(err) {
 			return got, true, err
 		}
@@ -173,7 +192,7 @@
 // connection ends before any answer, it is unknown whether the request has run.
 func (u *upstreams) readAnswer(x upstreamExchange, hooks attemptHooks) reply {
 	hooks.afterWrite()
-	got, hasBegun, err := x.receiveAnswer()
+	got, hasBegun, err := x.receiveAnswer(hooks)
 	if err == nil && got.streamedBytes > 0 {
 		err = errStreamAborted
 		if stream := hooks.openStream(got); stream != nil {
--- a/internal/router/upstream_test.go
+++ b/internal/router/upstream_test.go
@@ -25,7 +25,7 @@
 func noHook()                     {}
 func noStream(reply) *valueStream { return nil }
 
-var unconditionalHooks = attemptHooks{false, func() timeoutHint { return 400 }, noHook, noStream}
+var unconditionalHooks = attemptHooks{false, func() timeoutHint { return 400 }, noHook, noHook, noStream}
 
 // Checks the outcome of an attempt, and whether its connection is reused, for each kind of answer
 // in both protocols.
@@ -176,7 +176,7 @@
 	u := newTestUpstreams(t, 10*time.Second, 10)
 	target := u.add(f.addr, false)
 	u.roundTrip(t.Context(), target, newReadCommand(),
-		attemptHooks{false, func() timeoutHint { return 0 }, noHook, noStream})
+		attemptHooks{false, func() timeoutHint { return 0 }, noHook, noHook, noStream})
 	if got := u.roundTrip(t.Context(), target, newReadCommand(), unconditionalHooks); got.status != decide.OK {
 		t.Errorf("got %v", got.status)
 	}
