Share the start of router processes and servers among the command's tests

TestMemoryStaysUnderLimit and TestIdleClientsLeaveDescriptorsToDiscovery each started a router, its discovery and servers in lines of their own. One function a job now; the program that is built for the memory test lies in the test's own folder and is removed with it. No behaviour of the product changes.

--- a/cmd/dockhinge/descriptors_test.go
+++ b/cmd/dockhinge/descriptors_test.go
@@ -62,40 +62,69 @@
 
 // startCacheServer runs a cache server that answers each read with a hit.
 func startCacheServer(t *testing.T) (addr string) {
-	ln := listen(t, "127.0.0.1:0")
-	var served sync.WaitGroup
-	var mu sync.Mutex
-	var open []net.Conn
+	return serveLines(t, func(conn net.Conn, line string) bool {
+		fields := strings.Fields(line)
+		if len(fields) > 3 && fields[0] == "mg" {
+			fmt.Fprintf(conn, "VA 5 %s h1\r\nhello\r\n", fields[3])
+		}
+		return true
+	})
+}
+
+// process is a router as a process of its own.
+type process struct {
+	pid int
+	// log is the path of its log.
+	log string
+}
+
+// startProcess starts a router with a configuration. It is killed at the end of the test.
+func startProcess(t *testing.T, command *exec.Cmd, config map[string]any) process {
+	t.Helper()
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { log.Close() })
+	command.Env = append(os.Environ(), serveVariable+"=1", "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
+	command.Stdout = log
+	command.Stderr = log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() {
-		ln.Close()
-		mu.Lock()
-		for _, conn := range open {
-			conn.Close()
+		command.Process.Kill()
+		command.Wait()
+		if t.Failed() {
+			logged, _ := os.ReadFile(log.Name())
+			t.Logf("the router's log:\n%s", logged)
 		}
-		mu.Unlock()
-		served.Wait()
 	})
-	served.Go(func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
+	return process{pid: command.Process.Pid, log: log.Name()}
+}
+
+// awaitAddress waits until the router listens, and returns its address.
+func (p process) awaitAddress(t *testing.T) (address string) {
+	t.Helper()
+	await(t, "the router listens", func() error {
+		logged, err := os.ReadFile(p.log)
+		for line := range strings.Lines(string(logged)) {
+			if _, at, found := strings.Cut(line, " address="); found && strings.Contains(line, "msg=listening") {
+				address = strings.TrimSpace(at)
+				return nil
 			}
-			mu.Lock()
-			open = append(open, conn)
-			mu.Unlock()
-			served.Go(func() {
-				lines := bufio.NewScanner(conn)
-				for lines.Scan() {
-					fields := strings.Fields(lines.Text())
-					if len(fields) > 3 && fields[0] == "mg" {
-						fmt.Fprintf(conn, "VA 5 %s h1\r\nhello\r\n", fields[3])
-					}
-				}
-			})
 		}
+		return errors.Join(errors.New("no line of the log has the address"), err)
 	})
-	return ln.Addr().String()
+	return address
 }
 
 // endpoint returns an entry of discovery's list.
@@ -157,80 +186,22 @@
 	admin := reserved.Addr().String()
 	reserved.Close()
 
-	text, err := os.ReadFile("../../.ci/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var config map[string]any
-	if err := json.Unmarshal(text, &config); err != nil {
-		t.Fatal(err)
-	}
+	config := readTestConfig(t)
 	config["discovery"] = discovery.Addr().String()
 	config["admin_addr"] = admin
 	config["limits"] = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets}
-	text, err = json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	log := filepath.Join(t.TempDir(), "log")
-	out, err := os.Create(log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer out.Close()
-	router := exec.Command(os.Args[0])
-	router.Env = append(os.Environ(), serveVariable+"=1", "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
-	router.Stdout = out
-	router.Stderr = out
-	if err := router.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		router.Process.Kill()
-		router.Wait()
-		if t.Failed() {
-			logged, _ := os.ReadFile(log)
-			t.Logf("the router's log:\n%s", logged)
-		}
-	})
+	router := startProcess(t, exec.Command(os.Args[0]), config)
 	limit := unix.Rlimit{Cur: sockets, Max: sockets}
-	if err := unix.Prlimit(router.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+	if err := unix.Prlimit(router.pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 		t.Fatal(err)
 	}
-	var address string
-	await(t, "the router listens", func() error {
-		logged, err := os.ReadFile(log)
-		for line := range strings.Lines(string(logged)) {
-			if _, at, found := strings.Cut(line, " address="); found && strings.Contains(line, "msg=listening") {
-				address = strings.TrimSpace(at)
-				return nil
-			}
-		}
-		return errors.Join(errors.New("no line of the log has the address"), err)
-	})
+	address := router.awaitAddress(t)
 	connectIdleClients(t, address, sockets+sockets/4)
 
 	returned := listen(t, discovery.Addr().String())
 	servers := []any{endpoint("s-0000000c", server, "box"), endpoint("s-00000063", server, "origin")}
 	list := map[string]any{"version": 2, "full": true, "servers": servers}
-	answer, err := json.Marshal(list)
-	if err != nil {
-		t.Fatal(err)
-	}
-	service := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("wait_ms") != "" {
-			<-r.Context().Done()
-			return
-		}
-		w.Write(answer)
-	})}
-	done := make(chan struct{})
-	go func() { defer close(done); service.Serve(returned) }()
-	t.Cleanup(func() { service.Close(); <-done })
+	serveDiscovery(t, returned, list)
 
 	await(t, "the admin address answers", func() error {
 		resp, err := http.Get("http://" + admin + "/-/ready")
@@ -261,7 +232,7 @@
 		}
 		return nil
 	})
-	if logged, err := os.ReadFile(log); err != nil || strings.Contains(string(logged), unix.EMFILE.Error()) {
+	if logged, err := os.ReadFile(router.log); err != nil || strings.Contains(string(logged), unix.EMFILE.Error()) {
 		t.Errorf("the router ran out of descriptors (reading its log: %v)", err)
 	}
 }
--- a/cmd/dockhinge/memory_test.go
+++ b/cmd/dockhinge/memory_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -41,18 +40,14 @@
 )
 
 // buildRouter builds the program without the race detector, which takes several times the memory.
-var buildRouter = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "dockhinge-memory")
-	if err != nil {
-		return "", err
-	}
-	program := filepath.Join(dir, "dockhinge")
-	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("building the router: %w\n%s", err, out)
+func buildRouter(t *testing.T) (program string) {
+	t.Helper()
+	program = filepath.Join(t.TempDir(), "dockhinge")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("building the router: %v\n%s", err, out)
 	}
-	return program, nil
-})
+	return program
+}
 
 // processLimits are the limits of a router's process.
 type processLimits struct{ memoryMB, sockets int }
@@ -66,12 +61,8 @@
 }
 
 // startLimitedRouter starts a router with the given limits before a cache server and an origin.
-func startLimitedRouter(t *testing.T, limits processLimits, cacheServer, origin string) *limitedRouter {
+func startLimitedRouter(t *testing.T, program string, limits processLimits, cacheServer, origin string) *limitedRouter {
 	t.Helper()
-	program, err := buildRouter()
-	if err != nil {
-		t.Fatal(err)
-	}
 	servers := []any{endpoint("s-0000000c", cacheServer, "box"), endpoint("s-00000063", origin, "origin")}
 	list := map[string]any{"version": 2, "full": true, "servers": servers}
 	config := readTestConfig(t)
@@ -81,42 +72,8 @@
 	config["settings"].(map[string]any)["categories"] = []any{
 		class("read", "repeatable"), class("put", "once"),
 	}
-	text, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { log.Close() })
-	process := exec.Command(program)
-	process.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+t.TempDir())
-	process.Stdout = log
-	process.Stderr = log
-	if err := process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		process.Process.Kill()
-		process.Wait()
-	})
-	router := &limitedRouter{pid: process.Process.Pid}
-	await(t, "the router listens", func() error {
-		logged, err := os.ReadFile(log.Name())
-		for line := range strings.Lines(string(logged)) {
-			if _, at, found := strings.Cut(line, " address="); found && strings.Contains(line, "msg=listening") {
-				router.address = strings.TrimSpace(at)
-				return nil
-			}
-		}
-		return errors.Join(errors.New("no line of the log has the address"), err)
-	})
-	return router
+	process := startProcess(t, exec.Command(program), config)
+	return &limitedRouter{pid: process.pid, address: process.awaitAddress(t)}
 }
 
 // class returns a class of requests with a long deadline.
@@ -146,12 +103,19 @@
 
 // startDiscovery serves a list that never changes, and returns the address.
 func startDiscovery(t *testing.T, list map[string]any) (addr string) {
+	t.Helper()
+	ln := listen(t, "127.0.0.1:0")
+	serveDiscovery(t, ln, list)
+	return ln.Addr().String()
+}
+
+// serveDiscovery serves a list that never changes on a listener.
+func serveDiscovery(t *testing.T, ln net.Listener, list map[string]any) {
 	t.Helper()
 	answer, err := json.Marshal(list)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln := listen(t, "127.0.0.1:0")
 	service := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("wait_ms") != "" {
 			<-r.Context().Done()
@@ -162,7 +126,6 @@
 	done := make(chan struct{})
 	go func() { defer close(done); service.Serve(ln) }()
 	t.Cleanup(func() { service.Close(); <-done })
-	return ln.Addr().String()
 }
 
 // watchMemory records the router's peak of memory until the returned function is called.
@@ -367,12 +330,13 @@
 // do at once: long values without a length stayed in memory until their clients had read them, and
 // heads were in no budget.
 func TestMemoryStaysUnderLimit(t *testing.T) {
+	program := buildRouter(t)
 	for name, load := range memoryLoads() {
 		t.Run(name, func(t *testing.T) {
 			for _, limits := range []processLimits{{32, 512}, {64, 512}, {192, 1024}} {
 				t.Run(fmt.Sprint(limits.memoryMB, " MB"), func(t *testing.T) {
 					t.Parallel()
-					peak := load.peakMemory(t, limits)
+					peak := load.peakMemory(t, program, limits)
 					t.Logf("up to %d MB", peak)
 					if peak > int64(limits.memoryMB) {
 						t.Errorf("up to %d MB of %d MB", peak, limits.memoryMB)
@@ -384,10 +348,10 @@
 }
 
 // peakMemory plays the load on a router with the given limits, and returns its peak of memory in MB.
-func (m memoryLoad) peakMemory(t *testing.T, limits processLimits) int64 {
+func (m memoryLoad) peakMemory(t *testing.T, program string, limits processLimits) int64 {
 	t.Helper()
 	cacheServer, origin := m.startServers(t)
-	router := startLimitedRouter(t, limits, cacheServer, origin)
+	router := startLimitedRouter(t, program, limits, cacheServer, origin)
 	stopWatch := router.watchMemory(t)
 	end := make(chan struct{})
 	var clients sync.WaitGroup
