Give up a large write that its server takes too slowly while its client still waits

Cause: the reader of the client wrote each part to the server itself and waited up to 4 s for each. The client's last byte lay unread meanwhile, and the request's time began only when it was read.

Change: an upper bound of how far the router is behind the client (uploadLag) limits all waits for the server of an upload, from opening the connection on, and is taken off the request's time. Beyond it the rest is discarded at the client's pace and the client is refused at its last byte. The last byte goes out only once all before it is sent, so a write that has not run is refused, not failed. It works for any rate, stop and wait, as the bound grows with each wait for the server and only a pause of the client, with nothing left to read, resets it.

--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -220,6 +220,9 @@
 	}
 	received.command = cmd
 	received.receivedAt = l.now()
+	if cmd.upload != nil {
+		received.receivedAt -= inMillis(cmd.upload.lag.behind)
+	}
 	return received, err
 }
 
@@ -257,6 +260,9 @@
 		isRejected = uploadErr != nil
 	}
 	err = c.readLargeValue(cmd.valueBytes, cmd.upload)
+	if cmd.upload != nil && cmd.upload.lag.isOver() { // the server is only slow, so the Balancer isn't told of it
+		isRejected = true
+	}
 	if !hasNoCapacity && (isRejected || err != nil) {
 		l.releaseRequest(cmd)
 	}
--- a/internal/router/slow_upload_test.go
+++ b/internal/router/slow_upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -161,19 +162,58 @@
 		origin *slowOrigin
 		write  upstreamWrite
 	}{
-		"72 KB a second":              {&slowOrigin{bytesPerSecond: 71970}, upstreamWrite{neverRepeat, 825756, 600, 0}},
-		"101 KB a second":             {&slowOrigin{bytesPerSecond: 101054}, upstreamWrite{neverRepeat, 965516, 684, 0}},
-		"300 KB a second":             {&slowOrigin{bytesPerSecond: 300e3}, upstreamWrite{keyed, 3 * megabyte, 1200, 0}},
-		"40 KB a second":              {&slowOrigin{bytesPerSecond: 40e3}, upstreamWrite{keyed, 120e3, 500, 0}},
-		"40 KB a second, short time":  {&slowOrigin{bytesPerSecond: 40e3}, upstreamWrite{keyed, 120e3, 50, 0}},
-		"stops at 300 KB":             {&slowOrigin{stopAfter: 300e3}, upstreamWrite{keyed, 2 * megabyte, 1500, 0}},
-		"stops at 300 KB, short time": {&slowOrigin{stopAfter: 300e3}, upstreamWrite{keyed, 2 * megabyte, 100, 0}},
-		"stops at 2 KB":               {&slowOrigin{stopAfter: 2298}, upstreamWrite{keyed, 184960, 800, 0}},
-		"stops at 22 KB":              {&slowOrigin{stopAfter: 22605}, upstreamWrite{neverRepeat, 198313, 400, 0}},
-		"stops, slow client":          {&slowOrigin{stopAfter: 13179}, upstreamWrite{neverRepeat, 185e3, 600, 150e3}},
-		"stops, very slow client":     {&slowOrigin{stopAfter: 3990}, upstreamWrite{keyed, 400e3, 600, 100e3}},
-		"slower than its client":      {&slowOrigin{bytesPerSecond: 60e3}, upstreamWrite{keyed, 400e3, 300, 120e3}},
-		"stops, of 4 MiB":             {&slowOrigin{stopAfter: 3 * megabyte}, upstreamWrite{keyed, 4 * megabyte, 700, 0}},
+		"72 KB a second": {
+			&slowOrigin{bytesPerSecond: 71970},
+			upstreamWrite{neverRepeat, 825756, 600, 0},
+		},
+		"101 KB a second": {
+			&slowOrigin{bytesPerSecond: 101054},
+			upstreamWrite{neverRepeat, 965516, 684, 0},
+		},
+		"300 KB a second": {
+			&slowOrigin{bytesPerSecond: 300e3},
+			upstreamWrite{keyed, 3 * megabyte, 1200, 0},
+		},
+		"40 KB a second": {
+			&slowOrigin{bytesPerSecond: 40e3},
+			upstreamWrite{keyed, 120e3, 500, 0},
+		},
+		"40 KB a second, short time": {
+			&slowOrigin{bytesPerSecond: 40e3},
+			upstreamWrite{keyed, 120e3, 50, 0},
+		},
+		"stops at 300 KB": {
+			&slowOrigin{stopAfter: 300e3},
+			upstreamWrite{keyed, 2 * megabyte, 1500, 0},
+		},
+		"stops at 300 KB, short time": {
+			&slowOrigin{stopAfter: 300e3},
+			upstreamWrite{keyed, 2 * megabyte, 100, 0},
+		},
+		"stops at 2 KB": {
+			&slowOrigin{stopAfter: 2298},
+			upstreamWrite{keyed, 184960, 800, 0},
+		},
+		"stops at 22 KB": {
+			&slowOrigin{stopAfter: 22605},
+			upstreamWrite{neverRepeat, 198313, 400, 0},
+		},
+		"stops, slow client": {
+			&slowOrigin{stopAfter: 13179},
+			upstreamWrite{neverRepeat, 185e3, 600, 150e3},
+		},
+		"stops, very slow client": {
+			&slowOrigin{stopAfter: 3990},
+			upstreamWrite{keyed, 400e3, 600, 100e3},
+		},
+		"slower than its client": {
+			&slowOrigin{bytesPerSecond: 60e3},
+			upstreamWrite{keyed, 400e3, 300, 120e3},
+		},
+		"stops, of 4 MiB": {
+			&slowOrigin{stopAfter: 3 * megabyte},
+			upstreamWrite{keyed, 4 * megabyte, 700, 0},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -195,6 +235,42 @@
 	}
 }
 
+// randomUploadSeed is the seed of the writes and origins that are drawn.
+const randomUploadSeed = 64
+
+// Guards against late answers to large writes at rates, pauses, sizes and waits that no table has.
+func TestLargeWritesAreAnsweredInTimeAtRandomRates(t *testing.T) {
+	random := rand.New(rand.NewPCG(randomUploadSeed, 0))
+	pick := func(values ...int) int { return values[random.IntN(len(values))] }
+	for range 24 {
+		origin := &slowOrigin{
+			bytesPerSecond: pick(0, 100e3, 250e3, megabyte),
+			stopAfter:      pick(0, 1, random.IntN(100e3)+1, random.IntN(megabyte/2)+1),
+			restAfter:      random.IntN(megabyte / 2),
+			rest:           time.Duration(pick(0, 50, 300, 900, 2500)) * time.Millisecond,
+		}
+		write := upstreamWrite{
+			class:          []string{neverRepeat, keyed}[random.IntN(2)],
+			valueBytes:     maxBufferedValue + 1 + random.IntN(megabyte/2),
+			wait:           time.Duration(pick(20, 100, 300, 600, 1200, 1900)) * time.Millisecond,
+			bytesPerSecond: pick(0, 0, 200e3, 600e3, 4*megabyte),
+		}
+		t.Run(fmt.Sprintf("%+v, origin %d B/s, stop %d, rest %v at %d", write, origin.bytesPerSecond,
+			origin.stopAfter, origin.rest, origin.restAfter), func(t *testing.T) {
+			t.Parallel()
+			r, _ := startReadyRouter(t, cacheEntry("s-0000000b", "127.0.0.1:1"), originEntry(origin.start(t)))
+			answer, took := write.send(dialClient(t, r.addr), "w1")
+			if took > write.wait+lateAnswerAllowance || answer == "EOF" {
+				t.Errorf("answered %q after %v", answer, took)
+			}
+			time.Sleep(lateAnswerAllowance)
+			if strings.HasPrefix(answer, "SERVER_ERROR busy") && origin.completed.Load() > 0 {
+				t.Error("the origin received the rejected write completely")
+			}
+		})
+	}
+}
+
 // A write that the origin has received and not answered may have run.
 func TestReceivedLargeWriteFailsAtItsDeadline(t *testing.T) {
 	const valueBytes = 120e3
@@ -214,13 +290,34 @@
 		origin *slowOrigin
 		write  upstreamWrite
 	}{
-		"slow client":                     {&slowOrigin{}, upstreamWrite{keyed, 400e3, 600, 120e3}},
-		"slow client, origin just faster": {&slowOrigin{bytesPerSecond: 150e3}, upstreamWrite{keyed, 400e3, 800, 120e3}},
-		"origin rests for 0.4 s":          {&slowOrigin{rest: 400, restAfter: 100e3}, upstreamWrite{keyed, 500e3, 1200, 120e3}},
-		"origin rests for 0.7 s":          {&slowOrigin{rest: 700, restAfter: 100e3}, upstreamWrite{keyed, 500e3, 1200, 120e3}},
-		"rests, fast client":              {&slowOrigin{rest: 400, restAfter: 100e3}, upstreamWrite{keyed, 3 * megabyte, 1500, 0}},
-		"fast":                            {&slowOrigin{}, upstreamWrite{neverRepeat, 4 * megabyte, 1500, 0}},
-		"1 MB a second":                   {&slowOrigin{bytesPerSecond: megabyte}, upstreamWrite{keyed, 900e3, 1500, 0}},
+		"slow client": {
+			&slowOrigin{},
+			upstreamWrite{keyed, 400e3, 600, 120e3},
+		},
+		"slow client, origin just faster": {
+			&slowOrigin{bytesPerSecond: 150e3},
+			upstreamWrite{keyed, 400e3, 800, 120e3},
+		},
+		"origin rests for 0.4 s": {
+			&slowOrigin{rest: 400, restAfter: 100e3},
+			upstreamWrite{keyed, 500e3, 1200, 120e3},
+		},
+		"origin rests for 0.7 s": {
+			&slowOrigin{rest: 700, restAfter: 100e3},
+			upstreamWrite{keyed, 500e3, 1200, 120e3},
+		},
+		"rests, fast client": {
+			&slowOrigin{rest: 400, restAfter: 100e3},
+			upstreamWrite{keyed, 3 * megabyte, 1500, 0},
+		},
+		"fast": {
+			&slowOrigin{},
+			upstreamWrite{neverRepeat, 4 * megabyte, 1500, 0},
+		},
+		"1 MB a second": {
+			&slowOrigin{bytesPerSecond: megabyte},
+			upstreamWrite{keyed, 900e3, 1500, 0},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -256,3 +353,20 @@
 	}
 	s.closeAndAwaitEnd(t)
 }
+
+// BenchmarkLargeWrite measures a write of 1 MiB to an origin that takes it at once.
+func BenchmarkLargeWrite(b *testing.B) {
+	origin := startFakeServer(b, originAnswer)
+	r, _ := startReadyRouter(b, cacheEntry("s-0000000b", "127.0.0.1:1"), originEntry(origin.addr))
+	c := dialClient(b, r.addr)
+	write := upstreamWrite{neverRepeat, megabyte, 2 * time.Second, 0}
+	go func() {
+		for range origin.received {
+		}
+	}()
+	for i := 0; b.Loop(); i++ {
+		if answer, _ := write.send(c, fmt.Sprint("w", i)); !strings.HasPrefix(answer, "HD ") {
+			b.Fatalf("got %q", answer)
+		}
+	}
+}
--- a/internal/router/socket.go
+++ b/internal/router/socket.go
@@ -43,17 +43,24 @@
 
 // unacknowledgedBytes returns how many bytes written to a connection the other side has not
 // acknowledged yet, its end included. It returns 0 if the system doesn't tell.
-func unacknowledgedBytes(c net.Conn) (unacknowledged int) {
+func unacknowledgedBytes(c net.Conn) int { return socketQueue(c, unix.SIOCOUTQ) }
+
+// unsentBytes returns how many bytes written to a connection the system has not sent yet, as the other
+// side has no capacity for them. It returns 0 if the system doesn't tell.
+func unsentBytes(c net.Conn) int { return socketQueue(c, unix.SIOCOUTQNSD) }
+
+// socketQueue returns the number of bytes in a connection's queue that an ioctl request asks for.
+func socketQueue(c net.Conn, request uint) (bytes int) {
 	withSocket(c, func(raw syscall.RawConn) {
 		//nolint:errcheck // a closed connection has none
 		raw.Control(func(fd uintptr) {
-			n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+			n, err := unix.IoctlGetInt(int(fd), request)
 			if err == nil {
-				unacknowledged = n
+				bytes = n
 			}
 		})
 	})
-	return unacknowledged
+	return bytes
 }
 
 // hasEnded reports whether the other side has closed or reset a connection, even if unread input
--- a/internal/router/timeout_hint.go
+++ b/internal/router/timeout_hint.go
@@ -37,11 +37,16 @@
 // being received. A request's time begins with its last byte, so the complete time allowed by
 // client and class remains.
 func (l *loop) uploadHint(c *command) timeoutHint {
-	allowedMillis := c.remainingMillis
+	return hintFor(min(l.uploadWaitMillis(c), l.answerDeadline.load()-l.now()))
+}
+
+// uploadWaitMillis returns how long the client of a large write waits for the answer after its last
+// byte: the time that it has stated, limited by its class.
+func (l *loop) uploadWaitMillis(c *command) float64 {
 	if rule := l.rules.Load().classes[c.class]; rule != nil {
-		allowedMillis = min(allowedMillis, rule.DeadlineMillis)
+		return min(c.remainingMillis, rule.DeadlineMillis)
 	}
-	return hintFor(min(allowedMillis, l.answerDeadline.load()-l.now()))
+	return c.remainingMillis
 }
 
 // instant is a time in milliseconds on the loop's clock that any goroutine may read. Until it is
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -20,17 +21,25 @@
 	// uploadTimeout limits the time for a complete large value, as a client that sends a few bytes
 	// at a time never exceeds commandTimeout.
 	uploadTimeout = time.Minute
+	// sentCheckMinInterval and sentCheckMaxInterval are the times between two checks whether a
+	// connection has unsent bytes. The system reports no event for it.
+	sentCheckMinInterval = 100 * time.Microsecond
+	sentCheckMaxInterval = 10 * time.Millisecond
 )
 
 // upload is a large write that is being forwarded. The client's reader goroutine owns it until the
 // request is submitted, then the request does. isSettled decides whether the attempt or the end of
 // the request gets the connection.
 type upload struct {
-	upstreams *upstreams
+	loop *loop
+	// requestID is the request's id, for the log.
+	requestID string
 	server    uint32
 	target    *target
 	// conn is nil if the server does not accept the write.
 	conn *upstreamConn
+	// lag is how far the reading of the value is behind the client.
+	lag uploadLag
 	// lastChunk is held back until the attempt.
 	lastChunk []byte
 	// isSettled is set once, by the attempt or by abandon, which owns the connection from then on.
@@ -49,10 +58,16 @@
 
 // release closes the connection and stops counting the upload.
 func (p *upload) release() {
+	p.closeConn()
+	p.loop.upstreams.uploads.Add(-1)
+}
+
+// closeConn closes the connection, if there is one.
+func (p *upload) closeConn() {
 	if p.conn != nil {
-		p.upstreams.release(p.target, p.conn, false)
+		p.loop.upstreams.release(p.target, p.conn, false)
+		p.conn = nil
 	}
-	p.upstreams.uploads.Add(-1)
 }
 
 // startUpload opens a connection for a large write to the server that the Balancer currently
@@ -63,25 +78,41 @@
 		l.upstreams.uploads.Add(-1)
 		return nil, errNoUploadCapacity
 	}
-	p := &upload{upstreams: l.upstreams}
+	startedAt := time.Now()
+	p := &upload{loop: l, requestID: cmd.id, lag: newUploadLag(ms(l.uploadWaitMillis(cmd)))}
 	if !l.chooseUploadTarget(p) {
 		l.upstreams.uploads.Add(-1)
 		return nil, errNoUploadCapacity
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), serverProgressTimeout)
+	p.lag.addServerTime(time.Since(startedAt))
+	p.open(cmd)
+	return p, nil
+}
+
+// open opens the connection and sends the head of the write.
+func (p *upload) open(cmd *command) {
+	l := p.loop
+	startedAt := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), p.serverTimeout())
 	defer cancel()
 	conn, err := l.upstreams.acquire(ctx, p.target, true)
+	p.lag.addServerTime(time.Since(startedAt))
 	if err != nil {
-		return p, nil
+		return
 	}
 	hint := l.uploadHint(cmd)
 	if hint == 0 {
 		l.upstreams.releaseUnused(p.target, conn)
-		return p, nil
+		return
 	}
 	p.conn = conn
 	p.write(uploadHead(p.target.addr, cmd, hint))
-	return p, nil
+}
+
+// serverTimeout returns how long the router may wait for the server now: until the upload is to be
+// given up or, if that is earlier, until the process must have answered.
+func (p *upload) serverTimeout() time.Duration {
+	return ms(min(inMillis(p.lag.left()), p.loop.answerDeadline.load()-p.loop.now()))
 }
 
 // chooseUploadTarget sets the server that writes currently go to, and reports whether that is the
@@ -111,16 +142,20 @@
 	return fmt.Appendf(nil, head, path, addr, c.valueBytes, c.id, c.metadataWithHint(hint))
 }
 
-// write forwards a part of the value. If the server does not accept it, the connection is closed;
-// the client's value is still read to its end.
+// write forwards a part of the value. If the server does not accept it in time, the connection is
+// closed; the client's value is still read to its end, without waiting for the server any more.
 func (p *upload) write(part []byte) {
 	if p.conn == nil {
 		return
 	}
-	p.conn.SetWriteDeadline(time.Now().Add(serverProgressTimeout))
-	if _, err := p.conn.Write(part); err != nil {
-		p.upstreams.release(p.target, p.conn, false)
-		p.conn = nil
+	startedAt := time.Now()
+	p.conn.SetWriteDeadline(startedAt.Add(p.serverTimeout()))
+	_, err := p.conn.Write(part)
+	p.lag.addServerTime(time.Since(startedAt))
+	if err != nil {
+		slog.Warn("the server takes a large write too slowly or not at all",
+			"request", p.requestID, "address", p.target.addr, "behind", p.lag.behind, "error", err)
+		p.closeConn()
 		return
 	}
 	p.conn.SetWriteDeadline(time.Time{})
@@ -141,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	lastChunk, err := c.readLastChunk(uploadDeadline)
+	lastChunk, err := c.readLastChunk(p, uploadDeadline)
 	if err != nil {
 		return err
 	}
@@ -156,8 +191,7 @@
 	chunk := chunkPool.Get().(*[chunkBytes]byte)
 	defer chunkPool.Put(chunk)
 	for n > 0 {
-		c.extendReadDeadline(uploadDeadline)
-		received, err := c.reader.Read(chunk[:min(n, chunkBytes)])
+		received, err := c.readPart(chunk[:min(n, chunkBytes)], p, uploadDeadline)
 		n -= received
 		if received > 0 {
 			p.write(chunk[:received])
@@ -185,13 +219,24 @@
 	return nil
 }
 
+// readPart reads the next part of a large value, up to the length of b. p is nil if the value is
+// discarded.
+func (c *clientConn) readPart(b []byte, p *upload, uploadDeadline time.Time) (int, error) {
+	c.extendReadDeadline(uploadDeadline)
+	startedAt := time.Now()
+	n, err := c.reader.Read(b)
+	if p != nil {
+		p.lag.addClientTime(time.Since(startedAt), c.hasMoreInput)
+	}
+	return n, err
+}
+
 // readLastChunk reads the last chunk of a large value and the line end after it.
-func (c *clientConn) readLastChunk(uploadDeadline time.Time) ([]byte, error) {
+func (c *clientConn) readLastChunk(p *upload, uploadDeadline time.Time) ([]byte, error) {
 	const lineEnd = "\r\n"
 	last := make([]byte, 0, lastChunkBytes+len(lineEnd))
 	for len(last) < cap(last) {
-		c.extendReadDeadline(uploadDeadline)
-		n, err := c.reader.Read(last[len(last):cap(last)])
+		n, err := c.readPart(last[len(last):cap(last)], p, uploadDeadline)
 		last = last[:len(last)+n]
 		behind := len(last) - lastChunkBytes
 		if behind > 0 && string(last[lastChunkBytes:]) != lineEnd[:behind] {
@@ -217,7 +262,8 @@
 }
 
 // finishUpload sends the last chunk of a large write, which makes it an attempt, and reads the
-// answer.
+// answer. The last byte is written only once all before it has been sent: until then the server can't
+// run the write, however long its system has refused further bytes.
 func (u *upstreams) finishUpload(ctx context.Context, server uint32, c *command, hooks attemptHooks) reply {
 	p := c.upload
 	if p.server != server || !p.isSettled.CompareAndSwap(false, true) {
@@ -229,16 +275,40 @@
 		p.release()
 		return replyWithoutAnswer(decide.ConnectError)
 	}
+	conn := p.conn
+	stopWatch := context.AfterFunc(ctx, func() { conn.Close() })
+	lastByte := len(p.lastChunk) - 1
+	if err := conn.writeAndAwaitSent(ctx, p.lastChunk[:lastByte]); err != nil || !conn.isQuiet() {
+		stopWatch()
+		p.release()
+		return replyWithoutAnswer(decide.ConnectError)
+	}
 	if hooks.beforeWrite() == 0 {
+		stopWatch()
 		p.release()
 		return replyWithoutAnswer(decide.Unprocessed)
 	}
 	u.uploads.Add(-1) // from here on it counts as an attempt
-	stopWatch := context.AfterFunc(ctx, func() { p.conn.Close() })
-	if _, err := p.conn.Write(p.lastChunk); err != nil {
+	if _, err := conn.Write(p.lastChunk[lastByte:]); err != nil {
 		stopWatch()
-		u.release(p.target, p.conn, false)
+		u.release(p.target, conn, false)
 		return replyWithoutAnswer(decide.ConnectError)
 	}
-	return u.readAnswer(upstreamExchange{p.target, p.conn, c, readOriginReply, u.answers.newAnswer(), stopWatch}, hooks)
+	return u.readAnswer(upstreamExchange{p.target, conn, c, readOriginReply, u.answers.newAnswer(), stopWatch}, hooks)
+}
+
+// writeAndAwaitSent writes bytes and waits until the system has sent them. It returns an error if the
+// connection breaks or ctx ends before.
+func (c *upstreamConn) writeAndAwaitSent(ctx context.Context, b []byte) error {
+	if _, err := c.Write(b); err != nil {
+		return fmt.Errorf("sending a large write: %w", err)
+	}
+	for interval := sentCheckMinInterval; unsentBytes(c.Conn) > 0; interval = min(2*interval, sentCheckMaxInterval) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(interval):
+		}
+	}
+	return nil
 }
