Give what needs no server a share of the time, so that a flood delays no other client

Cause: what needs no server is answered by the connection's reader as fast as it is sent. Such readers never wait, so with their writers they took whole time slices of the one processor, and the network's poller was asked every 10 ms only.

Change: readers measure their work (readerTurn). Work that needs no server is paid from one budget of all connections, a fifth of the time; a reader rests while it is overdrawn, at most 100 ms at once, and till a shutdown ends reading. Reads from the socket no longer count as work while they wait (readNotingWait). It works for any command, number of connections and part of a core, as it counts time.

--- a/cmd/dockhinge/flood_test.go
+++ b/cmd/dockhinge/flood_test.go
@@ -94,8 +94,10 @@
 		"refused values of 1 MiB, 8":           {connections: 8, command: refusedValue},
 		"unknown verb, 8":                      {connections: 8, command: unknownVerb, isClosed: true},
 		"lines without an end, 8":              {connections: 8, command: noLineEnd, isClosed: true},
-		"connections for one command, 8":       {connections: 8, command: noOperation, isClosed: true, awaitsAnswers: true},
-		"calls to the admin address, 8":        {connections: 8, command: metricsCall, isClosed: true, isForAdmin: true},
+		"connections for one command, 8": {connections: 8, command: noOperation, isClosed: true,
+			awaitsAnswers: true},
+		"calls to the admin address, 8": {connections: 8, command: metricsCall, isClosed: true,
+			isForAdmin: true},
 	}
 }
 
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -40,6 +40,8 @@
 	isOverflow bool
 	// reader buffers the input. It belongs to the reader goroutine.
 	reader *bufio.Reader
+	// turn measures the reader's work. It belongs to the reader goroutine.
+	turn readerTurn
 	// isInputClosed is set when no further input is read from this connection. It belongs to the
 	// reader goroutine.
 	isInputClosed bool
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -19,13 +19,20 @@
 	if !c.acceptsInput() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readInput(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForLateInput() {
-		return c.Conn.Read(b)
+		return c.readInput(b)
 	}
 	return n, err
 }
 
+// readInput reads from the socket. The reader's work doesn't include the time that it waits for input.
+func (c *clientConn) readInput(b []byte) (n int, err error) {
+	n, err = readNotingWait(c.Conn, b, c.turn.pause)
+	c.turn.resume()
+	return n, err
+}
+
 // extendForLateInput reports whether the draining connection has unread input of a command, and
 // restores the command's deadline.
 func (c *clientConn) extendForLateInput() bool {
@@ -59,7 +66,10 @@
 	c.isReadingCommand = false
 	c.hasSentCommand = true
 	c.mu.Unlock()
-	if c.watchForDisconnect(func() bool { return c.unanswered() < maxPipelined }, 0) {
+	c.turn.pause()
+	hasDisconnected := c.watchForDisconnect(func() bool { return c.unanswered() < maxPipelined }, 0)
+	c.turn.resume()
+	if hasDisconnected {
 		return io.EOF
 	}
 	c.mu.Lock()
@@ -88,7 +98,10 @@
 	if !hasOpenRead {
 		return nil
 	}
-	if c.watchForDisconnect(func() bool { return c.openRead == nil }, 0) {
+	c.turn.pause()
+	hasDisconnected := c.watchForDisconnect(func() bool { return c.openRead == nil }, 0)
+	c.turn.resume()
+	if hasDisconnected {
 		return io.EOF
 	}
 	c.mu.Lock()
@@ -121,6 +134,11 @@
 	ruleError error
 }
 
+// needsServer reports whether the command is a request that was passed to the loop.
+func (r *receivedCommand) needsServer() bool {
+	return r.isRequest() && r.ruleError == nil && !r.isRejected
+}
+
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
 // connection's time is up. It reports whether the client was rejected, which includes quit.
 func (c *clientConn) readCommands() (isRejected bool) {
@@ -138,6 +156,11 @@
 		if !c.handleCommand(received, err) {
 			return true
 		}
+		if received.needsServer() {
+			c.turn.endServed()
+		} else {
+			c.turn.endLocal()
+		}
 		if c.isOverflow {
 			c.isInputClosed = time.Now().After(overflowEnd)
 			if !c.hasMoreInput() {
@@ -257,6 +280,7 @@
 	if !hasNoCapacity {
 		var uploadErr error
 		cmd.upload, uploadErr = l.startUpload(cmd)
+		c.turn.endServed()
 		isRejected = uploadErr != nil
 	}
 	err = c.readLargeValue(cmd.valueBytes, cmd.upload)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -72,6 +72,10 @@
 	// inputClosed is set when no further input is read from any connection. Commands that have been
 	// read are still answered.
 	inputClosed atomic.Bool
+	// inputEnd is closed when inputClosed is set.
+	inputEnd chan struct{}
+	// localWork is the time for commands that need no server.
+	localWork localWorkBudget
 	// activeConns counts the open connections that have sent a command.
 	activeConns atomic.Int64
 	// acceptDone is closed when accept has ended.
@@ -91,6 +95,7 @@
 		connections: newDescriptorQuota(limit),
 		overflow:    newDescriptorQuota(maxOverflowConns),
 		acceptDone:  make(chan struct{}),
+		inputEnd:    make(chan struct{}),
 		conns:       map[*clientConn]struct{}{},
 	}
 	s.readerPool.New = func() any { return bufio.NewReaderSize(nil, maxLineBytes) }
@@ -212,6 +217,7 @@
 		reader:     reader,
 		idleStart:  time.Now(),
 		unwritable: make(chan struct{}),
+		turn:       readerTurn{budget: &s.localWork, end: s.inputEnd},
 	}
 	reader.Reset(c)
 	c.commandDeadline = c.idleStart.Add(c.firstCommandTimeout())
@@ -296,7 +302,9 @@
 func (s *clients) closeInput() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inputClosed.Store(true)
+	if !s.inputClosed.Swap(true) {
+		close(s.inputEnd)
+	}
 	for c := range s.conns {
 		c.mu.Lock()
 		c.SetReadDeadline(expiredDeadline)
--- a/internal/router/socket.go
+++ b/internal/router/socket.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -41,6 +42,47 @@
 	return n, recvErr
 }
 
+// readNotingWait reads from a connection, and calls onWait before it waits for input, if there is none yet.
+func readNotingWait(c net.Conn, b []byte, onWait func()) (n int, err error) {
+	socket, isSocket := c.(*net.TCPConn)
+	if !isSocket || len(b) == 0 {
+		onWait()
+		return c.Read(b)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("reading: %w", err)
+	}
+	var readErr error
+	waitErr := raw.Read(func(fd uintptr) bool {
+		n, readErr = ignoringInterrupt(int(fd), b)
+		if errors.Is(readErr, syscall.EAGAIN) {
+			onWait()
+			return false
+		}
+		return true
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case readErr != nil:
+		return 0, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// ignoringInterrupt reads from a file descriptor, again if a signal interrupts it.
+func ignoringInterrupt(fd int, b []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, b)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // unacknowledgedBytes returns how many bytes written to a connection the other side has not
 // acknowledged yet, its end included. It returns 0 if the system doesn't tell.
 func unacknowledgedBytes(c net.Conn) int { return socketQueue(c, unix.SIOCOUTQ) }
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -195,6 +195,7 @@
 		n -= received
 		if received > 0 {
 			p.write(chunk[:received])
+			c.turn.endServed()
 		}
 		if err != nil {
 			return err
@@ -211,6 +212,7 @@
 			return err
 		}
 		discarded, err := c.reader.Discard(min(n, c.reader.Buffered()))
+		c.turn.endLocal()
 		n -= discarded
 		if err != nil {
 			return err
