Wait for the rest of a long value as long as a partition lasts

Cause: one limit of 4 s for the next part of a value and of a large write.

Change: 15 s, which covers a partition of 6 s with TCP's retransmissions after it; a waiting stream looks each 0.5 s whether its client is still there.

--- a/internal/router/late_value_test.go
+++ b/internal/router/late_value_test.go
@@ -111,3 +111,66 @@
 	c.disconnect("close")
 	receive(t, cutOff, "the end of the attempt")
 }
+
+// startRestingServer starts a server that gives a long answer up to its middle, and the rest after a
+// while. It reports on cutOff that its connection was closed in between.
+func startRestingServer(
+	t *testing.T, isOrigin bool, value string, rest time.Duration,
+) (addr string, cutOff chan struct{}) {
+	cutOff = make(chan struct{}, 10)
+	return serveConns(t, func(c net.Conn) {
+		request := make([]byte, maxLineBytes)
+		read, err := c.Read(request)
+		if err != nil {
+			return
+		}
+		id := requestIDOf(strings.ReplaceAll(string(request[:read]), "\r\n", " "))
+		head, end := fmt.Sprintf("VA %d O%s h1\r\n", len(value), id), "\r\n"
+		if isOrigin {
+			head, end = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(value)), ""
+		}
+		fmt.Fprint(c, head, value[:len(value)/2])
+		c.SetReadDeadline(time.Now().Add(rest))
+		if _, err := c.Read(request); err != nil && !strings.Contains(err.Error(), "timeout") {
+			cutOff <- struct{}{}
+			return
+		}
+		fmt.Fprint(c, value[len(value)/2:], end)
+		c.SetReadDeadline(time.Time{})
+		c.Read(request) // until the router closes it
+	}), cutOff
+}
+
+// Guards against cutting off a long value whose server is cut off for some seconds in its middle.
+func TestLongValueIsCompleteThoughItsServerRests(t *testing.T) {
+	value := distinctValue(300 << 10)
+	for name, isOrigin := range map[string]bool{"cache server": false, "origin": true} {
+		for _, rest := range []time.Duration{3 * time.Second, 5 * time.Second, 6500 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", ", rest), func(t *testing.T) {
+				t.Parallel()
+				resting, _ := startRestingServer(t, isOrigin, value, rest)
+				cache, origin := resting, startFakeServer(t, originAnswer).addr
+				if isOrigin {
+					cache, origin = startFakeServer(t, missAnswer).addr, resting
+				}
+				client := dialClient(t, startCancelingRouter(t, true, cache, origin).addr)
+				client.SetDeadline(time.Now().Add(2 * testTimeout))
+				client.send(readCommandOfKey(1, "a", 1500) + "\r\n")
+				if got, hasEnd := client.readStreamed(t, "a", len(value)); !hasEnd || got != value {
+					t.Errorf("%d bytes of the value, end: %t", len(got), hasEnd)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a server connection that is held for a client that has left.
+func TestRestingServerIsNotAwaitedForDisconnectedClient(t *testing.T) {
+	resting, cutOff := startRestingServer(t, false, distinctValue(300<<10), time.Hour)
+	r := startCancelingRouter(t, true, resting, startFakeServer(t, originAnswer).addr)
+	c := dialClient(t, r.addr)
+	c.send(readCommandOfKey(1, "a", 1500) + "\r\n")
+	c.Read(make([]byte, 1))
+	c.disconnect("reset")
+	receive(t, cutOff, "the end of the server's connection")
+}
--- a/internal/router/streaming.go
+++ b/internal/router/streaming.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 )
@@ -13,9 +15,12 @@
 const (
 	// chunkBytes is the memory used for each streamed value.
 	chunkBytes = 16 << 10
-	// serverProgressTimeout is how long a server may take to send the next part of a value, or to
-	// accept a part of a large write.
-	serverProgressTimeout = 4 * time.Second
+	// serverProgressTimeout is how long a server may take to send the next part of a value. It is
+	// longer than a partition of the network with the retransmissions after it.
+	serverProgressTimeout = 15 * time.Second
+	// clientCheckInterval is how often a stream that waits for its server checks whether the client has
+	// disconnected.
+	clientCheckInterval = 500 * time.Millisecond
 )
 
 // chunkPool holds *[chunkBytes]byte.
@@ -76,8 +81,7 @@
 	from.remainingBytes += got.streamedBytes + len("\r\n")
 	buffered := copy(chunk[:], s.head)
 	for remaining := got.streamedBytes; remaining > 0; {
-		from.SetReadDeadline(time.Now().Add(serverProgressTimeout))
-		n, readErr := from.reader.Read(chunk[buffered:min(chunkBytes, buffered+remaining)])
+		n, readErr := s.readPart(from, chunk[buffered:min(chunkBytes, buffered+remaining)])
 		remaining -= n
 		buffered += n
 		if buffered > 0 {
@@ -100,6 +104,20 @@
 	return s.write([]byte("\r\n"))
 }
 
+// readPart reads the next part of the value. It waits for it as long as the server may take, unless
+// the client disconnects.
+func (s *valueStream) readPart(from *upstreamConn, b []byte) (int, error) {
+	waitEnd := time.Now().Add(serverProgressTimeout)
+	for {
+		from.SetReadDeadline(time.Now().Add(clientCheckInterval))
+		n, err := from.reader.Read(b)
+		isWaiting := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		if !isWaiting || time.Now().After(waitEnd) || s.response.conn.disconnected() {
+			return n, err
+		}
+	}
+}
+
 // awaitTurn waits until the previous answers are written.
 func (s *valueStream) awaitTurn() error {
 	select {
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -47,7 +48,7 @@
 	n, err := c.Conn.Read(b[:min(len(b), c.remainingBytes)])
 	c.remainingBytes -= n
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = malformed("answer stopped short")
+		err = fmt.Errorf("%w: answer stopped short: %w", errMalformed, err)
 	}
 	return n, err
 }
