Evict no connection that receives a command while others are idle

Cause: eviction looked for connections with no unanswered command, and one that is being received in part counted as idle.

Related: half of the descriptors, the limit, an upgrade's share: all go by evictIdle.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -118,15 +118,17 @@
 // idleSince reports whether the connection has no unanswered command, and since when. Its client may
 // still be receiving answers, which canEvict checks. A connection without a command after
 // firstCommandGrace gets silentConnPenalty added to its idle time. Otherwise silent connections,
-// which are always young, would outlive those that send requests.
-func (c *clientConn) idleSince() (since time.Time, isIdle bool) {
+// which are always young, would outlive those that send requests. A connection that has received a
+// command in part is idle only if mayDropCommand is set.
+func (c *clientConn) idleSince(mayDropCommand bool) (since time.Time, isIdle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since = c.idleStart
 	if !c.hasSentCommand && time.Since(since) > firstCommandGrace {
 		since = since.Add(-silentConnPenalty)
 	}
-	return since, c.unanswered() == 0 && !c.isDraining && !c.isReceivingLargeValue.Load()
+	isIdle = c.unanswered() == 0 && !c.isDraining && !c.isReceivingLargeValue.Load()
+	return since, isIdle && (mayDropCommand || !c.isReadingCommand)
 }
 
 // canEvict reports whether the connection may be evicted: nothing is unanswered and the client has
@@ -148,11 +150,13 @@
 	}
 }
 
-// closeIfIdle closes the connection if nothing is unanswered. A partly received command is dropped.
-func (c *clientConn) closeIfIdle() {
+// closeIfIdle closes the connection if nothing is unanswered. A partly received command is dropped if
+// mayDropCommand is set; otherwise such a connection stays open.
+func (c *clientConn) closeIfIdle(mayDropCommand bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isIdle() && !c.isReceivingLargeValue.Load() {
+	mayClose := mayDropCommand || !c.isReadingCommand
+	if mayClose && c.isIdle() && !c.isReceivingLargeValue.Load() {
 		c.isDraining = true
 		c.SetReadDeadline(expiredDeadline)
 	}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// Guards against losing a request whose client takes long for its head, because many others come, ask
+// once and keep their connections.
+func TestConnectionIsNotEvictedWhileItsCommandIsReceived(t *testing.T) {
+	s := startFakeServer(t, hitAnswer)
+	_, addr := startLoop(t, 192, 8, cacheEntry("s-0000000b", s.addr), originEntry(s.addr))
+	slow := dialClient(t, addr)
+	slow.exchange(readCommandOf("first", 2000))
+	request := readCommandOf("slow", 2000) + "\r\n"
+	slow.send(request[:20])
+	for i := range 12 {
+		c := dialClient(t, addr)
+		if got := c.exchange(readCommandOf(fmt.Sprint(i), 2000)); !strings.HasPrefix(got, "VA ") {
+			t.Errorf("client %d got %q", i, got)
+		}
+		time.Sleep(lingerAfterAnswer + 20*time.Millisecond) // evicted connections have been idle for longer
+	}
+	slow.send(request[20:])
+	if got := slow.nextAnswer(); got != "VA 5 Oslow hello" {
+		t.Errorf("got %q", got)
+	}
+}
+
 // A few unknown commands are answered with an error, then the connection is closed.
 func TestConnectionIsClosedAfterUnknownCommands(t *testing.T) {
 	r, _ := startReadyRouter(t, cacheEntry("s-0000000b", startFakeServer(t, hitAnswer).addr),
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -166,32 +166,50 @@
 	}
 }
 
-// evictIdle closes the connection that has been idle for longest, and reports whether there was
-// one. If onlyActive is set, it considers only connections that have sent a command and then have
-// been idle for lingerAfterAnswer.
+// evictIdle closes the connection that has been idle for longest, and reports whether there was one.
+// If onlyActive is set, it considers only connections that have sent a command and then have been
+// idle for lingerAfterAnswer. Otherwise, if none has been idle for firstCommandGrace, it also considers
+// younger ones and those that have received a command only in part: clients that stop in the middle
+// must not hold all descriptors.
 func (s *clients) evictIdle(onlyActive bool) bool {
-	var longestIdle *clientConn
-	var idleSince time.Time
+	if onlyActive {
+		return evict(s.longestIdle(lingerAfterAnswer, func(c *clientConn) (time.Time, bool) {
+			since, isIdle := c.idleSince(false)
+			return since, isIdle && c.isCountedAsActive.Load()
+		}), false)
+	}
+	withoutCommand := func(c *clientConn) (time.Time, bool) { return c.idleSince(false) }
+	orInPart := func(c *clientConn) (time.Time, bool) { return c.idleSince(true) }
+	return evict(s.longestIdle(firstCommandGrace, withoutCommand), false) ||
+		evict(s.longestIdle(0, orInPart), true)
+}
+
+// evict closes a connection if it is still idle, and reports whether there is one.
+func evict(c *clientConn, mayDropCommand bool) bool {
+	if c == nil {
+		return false
+	}
+	c.closeIfIdle(mayDropCommand)
+	return true
+}
+
+// longestIdle returns the connection that has been idle for longest, and for at least the given time,
+// by idleSince; nil if there is none.
+func (s *clients) longestIdle(
+	atLeast time.Duration, idleSince func(*clientConn) (time.Time, bool),
+) (longestIdle *clientConn) {
+	earliest := time.Now().Add(-atLeast)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		since, isIdle := c.idleSince()
-		if c.isOverflow {
-			continue
-		}
-		if onlyActive && (!c.isCountedAsActive.Load() || time.Since(since) < lingerAfterAnswer) {
-			continue
-		}
-		if isIdle && (longestIdle == nil || since.Before(idleSince)) && c.canEvict() {
+		since, isIdle := idleSince(c)
+		isCandidate := isIdle && !c.isOverflow && since.Before(earliest)
+		if isCandidate && c.canEvict() {
 			longestIdle = c
-			idleSince = since
+			earliest = since
 		}
 	}
-	s.mu.Unlock()
-	if longestIdle == nil {
-		return false
-	}
-	longestIdle.closeIfIdle()
-	return true
+	return longestIdle
 }
 
 // countActive counts a connection that has sent its first command. Once such connections hold more
