Give each part of a short value its own time, as those of a large one

Cause: one limit of 2.7 s for a command with its value up to 64 KiB; larger values have it for each part.

Change: the limit holds for the line and for each part of the value, 10 s in all. The deadline of a part is not set any more once reading has ended for a shutdown.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -40,6 +40,9 @@
 	isOverflow bool
 	// reader buffers the input. It belongs to the reader goroutine.
 	reader *bufio.Reader
+	// valueDeadline is when the short value being read must be complete; zero while none is read. It
+	// belongs to the reader goroutine.
+	valueDeadline time.Time
 	// turn measures the reader's work. It belongs to the reader goroutine.
 	turn readerTurn
 	// isInputClosed is set when no further input is read from this connection. It belongs to the
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -28,6 +28,9 @@
 
 // readInput reads from the socket. The reader's work doesn't include the time that it waits for input.
 func (c *clientConn) readInput(b []byte) (n int, err error) {
+	if !c.valueDeadline.IsZero() {
+		c.extendReadDeadline(c.valueDeadline)
+	}
 	n, err = readNotingWait(c.Conn, b, c.turn.pause)
 	c.turn.resume()
 	return n, err
@@ -270,7 +273,7 @@
 func (c *clientConn) readWriteValue(cmd *command, hasNoCapacity bool) (isRejected bool, err error) {
 	l := c.clients.loop
 	if cmd.valueBytes <= maxBufferedValue {
-		cmd.value, err = readValue(c.reader, cmd.valueBytes, hasNoCapacity)
+		cmd.value, err = c.readShortValue(cmd.valueBytes, hasNoCapacity)
 		if err != nil && !hasNoCapacity {
 			l.releaseRequest(cmd)
 		}
@@ -293,13 +296,23 @@
 	return isRejected, err
 }
 
+// readShortValue reads a value of up to maxBufferedValue. Each part of it may take commandTimeout, as
+// those of a large value.
+func (c *clientConn) readShortValue(valueBytes int, isUnwanted bool) ([]byte, error) {
+	if !c.isOverflow { // other connections wait for its descriptor
+		c.valueDeadline = time.Now().Add(shortValueTimeout)
+		defer func() { c.valueDeadline = time.Time{} }()
+	}
+	return readValue(c.reader, valueBytes, isUnwanted)
+}
+
 // discardValue reads the value of a command, if it has one, and discards it.
 func (c *clientConn) discardValue(cmd *command) (err error) {
 	switch {
 	case !cmd.isWrite():
 		return nil
 	case cmd.valueBytes <= maxBufferedValue:
-		_, err = readValue(c.reader, cmd.valueBytes, true)
+		_, err = c.readShortValue(cmd.valueBytes, true)
 	default:
 		err = c.readLargeValue(cmd.valueBytes, nil)
 	}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -20,12 +20,15 @@
 	maxPipelined = 16
 	// maxUnknownCommands is the number of unknown commands after which a connection is closed.
 	maxUnknownCommands = 4
-	// firstCommandTimeout is how long after the accept a connection's first command must be
-	// complete.
+	// firstCommandTimeout is how long after the accept the line of a connection's first command must
+	// be complete.
 	firstCommandTimeout = 2700 * time.Millisecond
-	// commandTimeout is how long a later command may take from its first byte until it is complete,
-	// and how long the next part of a large value may take.
+	// commandTimeout is how long a later command may take from its first byte until its line is
+	// complete, and how long the next part of a value may take.
 	commandTimeout = 2700 * time.Millisecond
+	// shortValueTimeout is how long a value of up to maxBufferedValue may take, for which memory is
+	// reserved.
+	shortValueTimeout = 10 * time.Second
 	// idleTimeout is how long a connection may be idle before its next command begins.
 	idleTimeout = 3 * time.Second
 	// lingerAfterAnswer is how long a connection is kept open after an answer was written: the
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -260,6 +260,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.acceptsInput() { // the deadline that ends the reading stays
+		return
+	}
+	c.commandDeadline = deadline
 	c.SetReadDeadline(deadline)
 }
 
