Draw slow and fast peers in the soak: large writes, an origin that reads slowly, floods

A body that the router breaks off is no malformed command any more: the request has not been written to its last byte.

--- a/cmd/dockhinge-lab/soak.go
+++ b/cmd/dockhinge-lab/soak.go
@@ -21,6 +21,7 @@
 	first          uint64
 	seconds        float64
 	concurrentRuns int
+	isPaced        bool
 }
 
 func soakCommand() *cobra.Command {
@@ -36,6 +37,8 @@
 	cmd.Flags().StringVar(&o.router, "router", "",
 		"command that starts one router (default: bin/dockhinge serve, built first if run in the repository)")
 	cmd.Flags().StringVar(&o.logs, "logs", "logs/soak", "keep the logs of runs that fail in this directory")
+	cmd.Flags().BoolVar(&o.isPaced, "paced", false,
+		"add large writes, an origin that reads them slowly, and clients that send at full speed")
 	cmd.Flags().IntVar(&o.seeds, "seeds", 10, "number of seeds, one run each")
 	cmd.Flags().Uint64Var(&o.first, "first", 1, "the first seed; the others follow it")
 	cmd.Flags().Float64Var(&o.seconds, "seconds", 15, "seconds of load in each run")
@@ -95,7 +98,11 @@
 func playSeed(
 	ctx context.Context, o soakOptions, seed uint64, command []string,
 ) (text string, hasPassed bool, err error) {
-	file, err := soak.Scenario(seed, o.seconds)
+	draw, flag := soak.Scenario, ""
+	if o.isPaced {
+		draw, flag = soak.PacedScenario, "--paced "
+	}
+	file, err := draw(seed, o.seconds)
 	if err != nil {
 		return "", false, err
 	}
@@ -116,7 +123,8 @@
 		text = fmt.Sprintf("seed %d: kept, %d tries, machine late by %.0f ms\n", seed, res.Load.Tries, res.LateMS)
 		return text, true, os.RemoveAll(dir)
 	}
-	text = fmt.Sprintf("seed %d: FAILED: dockhinge-lab soak --seeds 1 --first %d --seconds %v\n", seed, seed, o.seconds)
+	text = fmt.Sprintf("seed %d: FAILED: dockhinge-lab soak %s--seeds 1 --first %d --seconds %v\n", seed, flag, seed,
+		o.seconds)
 	text += fmt.Sprintf("  machine late by %.0f ms, logs in %s\n", res.LateMS, dir)
 	for _, failure := range res.Failures {
 		text += "  " + failure + "\n"
--- a/lab/fakes/codec.go
+++ b/lab/fakes/codec.go
@@ -183,8 +183,11 @@
 		return request{}, err
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(h.Body, MaxValue+1))
-	if err != nil || n > MaxValue {
-		return request{kind: "bad"}, fmt.Errorf("body of %d bytes: %w", n, err)
+	if err != nil { // the router has given the request up before its last byte, so it never runs
+		return request{}, fmt.Errorf("body of %d bytes: %w", n, err)
+	}
+	if n > MaxValue {
+		return request{kind: "bad"}, fmt.Errorf("body of over %d bytes", MaxValue)
 	}
 	named := parseFacts(h.Header.Get("X-Facts"))
 	q := request{kind: "get", id: h.Header.Get("X-Correlation-Id"), key: strings.TrimPrefix(h.URL.Path, "/"),
--- a/lab/fakes/server.go
+++ b/lab/fakes/server.go
@@ -44,10 +44,13 @@
 type Faults struct {
 	// Silent makes the server accept connections and send nothing. Pending answers are lost. When the
 	// silence ends, all connections are reset.
-	Silent     bool
-	BytesPerS  float64 // rate at which answers are written; 0 = no limit
-	Corruption string  // how answers are corrupted: one of Corruptions, or "" for none
-	Share      float64 // share of the answers that are corrupted
+	Silent    bool
+	BytesPerS float64 // rate at which answers are written; 0 = no limit
+	// ReadBytesPerS is the rate at which requests are read beyond their first fullSpeedBytes; 0 = no
+	// limit.
+	ReadBytesPerS float64
+	Corruption    string  // how answers are corrupted: one of Corruptions, or "" for none
+	Share         float64 // share of the answers that are corrupted
 }
 
 // Corruptions are the ways to corrupt an answer: cut (broken off at a random byte), noise, wrong-id,
@@ -115,7 +118,11 @@
 }
 
 func (s *Server) listen() error {
-	ln, err := net.Listen("tcp", s.addr)
+	var config net.ListenConfig
+	if s.options.Model.Origin {
+		config.Control = limitReceiveBuffer
+	}
+	ln, err := config.Listen(s.ctx, "tcp", s.addr)
 	if err != nil {
 		return fmt.Errorf("server %s: %w", s.options.ID, err)
 	}
@@ -385,8 +392,10 @@
 	generation int
 	queue      chan *slot
 	closed     chan struct{}
-	unanswered atomic.Int64       // number of requests read and not yet answered
-	held       map[*slot]struct{} // requests whose attempts have not ended; guarded by the server's mu
+	// requestBytes is how much was read of the current request. It belongs to serve.
+	requestBytes int
+	unanswered   atomic.Int64       // number of requests read and not yet answered
+	held         map[*slot]struct{} // requests whose attempts have not ended; guarded by the server's mu
 }
 
 func (c *serverConn) close() {
@@ -400,8 +409,9 @@
 func (c *serverConn) serve() {
 	defer close(c.queue)
 	defer c.close()
-	r := bufio.NewReaderSize(c.Conn, maxLineBytes)
+	r := bufio.NewReaderSize(c, maxLineBytes)
 	for {
+		c.requestBytes = r.Buffered()
 		if c.s.options.IdleMS > 0 {
 			if c.SetReadDeadline(time.Now().Add(millis(c.s.options.IdleMS))) != nil {
 				return
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -75,6 +75,12 @@
 		playAndRevert("the origin rejects all requests", func(on bool) {
 			fl.origin.SetFaults(map[bool]fakes.Faults{true: {Corruption: "busy", Share: 1}}[on])
 		})
+	case "origin-slow-read":
+		playAndRevert("the origin reads large writes slowly", func(on bool) {
+			fl.origin.SetFaults(map[bool]fakes.Faults{true: {ReadBytesPerS: f.BytesS}}[on])
+		})
+	case "flood":
+		fl.flood(ctx, f)
 	case "discovery-down":
 		playAndRevert("discovery is down", fl.discovery.SetDown)
 	case "watches-silent":
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -175,7 +175,15 @@
 	sent := l.clock.Now()
 	waitMillis, disconnects := l.waitFor(timeoutMillis)
 	_ = conn.SetDeadline(time.Now().Add(time.Duration(waitMillis * float64(time.Millisecond))))
-	if n, err := io.WriteString(conn, wire.String()); err != nil {
+	n, err := 0, error(nil)
+	if isLarge := c.Write && size > largeValueBytes; isLarge {
+		n, err = l.writeLarge(conn, wire.String())
+		sent = l.clock.Now() // a request's time counts from its last byte
+		_ = conn.SetDeadline(time.Now().Add(time.Duration(waitMillis * float64(time.Millisecond))))
+	} else {
+		n, err = io.WriteString(conn, wire.String())
+	}
+	if err != nil {
 		conn.Close()
 		if n == 0 { // no byte was written
 			if !used {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -59,16 +59,19 @@
 	Reconnect   float64   `toml:"reconnect"`    // share of requests after which the connection is closed
 	// DisconnectShare is the share of tries whose client closes its connection after a time within
 	// DisconnectMS, and does not retry.
-	DisconnectShare float64              `toml:"disconnect_share"`
-	DisconnectMS    [2]float64           `toml:"disconnect_ms"` // range, uniformly distributed
-	LateMS          float64              `toml:"late_ms"`       // delay of a send that makes a request late;
-	LateShare       float64              `toml:"late_share"`    // a larger share of late ones makes the run invalid
-	Classes         []Class              `toml:"-"`             // the scenario's
-	Zones           []Zone               `toml:"-"`             // zones of the clients; none = any router
-	Seed            uint64               `toml:"-"`             // the scenario's
-	Progress        func(ProgressReport) `toml:"-" json:"-"`    // called each second
-	FromMS          float64              `toml:"-"`             // end of the warm-up, which doesn't count for tenants
-	Marks           bool                 `toml:"marks_retry"`   // further tries carry r=1
+	DisconnectShare float64    `toml:"disconnect_share"`
+	DisconnectMS    [2]float64 `toml:"disconnect_ms"` // range, uniformly distributed
+	// LargeWriteBytesS is the rate in bytes a second at which half of the clients write values of over
+	// 64 KiB; 0 = all write at once.
+	LargeWriteBytesS float64              `toml:"large_write_bytes_s,omitempty"`
+	LateMS           float64              `toml:"late_ms"`     // delay of a send that makes a request late;
+	LateShare        float64              `toml:"late_share"`  // a larger share of late ones makes the run invalid
+	Classes          []Class              `toml:"-"`           // the scenario's
+	Zones            []Zone               `toml:"-"`           // zones of the clients; none = any router
+	Seed             uint64               `toml:"-"`           // the scenario's
+	Progress         func(ProgressReport) `toml:"-" json:"-"`  // called each second
+	FromMS           float64              `toml:"-"`           // end of the warm-up, which doesn't count for tenants
+	Marks            bool                 `toml:"marks_retry"` // further tries carry r=1
 }
 
 // Zone is a zone of clients with its share of the requests.
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -93,7 +93,7 @@
 	Servers  []string `toml:"servers"`  // or the IDs of the affected servers
 	Spoil    string   `toml:"spoil"`    // spoil: kind of damage
 	Answers  float64  `toml:"answers"`  // spoil: share of answers affected
-	BytesS   float64  `toml:"bytes_s"`  // slow: bytes per second of answers
+	BytesS   float64  `toml:"bytes_s"`  // slow, origin-slow-read: bytes per second of answers or of values read
 	DelayMS  float64  `toml:"delay_ms"` // network: one-way delay
 	Batch    int      `toml:"batch"`    // deploy, roll: how many at a time
 	DrainS   float64  `toml:"drain_s"`  // deploy, shrink: time between announcing a removal and the stop
@@ -118,7 +118,7 @@
 	"partition-there": {"part", "relays"}, "partition-back": {"part", "relays"}, "partition": {"part", "relays"},
 	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil,
 	"move-discovery": nil, "discovery-silent": nil, "end-routers": {"part"}, "signals": {"part"},
-	"upgrade-one": nil, "crowd": nil,
+	"upgrade-one": nil, "crowd": nil, "origin-slow-read": {"bytes_s"}, "flood": {"count"},
 	"coordinators-die": {"coordinators"}, "coordinator-dies": {"coordinators"},
 	"change-servers": {"part", "out"}, "change-routers": {"part", "out"}, "release-routers": {"out"},
 	"kill-routers": {"part"}, "stop-routers": {"part"}, "cut-routers": {"part", "out"},
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -59,6 +59,38 @@
 	return d.file.With("seed", fmt.Sprint(seed))
 }
 
+// paceStream selects the stream of a seed's random numbers for PacedScenario.
+const paceStream = 78
+
+// PacedScenario draws the scenario of a seed, and adds peers that set a pace of their own: clients
+// that write values of up to 1 MB, at once or slowly, an origin that reads them slowly or stops, and
+// clients that send commands at full speed.
+func PacedScenario(seed uint64, seconds float64) (scenario.File, error) {
+	file, err := Scenario(seed, seconds)
+	if err != nil {
+		return scenario.File{}, err
+	}
+	d := generator{rng: rand.New(rand.NewPCG(seed, paceStream)), file: file}
+	d.file.Name = fmt.Sprintf("paced-soak-%d", seed)
+	d.file.Classes = append(d.file.Classes[:0:0], d.file.Classes...)
+	for i := range d.file.Classes {
+		if d.file.Classes[i].Write {
+			d.file.Classes[i].Bytes = [2]float64{200, 1e6}
+		}
+	}
+	d.file.Load.LargeWriteBytesS = d.between(100e3, 1e6)
+	last := seconds - quietEndS
+	for at := firstFaultS; at < last; at += d.between(1, 4) {
+		d.file.Faults = append(d.file.Faults, scenario.Fault{AtS: at, What: "origin-slow-read",
+			BytesS: []float64{1, 40e3, 100e3, 300e3}[d.rng.IntN(4)], ForS: d.between(0.5, 3)})
+	}
+	for at := firstFaultS; at < last; at += d.between(1, 5) {
+		d.file.Faults = append(d.file.Faults, scenario.Fault{AtS: at, What: "flood",
+			Count: []int{1, 6, 32}[d.rng.IntN(3)], ForS: d.between(0.5, 3)})
+	}
+	return d.file.With("seed", fmt.Sprint(seed))
+}
+
 // between draws a uniformly distributed number.
 func (d *generator) between(low, high float64) float64 { return low + (high-low)*d.rng.Float64() }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"dockhinge.example/dockhinge/lab/fleet"
+	"dockhinge.example/dockhinge/lab/scenario"
 )
 
 // Guards against runs that can't be repeated: the same seed must draw the same scenario.
@@ -51,9 +52,20 @@
 	playSeeds(t, 14)
 }
 
+// Guards against the same while an origin reads large writes slowly and clients send at full speed.
+func TestSoakKeepsTheRulesWithSlowAndFastPeers(t *testing.T) {
+	playScenarios(t, PacedScenario, 7)
+}
+
 // playSeeds runs the scenarios of some seeds in parallel with real routers. No run may break a
 // rule.
 func playSeeds(t *testing.T, seeds ...uint64) {
+	t.Helper()
+	playScenarios(t, Scenario, seeds...)
+}
+
+// playScenarios is playSeeds with a choice of what a seed draws.
+func playScenarios(t *testing.T, draw func(uint64, float64) (scenario.File, error), seeds ...uint64) {
 	t.Helper()
 	bin := filepath.Join(t.TempDir(), "dockhinge")
 	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/dockhinge").CombinedOutput(); err != nil {
@@ -62,7 +74,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			file, err := Scenario(seed, 15)
+			file, err := draw(seed, 15)
 			if err != nil {
 				t.Fatal(err)
 			}
