Send no request twice over one connection to a cache server

Cause: duplicates are told by the request's id. If the fetch after a miss is refused, the next attempt of the same request may go over the connection that carried the miss, and the duplicate has the right id.

Change: a connection remembers the last eight requests and carries none of them again.

--- a/internal/router/duplicate_answer.go
+++ b/internal/router/duplicate_answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -21,6 +22,27 @@
 	isStatistics bool
 }
 
+// recentRequestCount is how many requests a connection remembers. A duplicate comes only some
+// milliseconds late, while it carries no more.
+const recentRequestCount = 8
+
+// recentRequests holds the ids of the requests that a connection carried last.
+type recentRequests struct {
+	ids  [recentRequestCount]string
+	next int
+}
+
+// add adds an id in place of the oldest one.
+func (r *recentRequests) add(id string) {
+	r.ids[r.next] = id
+	r.next = (r.next + 1) % recentRequestCount
+}
+
+// contains reports whether an id is among the recent ones. It is false for "".
+func (r *recentRequests) contains(id string) bool {
+	return id != "" && slices.Contains(r.ids[:], id)
+}
+
 // foreignAnswerError is the error for an answer that belongs to another request. Its value, if any,
 // is still unread.
 type foreignAnswerError struct {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -200,8 +200,17 @@
 // acquire returns an idle connection to a server, or opens one if there is none. It returns
 // errNoDescriptor if the limit does not allow that.
 func (u *upstreams) acquire(ctx context.Context, t *target, isNotRepeatable bool) (*upstreamConn, error) {
+	return u.acquireFor(ctx, t, "", isNotRepeatable)
+}
+
+// acquireFor is acquire for an attempt of the request with the given id. It returns no connection to a
+// cache server that has carried an attempt of the same request: a duplicate of the answer to that one
+// could not be told from the answer to this one.
+func (u *upstreams) acquireFor(
+	ctx context.Context, t *target, requestID string, isNotRepeatable bool,
+) (*upstreamConn, error) {
 	u.mu.Lock()
-	if c := u.takeIdle(t, isNotRepeatable); c != nil {
+	if c := u.takeIdle(t, requestID, isNotRepeatable); c != nil {
 		u.mu.Unlock()
 		return c, nil
 	}
@@ -215,25 +224,19 @@
 	return u.dial(ctx, dialer, t)
 }
 
-// takeIdle returns a usable idle connection, or nil. The caller holds mu.
+// takeIdle returns a usable idle connection that has not carried the request, or nil. The caller holds
+// mu.
 //
 // It prefers the connection that has been idle for longest, so that all connections opened during a
 // load peak stay in use. Otherwise the others would expire, and the next peak would cost the server
 // as many handshakes again. For a request that is not repeatable it prefers the one used last: a
 // server may close an idle connection early, and a request written at that moment is lost.
-func (u *upstreams) takeIdle(t *target, isNotRepeatable bool) *upstreamConn {
+func (u *upstreams) takeIdle(t *target, requestID string, isNotRepeatable bool) *upstreamConn {
 	for {
-		eligible := len(t.idle)
-		for eligible > 0 && t.isOrigin && time.Since(t.idle[eligible-1].idleSince) < originIdleMinimum {
-			eligible--
-		}
-		if eligible == 0 {
+		i := t.indexOfIdle(requestID, isNotRepeatable)
+		if i < 0 {
 			return nil
 		}
-		i := 0
-		if isNotRepeatable {
-			i = eligible - 1
-		}
 		c := t.idle[i]
 		t.idle = slices.Delete(t.idle, i, i+1)
 		if u.isUsable(c) {
@@ -244,6 +247,25 @@
 	}
 }
 
+// indexOfIdle returns the position of the idle connection that takeIdle prefers, or -1. The caller
+// holds upstreams.mu.
+func (t *target) indexOfIdle(requestID string, isNotRepeatable bool) int {
+	eligible := len(t.idle)
+	for eligible > 0 && t.isOrigin && time.Since(t.idle[eligible-1].idleSince) < originIdleMinimum {
+		eligible--
+	}
+	mayCarry := func(c *upstreamConn) bool { return t.isOrigin || !c.carried.contains(requestID) }
+	if !isNotRepeatable {
+		return slices.IndexFunc(t.idle[:eligible], mayCarry)
+	}
+	for i := eligible - 1; i >= 0; i-- {
+		if mayCarry(t.idle[i]) {
+			return i
+		}
+	}
+	return -1
+}
+
 // dial opens a connection that openConns already counts.
 func (u *upstreams) dial(ctx context.Context, dialer net.Dialer, t *target) (*upstreamConn, error) {
 	conn, err := dialer.DialContext(ctx, "tcp", t.addr)
--- a/internal/router/pool_test.go
+++ b/internal/router/pool_test.go
@@ -150,3 +150,31 @@
 		u.release(target, got, true)
 	}
 }
+
+// Guards against two attempts that are out at once: a late duplicate of a miss was taken for the answer
+// to the next attempt of the same request, as that went over the same connection.
+func TestRequestIsNotSentTwiceOverOneConnection(t *testing.T) {
+	for name, hooks := range map[string]attemptHooks{
+		"repeatable":     unconditionalHooks,
+		"not repeatable": {true, unconditionalHooks.beforeWrite, noHook, noHook, noStream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFakeServer(t, missAnswer)
+			u := newTestUpstreams(t, 10*time.Second, 10)
+			server := u.add(f.addr, false)
+			for _, c := range []struct {
+				requestID   string
+				connections int32
+			}{{"a", 1}, {"a", 2}, {"b", 2}, {"b", 2}, {"b", 3}, {"a", 3}, {"c", 3}} {
+				cmd := newReadCommand()
+				cmd.id = c.requestID
+				if got := u.roundTrip(t.Context(), server, cmd, hooks); got.status != decide.Miss {
+					t.Fatalf("status %v", got.status)
+				}
+				if n := f.connCount.Load(); n != c.connections {
+					t.Errorf("request %s: %d connections, want %d", c.requestID, n, c.connections)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -27,6 +27,8 @@
 	idleSince time.Time
 	// last is the answer that it carried last; a duplicate of it may still arrive.
 	last lastAnswer
+	// carried holds the requests that it carried last.
+	carried recentRequests
 }
 
 // Limits on the size and duration of an answer, whatever length it announces.
@@ -128,7 +130,7 @@
 // roundTrip writes a command to a target, never more than once, and returns the outcome. When ctx
 // ends, the connection is closed, which cancels the attempt.
 func (u *upstreams) roundTrip(ctx context.Context, t *target, c *command, hooks attemptHooks) reply {
-	conn, err := u.acquire(ctx, t, hooks.isNotRepeatable)
+	conn, err := u.acquireFor(ctx, t, c.id, hooks.isNotRepeatable)
 	switch {
 	case errors.Is(err, errNoDescriptor):
 		return replyWithoutAnswer(decide.Unprocessed)
@@ -145,6 +147,7 @@
 		u.releaseUnused(t, conn)
 		return replyWithoutAnswer(decide.Unprocessed)
 	}
+	conn.carried.add(c.id)
 	stopWatch := context.AfterFunc(ctx, func() { conn.Close() })
 	if _, err := conn.Write(wire); err != nil { // the last byte was not sent, so the command can't have run
 		stopWatch()
