Forward no request that comes again while it is in flight or may have run

A request that came again with its id after its client had left was forwarded: two attempts were out at once, and one of effect once ran twice.

Cause: a request's id was free as soon as the request had ended, and it ends when its client leaves, not when its attempts do.

Such a repeat gets CLIENT_ERROR, as one of an open request did.

Related: requests that never ran (free at once), streamed values (remembered at their end). The other process of an upgrade doesn't know the ids yet (docs/open.md).

--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -61,6 +61,11 @@
 	// unanswered holds, by client-assigned id, the requests that have no answer yet and those whose
 	// value is being streamed.
 	unanswered map[string]*request
+	// endedInFlight holds, by client-assigned id, the requests that have ended while an attempt was in
+	// flight, until that ends.
+	endedInFlight map[string]*request
+	// pastRequests are the requests that may have run and must not run twice.
+	pastRequests pastRequests
 	// memoryBytes is the memory limit of the router, shared by all its processes.
 	memoryBytes int64
 	// requestBytes is the memory budget for the heads and values of requests. Any goroutine may use
@@ -120,6 +125,7 @@
 		done:           make(chan struct{}),
 		requests:       map[uint32]*request{},
 		unanswered:     map[string]*request{},
+		endedInFlight:  map[string]*request{},
 		memoryBytes:    cfg.Limits.MemoryMB << 20,
 		membership:     newMembership(s.OriginKind),
 		peerEjections:  peerEjections{ejectedOnlyByPeers: map[uint32]bool{}},
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strings"
 
 	"dockhinge.example/dockhinge/decide"
@@ -77,10 +78,14 @@
 
 // handleArrival accepts a request that was read at readAt, in milliseconds on the loop's clock.
 func (l *loop) handleArrival(cmd command, readAt float64, client *response) {
-	if l.unanswered[cmd.id] != nil { // cache servers could not distinguish the two
+	if l.unanswered[cmd.id] != nil || l.endedInFlight[cmd.id] != nil { // cache servers could not distinguish the two
 		l.rejectCommand(&cmd, client, "the id of an open request")
 		return
 	}
+	if l.pastRequests.contains(cmd.id, l.now()) {
+		l.rejectCommand(&cmd, client, "the id of a request that may have run")
+		return
+	}
 	rules := l.rules.Load()
 	rule := rules.classes[cmd.class]
 	// checkCommand has accepted the command, but the settings may have changed since.
@@ -217,6 +222,9 @@
 	r.detachResponse()
 	l.timers.stop(r.deadlineTimer)
 	delete(l.unanswered, r.command.id)
+	if r.pendingAttempts > 0 {
+		l.endedInFlight[r.command.id] = r
+	}
 	l.deleteIfFinished(r)
 }
 
@@ -263,6 +271,7 @@
 func (l *loop) endStream(a *attempt, isComplete bool) {
 	l.metrics.Concurrent.Add(-1)
 	delete(l.unanswered, a.request.command.id)
+	l.rememberIfRun(a.request)
 	if isComplete {
 		a.request.rule.count.CountOutcome(metrics.Success)
 	} else {
@@ -275,6 +284,18 @@
 	if r.isDone && r.pendingAttempts == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		l.releaseRequest(&r.command)
+		if l.endedInFlight[r.command.id] == r {
+			delete(l.endedInFlight, r.command.id)
+		}
+		l.rememberIfRun(r)
+	}
+}
+
+// rememberIfRun remembers a request that may have run and must not run twice.
+func (l *loop) rememberIfRun(r *request) {
+	mayHaveRun := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun })
+	if mayHaveRun && r.rule.Effect != decide.Idempotent {
+		l.pastRequests.add(r.command.id, l.now())
 	}
 }
 
