Hold up no sound write that is rejected beside a flood

What callers would see: a write of 4 MiB, rejected for lack of capacity, got its answer 7.7 s after its last byte while another client sent at full speed, where 0.1 s were allowed.

Change: only what is no sound request is paid from the budget. TestRejectedLargeWriteIsNotHeldUpByFlood fails before (7.7 s) and holds. Related: values that are dropped after an upload was given up (were not paid for), short values of rejected writes (no longer are).

--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -137,10 +137,10 @@
 	ruleError error
 }
 
-// needsServer reports whether the command is a request that was passed to the loop.
-func (r *receivedCommand) needsServer() bool {
-	return r.isRequest() && r.ruleError == nil && !r.isRejected
-}
+// isSoundRequest reports whether the command is a request that the settings allow, though it may have
+// been rejected for lack of capacity. Its client waits for the answer and must not be held up for
+// others.
+func (r *receivedCommand) isSoundRequest() bool { return r.isRequest() && r.ruleError == nil }
 
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
 // connection's time is up. It reports whether the client was rejected, which includes quit.
@@ -159,7 +159,7 @@
 		if !c.handleCommand(received, err) {
 			return true
 		}
-		if received.needsServer() {
+		if received.isSoundRequest() {
 			c.turn.endServed()
 		} else {
 			c.turn.endLocal()
@@ -286,7 +286,7 @@
 		c.turn.endServed()
 		isRejected = uploadErr != nil
 	}
-	err = c.readLargeValue(cmd.valueBytes, cmd.upload)
+	err = c.readLargeValue(cmd.valueBytes, cmd.upload, c.turn.endServed)
 	if cmd.upload != nil && cmd.upload.lag.isOver() { // the server is only slow, so the Balancer isn't told of it
 		isRejected = true
 	}
@@ -314,7 +314,7 @@
 	case cmd.valueBytes <= maxBufferedValue:
 		_, err = c.readShortValue(cmd.valueBytes, true)
 	default:
-		err = c.readLargeValue(cmd.valueBytes, nil)
+		err = c.readLargeValue(cmd.valueBytes, nil, c.turn.endLocal)
 	}
 	return err
 }
--- a/internal/router/reader_turn_test.go
+++ b/internal/router/reader_turn_test.go
@@ -68,3 +68,16 @@
 	flooding.Close()
 	receive(t, ended, "end of all connections")
 }
+
+// Guards against a sound write that is answered late, as its client is held up for a flood of others.
+func TestRejectedLargeWriteIsNotHeldUpByFlood(t *testing.T) {
+	origin := startFakeServer(t, originAnswer)
+	l, s, addr := startLoopAndClients(t, 64, 100, cacheEntry("s-0000000b", "127.0.0.1:1"), originEntry(origin.addr))
+	s.localWork.paidUntil = time.Now().Add(time.Hour)
+	l.upstreams.uploads.Store(1000) // no capacity for another large write
+	write := upstreamWrite{keyed, maxValueBytes, 100 * time.Millisecond, 0}
+	answer, took := write.send(dialClient(t, addr), "w1")
+	if !strings.HasPrefix(answer, "SERVER_ERROR busy") || took > write.wait+lateAnswerAllowance {
+		t.Errorf("got %q after %v", answer, took)
+	}
+}
--- a/internal/router/upload.go
+++ b/internal/router/upload.go
@@ -162,16 +162,16 @@
 }
 
 // readLargeValue reads a large value and the line end after it, forwarding chunks as they are
-// received. If p is nil, the value is discarded.
-func (c *clientConn) readLargeValue(valueBytes int, p *upload) error {
+// received. If p is nil, the value is discarded. endPart is called after each part.
+func (c *clientConn) readLargeValue(valueBytes int, p *upload, endPart func()) error {
 	c.isReceivingLargeValue.Store(true)
 	defer c.isReceivingLargeValue.Store(false)
 	uploadDeadline := time.Now().Add(uploadTimeout)
 	var err error
 	if p == nil {
-		err = c.discardChunks(valueBytes-lastChunkBytes, uploadDeadline)
+		err = c.discardChunks(valueBytes-lastChunkBytes, uploadDeadline, endPart)
 	} else {
-		err = c.forwardChunks(valueBytes-lastChunkBytes, p, uploadDeadline)
+		err = c.forwardChunks(valueBytes-lastChunkBytes, p, uploadDeadline, endPart)
 	}
 	if err != nil {
 		return err
@@ -187,7 +187,7 @@
 }
 
 // forwardChunks reads n bytes of a large value and forwards them as they are received.
-func (c *clientConn) forwardChunks(n int, p *upload, uploadDeadline time.Time) error {
+func (c *clientConn) forwardChunks(n int, p *upload, uploadDeadline time.Time, endPart func()) error {
 	chunk := chunkPool.Get().(*[chunkBytes]byte)
 	defer chunkPool.Put(chunk)
 	for n > 0 {
@@ -195,7 +195,7 @@
 		n -= received
 		if received > 0 {
 			p.write(chunk[:received])
-			c.turn.endServed()
+			endPart()
 		}
 		if err != nil {
 			return err
@@ -205,14 +205,14 @@
 }
 
 // discardChunks reads n bytes of a large value and discards them, in the reader's own memory.
-func (c *clientConn) discardChunks(n int, uploadDeadline time.Time) error {
+func (c *clientConn) discardChunks(n int, uploadDeadline time.Time, endPart func()) error {
 	for n > 0 {
 		c.extendReadDeadline(uploadDeadline)
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
 		discarded, err := c.reader.Discard(min(n, c.reader.Buffered()))
-		c.turn.endLocal()
+		endPart()
 		n -= discarded
 		if err != nil {
 			return err
