Remember 8,192 keys and solve the hottest, so that names that clients make up stop no loop

Cause: the Balancer remembered every key for some 20 s, with no bound on their number, and each solution of the placement (every 0.25 to 1 s, in one piece on the loop) decayed, copied, sorted and made candidates for all of them. Evidence: BenchmarkSolve with 100,000 keys before 20 servers, a whole core; on an eighth of one it is eight times that, the length of the gaps in the evidence.

Change: a segmented LRU of 8,192 keys, so that keys asked for once evict one another and none that is asked for again; a solution makes candidates for the 32 hottest only. That leaves decisions as they are: what colder keys added to the model came after all that read it. One thing differs: a solution also refreshed the server list that a rejection's Retry-After is worked out from; it is now always the current one.

--- a/decide/handover.go
+++ b/decide/handover.go
@@ -170,7 +170,8 @@
 		state.Servers = append(state.Servers, s.snapshot())
 	}
 	slices.SortFunc(state.Servers, func(p, q ServerSnapshot) int { return cmp.Compare(p.ID, q.ID) })
-	keys := b.currentKeys()
+	var keys []*keyTraffic
+	b.forEachKey(func(k *keyTraffic) { keys = append(keys, k) })
 	slices.SortFunc(keys, func(p, q *keyTraffic) int {
 		return cmp.Or(cmp.Compare(q.arrivals.value, p.arrivals.value), cmp.Compare(p.id, q.id))
 	})
--- a/decide/key_traffic.go
+++ b/decide/key_traffic.go
@@ -1,6 +1,6 @@
 package decide
 
-import "slices"
+import "container/list"
 
 const (
 	// trafficTimeConstantMillis is the time constant of the rates of arrivals, tenants and fetches.
@@ -23,18 +23,16 @@
 	maxWork = 50
 )
 
-// keyTable holds the traffic of all remembered keys.
-type keyTable struct {
-	// byID finds a key's traffic.
-	byID map[uint64]*keyTraffic
-	// all lists the same in the order of first arrival, which makes the solver deterministic.
-	all []*keyTraffic
-}
-
 // keyTraffic holds the traffic of a key and the location of its value.
 type keyTraffic struct {
 	// id is the key.
 	id uint64
+	// sequence numbers the keys in the order of their first requests.
+	sequence uint64
+	// element is the key's place in a segment of the table, and isFrequent says in which; they belong to
+	// the table.
+	element    *list.Element
+	isFrequent bool
 	// arrivals counts the key's requests over keyTimeConstantMillis.
 	arrivals decayingSum
 	// meanWork is the mean work of a request.
@@ -63,13 +61,7 @@
 	if !q.HasKey {
 		return &keyTraffic{id: b.rng.Uint64(), meanWork: 1}
 	}
-	k := b.keys.byID[q.Key]
-	if k == nil {
-		k = &keyTraffic{id: q.Key, meanWork: 1}
-		b.keys.byID[q.Key] = k
-		b.keys.all = append(b.keys.all, k)
-	}
-	return k
+	return b.keys.find(q.Key)
 }
 
 // countArrival adds a request to the traffic of its key.
@@ -85,18 +77,17 @@
 	return min(maxKeyTimeConstantMillis, max(trafficTimeConstantMillis, memoryMillis))
 }
 
-// currentKeys decays all rates to the current time, forgets keys with hardly any traffic, and
-// returns a copy of the list of the others.
-func (b *Balancer) currentKeys() []*keyTraffic {
+// forEachKey decays all rates to the current time, forgets keys with hardly any traffic, and calls do
+// with each of the others.
+func (b *Balancer) forEachKey(do func(k *keyTraffic)) {
 	timeConstant := b.keyTimeConstantMillis()
-	b.keys.all = slices.DeleteFunc(b.keys.all, func(k *keyTraffic) bool {
-		isForgotten := k.arrivals.decayTo(b.now, timeConstant) < minRememberedArrivals && k.fetch == nil
-		if isForgotten {
-			delete(b.keys.byID, k.id)
+	b.keys.forEach(func(k *keyTraffic) {
+		if k.arrivals.decayTo(b.now, timeConstant) < minRememberedArrivals && k.fetch == nil {
+			b.keys.remove(k)
+			return
 		}
-		return isForgotten
+		do(k)
 	})
-	return slices.Clone(b.keys.all)
 }
 
 // workOf returns a request's work according to its hint, in units of the mean request.
--- a/decide/load_report_test.go
+++ b/decide/load_report_test.go
@@ -40,7 +40,7 @@
 				t.Errorf("report %v: %d channels, load %v", l, s.model.channels, s.model.arrivalsPerSecond)
 			}
 		}
-		for _, k := range b.keys.all {
+		for _, k := range b.keys.byID {
 			for _, p := range k.shares {
 				if p != p || p < 0 || p > 1+1e-9 {
 					t.Errorf("report %v: share %v", l, p)
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -12,7 +12,7 @@
 //
 //  1. candidates: the servers of the key's memento-hash list that are in use, the home first.
 //  2. prepareModels: each server as an M/G/m queue with the load that other routers send it.
-//  3. solve: all keys, in descending order of λ_i/μ_i.
+//  3. solve: the hottest keys, in descending order of λ_i/μ_i.
 //  4. chooseCopies: copies of a hot key, in ascending order of their first derivative length (FDL),
 //     while waiting decreases.
 //  5. equalizeFDL: the shares of the copies.
@@ -156,23 +156,25 @@
 	return reportWeight*reported + (1-reportWeight)*meanPerSecond
 }
 
-// solve places all keys, in descending order of λ_i/μ_i as in Table 2. The hottest keys are split
-// over several servers. The others stay at their homes: each solution would otherwise move them,
-// and each move causes a miss.
+// solve places the hottest keys, in descending order of λ_i/μ_i as in Table 2, and splits them over
+// several servers. All others stay at their homes, where nothing is to be computed for them: each
+// solution would otherwise move them, and each move causes a miss.
 func (b *Balancer) solve() {
 	b.placement.solvedAt = b.now
 	b.placement.isStale = false
 	b.prepareModels()
-	keys := b.currentKeys()
-	timeConstant := b.keyTimeConstantMillis()
-	slices.SortStableFunc(keys, func(p, q *keyTraffic) int { return cmp.Compare(q.channelLoad(), p.channelLoad()) })
-	for i, k := range keys {
+	hottest := hottestKeys{limit: maxSplitKeys}
+	b.forEachKey(func(k *keyTraffic) {
 		k.copies = nil
+		hottest.add(k)
+	})
+	timeConstant := b.keyTimeConstantMillis()
+	for _, k := range hottest.keys {
 		candidates := b.candidates(k)
 		keyPerSecond := b.perSecond(&k.arrivals, timeConstant) * k.meanWork * b.placement.scale
 		switch {
 		case len(candidates) == 0:
-		case i < maxSplitKeys && k.arrivals.value >= minHotArrivals:
+		case k.arrivals.value >= minHotArrivals:
 			// Excludes the arrival that made the key hot, as it biases the rate upwards.
 			fleetPerSecond := keyPerSecond / b.placement.trafficShare * (1 - 1/k.arrivals.value)
 			b.chooseCopies(k, candidates, fleetPerSecond)
--- a/decide/rejection.go
+++ b/decide/rejection.go
@@ -129,7 +129,7 @@
 		return 0
 	}
 	wait := math.Inf(1)
-	for _, s := range r.key.hashList {
+	for _, s := range b.membership.hashList(r.key) {
 		if s.isInUse() {
 			wait = min(wait, b.expectedWaitMillis(s))
 		}
