Give connections equal turns at the origin, and look at what waits there only if it may go on

Cause, by reading and BenchmarkArrivalBesideWaitingWrites: the Balancer looked at every request that waits for the origin after every event of any request, and sorted them first; where servers fetch by themselves it also counted all open requests for each of them. And they stood in one line: another client's write waited behind all of a flood's.

Change: the queue is kept in order and walked only if that may resume or reject something: a fetch slot is free, the time of one of them ends, the origin is gone, a value that one waits for was stored, or one of them has changed. Expected fetches are counted as they change. Within a priority, connections have equal turns (start tags, as in the router's scheduler); the router tells the Balancer the connection of a request, the simulator tells none.

--- a/decide/balancer_test.go
+++ b/decide/balancer_test.go
@@ -146,9 +146,9 @@
 				t.Fatalf("seed %d: request %d has %d answers", seed, id, n)
 			}
 		}
-		if len(b.requests) != 0 || len(b.originFetches.waiting) != 0 {
+		if len(b.requests) != 0 || len(b.originFetches.waiting.requests) != 0 {
 			t.Errorf("seed %d: %d requests and %d waiting requests are left over", seed, len(b.requests),
-				len(b.originFetches.waiting))
+				len(b.originFetches.waiting.requests))
 		}
 	}
 }
--- a/decide/key_traffic.go
+++ b/decide/key_traffic.go
@@ -47,6 +47,8 @@
 	shares []float64
 	// fetch is the request that fetches the value from the origin; nil = none.
 	fetch *request
+	// waitingReads is the number of reads in the fetch queue.
+	waitingReads int
 	// storedAt is when the value was last fetched or found on a server, ms; 0 = unknown.
 	storedAt float64
 	// storedOn is the server that had the value then.
--- a/decide/messages.go
+++ b/decide/messages.go
@@ -66,6 +66,9 @@
 	WorkHint float64
 	// SizeBytes is the size of the value; 0 = unknown.
 	SizeBytes float64
+	// Client is the connection that the request came over; nil = unknown. Clients have equal turns at the
+	// origin.
+	Client *Client
 	// IsRetry says that the client has sent this request before.
 	IsRetry bool
 	// IsWrite says that the request is a write.
--- a/decide/origin_fetch.go
+++ b/decide/origin_fetch.go
@@ -1,10 +1,6 @@
 package decide
 
-import (
-	"cmp"
-	"math"
-	"slices"
-)
+import "math"
 
 const (
 	// assumedStoredMillis is how long a server that fetches by itself is assumed to keep a value.
@@ -76,7 +72,10 @@
 	limitCutAt float64
 	// waiting are the requests that wait for a fetch slot or for another request's fetch of their
 	// key.
-	waiting []*request
+	waiting fetchQueue
+	// expectedAtServers counts the requests without an answer that are expected to make their server
+	// fetch from the origin.
+	expectedAtServers int
 	// sent counts fetches over trafficTimeConstantMillis.
 	sent decayingSum
 	// latency is the trend of the latency of fetches, ms.
@@ -101,21 +100,32 @@
 		waitUntil = min(waitUntil, r.objectiveAt-b.originFetches.latency.value/2)
 	}
 	r.waitingSinceAt = b.now
-	b.originFetches.waiting = append(b.originFetches.waiting, r)
+	b.originFetches.waiting.add(r)
+	if origin := b.membership.origin; b.cfg.CacheAside && origin != nil && !b.mayAttempt(r, origin) {
+		b.originFetches.waiting.mustWalk = true // it is rejected
+	}
 	b.host.SetTimer(max(1, waitUntil-b.now), waitToken(r.ID))
 }
 
 // resumeWaiting resumes all waiting requests that can proceed, in descending order of priority.
 func (b *Balancer) resumeWaiting() {
-	waiting := b.originFetches.waiting
-	slices.SortStableFunc(waiting, func(p, q *request) int { return cmp.Compare(q.priority, p.priority) })
+	waiting := &b.originFetches.waiting
+	if len(waiting.requests) == 0 {
+		return
+	}
+	fetchedAt := b.now + b.expectedFetchMillis()
+	isSomeUseless := b.cfg.CacheAside && (!b.isOriginAvailable() || fetchedAt > waiting.usefulUntil)
+	if !waiting.mustWalk && !waiting.hasInFlight && !isSomeUseless && !b.isBelowFetchLimit() {
+		return
+	}
 	// The Host does not call the Balancer from its methods, so the list does not change meanwhile.
-	b.originFetches.waiting = slices.DeleteFunc(waiting, func(r *request) bool { return b.resume(r) })
+	waiting.walk(func(r *request) bool { return b.resume(r, fetchedAt) })
 }
 
 // resume lets a waiting request proceed if it can, and reports whether it did: to the server that
-// now has its key, to the origin, or to a rejection if no fetch can be in time.
-func (b *Balancer) resume(r *request) bool {
+// now has its key, to the origin, or to a rejection if no fetch can be in time. A fetch that began now
+// would be answered at fetchedAt.
+func (b *Balancer) resume(r *request, fetchedAt float64) bool {
 	switch {
 	case r.isAnswered:
 		return true
@@ -124,7 +134,7 @@
 		r.waitingSinceAt = 0
 		b.forward(r)
 		return true
-	case b.cfg.CacheAside && !b.canFetchInTime(r):
+	case b.cfg.CacheAside && !b.canFetchInTime(r, fetchedAt):
 		b.rejectOrFail(r, causeOrigin)
 		return true
 	case !b.hasFetchSlot(r):
@@ -134,21 +144,27 @@
 	return true
 }
 
+// isOriginAvailable reports whether the origin may be asked.
+func (b *Balancer) isOriginAvailable() bool {
+	return b.membership.origin != nil && b.membership.origin.acceptsNewWork()
+}
+
 // canFetchInTime reports whether the origin may be asked and is likely to answer in time.
-func (b *Balancer) canFetchInTime(r *request) bool {
-	origin := b.membership.origin
-	if origin == nil || !origin.acceptsNewWork() || !b.mayAttempt(r, origin) {
-		return false
-	}
-	return b.now+b.expectedFetchMillis() <= r.usefulUntil()
+func (b *Balancer) canFetchInTime(r *request, fetchedAt float64) bool {
+	return b.isOriginAvailable() && fetchedAt <= r.usefulUntil() && b.mayAttempt(r, b.membership.origin)
 }
 
 // hasFetchSlot reports whether the limit allows a request to ask the origin. Reads of a key share
-// one fetch. Below a limit of one, fetches are separated by pauses: one fetch in flight at each of
-// hundreds of routers would overload the origin.
+// one fetch.
 func (b *Balancer) hasFetchSlot(r *request) bool {
+	return (r.IsWrite || r.key.fetch == nil) && b.isBelowFetchLimit()
+}
+
+// isBelowFetchLimit reports whether the limit allows another fetch. Below a limit of one, fetches are
+// separated by pauses: one fetch in flight at each of hundreds of routers would overload the origin.
+func (b *Balancer) isBelowFetchLimit() bool {
 	f := &b.originFetches
-	if !r.IsWrite && r.key.fetch != nil || b.fetchesInFlight() >= max(1, f.limit) {
+	if b.fetchesInFlight() >= max(1, f.limit) {
 		return false
 	}
 	if f.limit >= 1 {
@@ -165,8 +181,9 @@
 	if !r.IsWrite {
 		r.key.fetch = r
 	}
-	r.isServerFetch = !b.cfg.CacheAside
-	if r.isServerFetch {
+	b.originFetches.waiting.virtualTime = max(b.originFetches.waiting.virtualTime, r.fetchStartTag)
+	if !b.cfg.CacheAside {
+		b.expectFetchAtServer(r)
 		b.forward(r)
 	} else {
 		b.send(r, b.membership.origin)
@@ -176,19 +193,27 @@
 	}
 }
 
+// expectFetchAtServer records that a request is expected to make its server fetch from the origin.
+func (b *Balancer) expectFetchAtServer(r *request) {
+	r.isServerFetch = true
+	b.originFetches.expectedAtServers++
+}
+
+// expectNoFetchAtServer records that a request makes its server fetch no more.
+func (b *Balancer) expectNoFetchAtServer(r *request) {
+	if r.isServerFetch && !r.isAnswered {
+		b.originFetches.expectedAtServers--
+	}
+	r.isServerFetch = false
+}
+
 // fetchesInFlight returns the number of fetches in flight at the origin. If servers fetch by
 // themselves, it counts the requests that are expected to cause a fetch.
 func (b *Balancer) fetchesInFlight() float64 {
 	if b.membership.origin != nil {
 		return float64(b.membership.origin.attempts.inFlight)
 	}
-	n := 0
-	for _, r := range b.requests {
-		if r.isServerFetch && !r.isAnswered {
-			n++
-		}
-	}
-	return float64(n)
+	return float64(b.originFetches.expectedAtServers)
 }
 
 // expectedFetchMillis returns the expected time of a fetch. An observed queue at the origin decays.
@@ -209,8 +234,7 @@
 		status = OK // the origin has processed the fetch, and its answer was stored
 	}
 	if r.key.fetch == r && status == OK {
-		r.key.storedAt = b.now
-		r.key.storedOn = r.preferredServer
+		b.recordStored(r.key, r.preferredServer)
 	}
 	f := &b.originFetches
 	isLate := status == Timeout && latencyMillis > slowTimeoutFactor*f.latency.floor
@@ -226,6 +250,15 @@
 	}
 }
 
+// recordStored records that a server now has the value of a key.
+func (b *Balancer) recordStored(k *keyTraffic, on *server) {
+	k.storedAt = b.now
+	k.storedOn = on
+	if k.waitingReads > 0 {
+		b.originFetches.waiting.mustWalk = true
+	}
+}
+
 // slowFetchMillis returns the latency of fetches from which the origin counts as slow. It is
 // bounded by the objective, so that a floor latency that rose during an overload does not hide late
 // answers.
--- a/decide/records.go
+++ b/decide/records.go
@@ -180,6 +180,8 @@
 	// waitingSinceAt is since when the request has waited for the origin or for another request's
 	// fetch, ms; 0 = it does not wait.
 	waitingSinceAt float64
+	// fetchStartTag is its place among the requests of one priority that wait for the origin.
+	fetchStartTag float64
 	// isServerFetch says that the server of its attempt is expected to fetch from the origin.
 	isServerFetch bool
 	// isAnswered says that it has its final answer.
--- a/decide/rejection.go
+++ b/decide/rejection.go
@@ -107,6 +107,10 @@
 // finishRequest marks a request as answered, cancels its attempts in flight, and removes it once
 // there are none.
 func (b *Balancer) finishRequest(r *request) {
+	b.originFetches.waiting.mustWalk = b.originFetches.waiting.mustWalk || r.waitingSinceAt > 0
+	if r.isServerFetch && !r.isAnswered {
+		b.originFetches.expectedAtServers--
+	}
 	r.isAnswered = true
 	for i, a := range r.attempts {
 		if !a.hasEnded && b.cfg.CancelAllowed {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -127,7 +127,10 @@
 // attemptEnded updates all records from the end of an attempt, and then acts on its request.
 func (b *Balancer) attemptEnded(r *request, a *attempt, o Outcome) {
 	end := b.classify(r, a, o)
-	r.isServerFetch = false
+	b.expectNoFetchAtServer(r)
+	if r.waitingSinceAt > 0 {
+		b.originFetches.waiting.mustWalk = true
+	}
 	if end.reflectsServerHealth() {
 		b.recordOutcome(end.server, end.Status, a.sentAt)
 	}
@@ -187,8 +190,7 @@
 		b.adaptToleratedWait(b.now > r.objectiveAt)
 		b.recordLatency(r, end)
 	}
-	r.key.storedAt = b.now
-	r.key.storedOn = end.server
+	b.recordStored(r.key, end.server)
 }
 
 // recordLatency records the latency of an answer.
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dockhinge.example/dockhinge/decide"
 )
 
 // clientConn is a client's connection.
@@ -45,6 +47,8 @@
 	valueDeadline time.Time
 	// turn measures the reader's work. It belongs to the reader goroutine.
 	turn readerTurn
+	// balancerClient is what the Balancer knows of the connection. It belongs to the loop.
+	balancerClient decide.Client
 	// turns counts the requests that have begun. It belongs to the reader goroutine.
 	turns requestTurns
 	// isInputClosed is set when no further input is read from this connection. It belongs to the
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -20,6 +20,8 @@
 	command command
 	// response receives the answer; nil once the request is answered.
 	response *response
+	// client is what the Balancer knows of the connection.
+	client *decide.Client
 
 	// arrivedAt is in milliseconds on the loop's clock, as are the other times below.
 	arrivedAt float64
@@ -102,6 +104,7 @@
 		id:          l.nextRequestID(),
 		command:     cmd,
 		response:    client,
+		client:      &client.conn.balancerClient,
 		arrivedAt:   now,
 		deadline:    now + remaining,
 		rule:        rule,
@@ -166,6 +169,7 @@
 		RemainingMillis:      max(0, r.deadline-now),
 		WorkHint:             cmd.workHintMillis,
 		SizeBytes:            cmd.sizeBytes,
+		Client:               r.client,
 		IsRetry:              cmd.isRetry,
 		IsWrite:              cmd.isWrite(),
 		ClassAtArrival:       &r.rule.Class,
