--- a/cmd/dockhinge/descriptors_test.go
+++ b/cmd/dockhinge/descriptors_test.go
@@ -29,6 +29,10 @@
 		main()
 		os.Exit(0)
 	}
+	if name := os.Getenv(floodVariable); name != "" {
+		requestFloods()[name].runUntilInputEnds(os.Getenv(floodAddressVariable))
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
--- a/cmd/dockhinge/request_flood_test.go
+++ b/cmd/dockhinge/request_flood_test.go
@@ -36,6 +36,12 @@
 	minServedShare = 0.5
 )
 
+// The environment variables that make the test program run a flood: its name and the router's address.
+const (
+	floodVariable        = "DOCKHINGE_TEST_FLOOD"
+	floodAddressVariable = "DOCKHINGE_TEST_FLOOD_ADDRESS"
+)
+
 // requestFlood is a flood of sound requests, to a router that has a part of a processor.
 type requestFlood struct {
 	connections int
@@ -108,10 +114,40 @@
 	}
 )
 
+// appendLongWrite appends a write of ever new names with a value of 40 KB.
+func appendLongWrite(b []byte, connection, n int) []byte {
+	name := commandName(connection, n)
+	b = fmt.Appendf(b, "ms %s %d O%s Pc=publish,d=500,k=%s\r\n", name, len(longWriteValue), name, name)
+	b = append(b, longWriteValue...)
+	return append(b, "\r\n"...)
+}
+
+// longWriteValue is the value of a long write that the router still reads whole.
+var longWriteValue = strings.Repeat("v", 40<<10)
+
+// appendMixed appends commands of all kinds in turn, sound ones and others.
+func appendMixed(b []byte, connection, n int) []byte {
+	switch n % 6 {
+	case 0:
+		return append(b, "mn\r\n"...)
+	case 1:
+		return fmt.Appendf(b, "mg key v O%s Pc=none%d,d=500\r\n", commandName(connection, n), n)
+	case 2:
+		return appendLongWrite(b, connection, n)
+	case 3:
+		return readsOfNewKeys(b, connection, n)
+	case 4:
+		return unsafeWrites(b, connection, n)
+	default:
+		return writesOfNewKeys(b, connection, n)
+	}
+}
+
 // requestFloods are floods of sound requests by kind, connections, part of a processor and servers.
 func requestFloods() map[string]requestFlood {
 	slow := [2]int{5, 15}
 	fast := [2]int{0, 1}
+	overloaded := [2]int{300, 400}
 	return map[string]requestFlood{
 		"none, 7 busy loops":                         {busyLoops: 7, appendCommand: readsOfOneKey, originMillis: slow},
 		"writes of new keys, 8, a whole processor":   {8, 0, writesOfNewKeys, slow, 64, 0},
@@ -128,6 +164,10 @@
 		"reads with 20 ms to wait, 32, 3 busy loops": {32, 3, readsWithShortDeadline, slow, 64, 0},
 		"reads over new connections, 64, 3 busy":     {64, 3, readsOfNewKeys, slow, 64, 20},
 		"one read a connection, 8, 3 busy loops":     {8, 3, readsOfNewKeys, slow, 64, 1},
+		"writes of 40 KB, 8, 3 busy loops":           {8, 3, appendLongWrite, slow, 64, 0},
+		"all kinds in turn, 32, 3 busy loops":        {32, 3, appendMixed, slow, 64, 0},
+		"writes to an overloaded origin, 32, 3 busy": {32, 3, writesOfNewKeys, overloaded, 64, 0},
+		"writes of new keys, 100, 3 busy, 32 MB":     {100, 3, writesOfNewKeys, slow, 32, 0},
 	}
 }
 
@@ -230,6 +270,38 @@
 	return address, router.pid
 }
 
+// startProcess runs the flood in a process of its own, so that making its commands delays no other client,
+// until the returned function is called.
+func (f requestFlood) startProcess(t *testing.T, name, address string) (stop func()) {
+	t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(program)
+	command.Env = append(os.Environ(), floodVariable+"="+name, floodAddressVariable+"="+address)
+	input, err := command.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop = sync.OnceFunc(func() { input.Close(); command.Wait() })
+	t.Cleanup(stop)
+	return stop
+}
+
+// runUntilInputEnds runs the flood until the standard input ends.
+func (f requestFlood) runUntilInputEnds(address string) {
+	end := make(chan struct{})
+	go func() {
+		io.Copy(io.Discard, os.Stdin)
+		close(end)
+	}()
+	f.run(address, end)
+}
+
 // run sends the flood over its connections until end is closed.
 func (f requestFlood) run(address string, end <-chan struct{}) {
 	var clients sync.WaitGroup
@@ -348,12 +420,9 @@
 		t.Run(name, func(t *testing.T) {
 			address, pid := f.startSharedRouter(t, program)
 			askOrdinarily(address, "before", 300*time.Millisecond)
-			end := make(chan struct{})
-			var running sync.WaitGroup
-			running.Go(func() { f.run(address, end) })
+			stop := f.startProcess(t, name, address)
 			result := askOrdinarily(address, "beside", *requestFloodTime)
-			close(end)
-			running.Wait()
+			stop()
 			slices.Sort(result.took)
 			t.Logf("%v; %d MB used", result, anonymousMB(pid))
 			if late := result.later(ordinaryWait - otherClientWait + lateAfter); late > 0 || result.unanswered > 0 {
