Draw floods of sound requests and routers that share a processor in the soak

The draws of the other soaks are as they were. A new kind of client isn't recorded request by request, so its requests are known to the checker by the beginning of their ids; all others that no client sent are reported as before.

--- a/cmd/dockhinge-lab/soak.go
+++ b/cmd/dockhinge-lab/soak.go
@@ -22,6 +22,7 @@
 	seconds        float64
 	concurrentRuns int
 	isPaced        bool
+	isFlooded      bool
 }
 
 func soakCommand() *cobra.Command {
@@ -39,6 +40,8 @@
 	cmd.Flags().StringVar(&o.logs, "logs", "logs/soak", "keep the logs of runs that fail in this directory")
 	cmd.Flags().BoolVar(&o.isPaced, "paced", false,
 		"add large writes, an origin that reads them slowly, and clients that send at full speed")
+	cmd.Flags().BoolVar(&o.isFlooded, "flooded", false,
+		"add to --paced clients that send sound requests at full speed, and routers that share a processor or two")
 	cmd.Flags().IntVar(&o.seeds, "seeds", 10, "number of seeds, one run each")
 	cmd.Flags().Uint64Var(&o.first, "first", 1, "the first seed; the others follow it")
 	cmd.Flags().Float64Var(&o.seconds, "seconds", 15, "seconds of load in each run")
@@ -102,6 +105,9 @@
 	if o.isPaced {
 		draw, flag = soak.PacedScenario, "--paced "
 	}
+	if o.isFlooded {
+		draw, flag = soak.FloodedScenario, "--flooded "
+	}
 	file, err := draw(seed, o.seconds)
 	if err != nil {
 		return "", false, err
--- a/lab/checker/history.go
+++ b/lab/checker/history.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 )
 
 // reportFunc records a violation: its rule, its time, and a text formatted as by fmt.Sprintf.
@@ -26,6 +27,9 @@
 
 // request combines all events of one request.
 type request struct {
+	// isOfFlood says that a client sent it whose requests are not recorded.
+	isOfFlood bool
+
 	sent     Event
 	isSent   bool // whether sent is set
 	answers  []Event
@@ -130,7 +134,7 @@
 func (h *history) request(id string) *request {
 	q := h.byID[id]
 	if q == nil {
-		q = &request{}
+		q = &request{isOfFlood: strings.HasPrefix(id, FloodPrefix)}
 		h.byID[id], h.requests = q, append(h.requests, q)
 	}
 	return q
--- a/lab/checker/refused_connection_test.go
+++ b/lab/checker/refused_connection_test.go
@@ -39,3 +39,13 @@
 		t.Errorf("got violations %v", got)
 	}
 }
+
+// A flooding client's requests are not recorded as sent; any other request that only a server saw is a violation.
+func TestOnlyFloodsMaySendUnrecordedRequests(t *testing.T) {
+	for id, want := range map[string]int{FloodPrefix + "1": 0, "r1": 1} {
+		events := []Event{{At: 1, Kind: AttemptReceived, Request: id, Server: "s1"}}
+		if got := CheckRun(events, Rules{}); len(got) != want {
+			t.Errorf("request %s: %v, want %d violations", id, got, want)
+		}
+	}
+}
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -81,6 +81,8 @@
 		})
 	case "flood":
 		fl.flood(ctx, f)
+	case "request-flood":
+		fl.requestFlood(ctx, f)
 	case "discovery-down":
 		playAndRevert("discovery is down", fl.discovery.SetDown)
 	case "watches-silent":
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -28,6 +28,7 @@
 	name, zone, listen string
 	dir                string
 	number             int
+	processors         int        // the number of processors that all routers share; 0 = all of the machine
 	downMu             sync.Mutex // held by a fault or planned change that has the router down
 	configMu           sync.Mutex // held while its configuration is written
 	label              string     // version of its program; guarded by Fleet.mu
@@ -105,8 +106,12 @@
 	if err := r.writeConfig(config); err != nil {
 		return err
 	}
-	cmd, err := Spawn(command, append([]string{"GW_CONFIG=" + r.configFile(), "TMPDIR=" + tmp}, env...),
-		filepath.Join(r.dir, "log"))
+	var cmd *exec.Cmd
+	err = onLastProcessors(r.processors, func() (err error) {
+		cmd, err = Spawn(command, append([]string{"GW_CONFIG=" + r.configFile(), "TMPDIR=" + tmp}, env...),
+			filepath.Join(r.dir, "log"))
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("router %s: %w", r.name, err)
 	}
--- a/lab/fleet/routers.go
+++ b/lab/fleet/routers.go
@@ -28,7 +28,7 @@
 			return err
 		}
 		r := &router{name: fmt.Sprintf("r%d", i), zone: fl.File.Fleet.Zones[i%len(fl.File.Fleet.Zones)],
-			listen: listen, number: i,
+			listen: listen, number: i, processors: fl.File.Fleet.Processors,
 			dir: filepath.Join(fl.options.Dir, fmt.Sprintf("r%d", i))}
 		addr, err := fl.openDiscovery(r)
 		if err != nil {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -45,10 +45,11 @@
 type Fleet struct {
 	Routers      int      `toml:"routers"`
 	Zones        []string `toml:"zones"`
-	Relays       bool     `toml:"relays"`        // a relay between each router and server, as network faults require
-	ZoneDelayMS  float64  `toml:"zone_delay_ms"` // one-way delay between zones; needs relays
-	MemoryMB     int      `toml:"memory_mb"`     // limit for each router
-	Sockets      int      `toml:"sockets"`       // limit for each router
+	Relays       bool     `toml:"relays"`               // a relay between each router and server, for network faults
+	ZoneDelayMS  float64  `toml:"zone_delay_ms"`        // one-way delay between zones; needs relays
+	MemoryMB     int      `toml:"memory_mb"`            // limit for each router
+	Sockets      int      `toml:"sockets"`              // limit for each router
+	Processors   int      `toml:"processors,omitempty"` // number that the routers share; 0 = all
 	MaxAttempts  int      `toml:"max_attempts"`
 	Probes       bool     `toml:"probes"`
 	RetryAfter   bool     `toml:"retry_after"`
@@ -119,6 +120,7 @@
 	"delay": {"part", "relays", "delay_ms"}, "rude": nil, "upgrade": nil, "release": nil, "reload": nil,
 	"move-discovery": nil, "discovery-silent": nil, "end-routers": {"part"}, "signals": {"part"},
 	"upgrade-one": nil, "crowd": nil, "origin-slow-read": {"bytes_s"}, "flood": {"count"},
+	"request-flood":    {"count"},
 	"coordinators-die": {"coordinators"}, "coordinator-dies": {"coordinators"},
 	"change-servers": {"part", "out"}, "change-routers": {"part", "out"}, "release-routers": {"out"},
 	"kill-routers": {"part"}, "stop-routers": {"part"}, "cut-routers": {"part", "out"},
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -91,6 +91,33 @@
 	return d.file.With("seed", fmt.Sprint(seed))
 }
 
+// floodStream selects the stream of a seed's random numbers for FloodedScenario.
+const floodStream = 79
+
+// minFloodedDeadlineMS is the shortest deadline of a flooded run, in ms.
+const minFloodedDeadlineMS = 100
+
+// FloodedScenario draws the paced scenario of a seed, and adds clients that send sound requests at full
+// speed, several at once; the routers share one or two processors in two of three runs.
+func FloodedScenario(seed uint64, seconds float64) (scenario.File, error) {
+	file, err := PacedScenario(seed, seconds)
+	if err != nil {
+		return scenario.File{}, err
+	}
+	d := generator{rng: rand.New(rand.NewPCG(seed, floodStream)), file: file}
+	d.file.Name = fmt.Sprintf("flooded-soak-%d", seed)
+	d.file.Fleet.Processors = d.rng.IntN(3)
+	for i := range d.file.Classes {
+		d.file.Classes[i].LimitMS = max(minFloodedDeadlineMS, d.file.Classes[i].LimitMS)
+	}
+	last := seconds - quietEndS
+	for at := firstFaultS; at < last; at += d.between(0.3, 3) {
+		d.file.Faults = append(d.file.Faults, scenario.Fault{AtS: at, What: "request-flood",
+			Count: []int{1, 8, 32}[d.rng.IntN(3)], ForS: d.between(0.5, 5)})
+	}
+	return d.file.With("seed", fmt.Sprint(seed))
+}
+
 // between draws a uniformly distributed number.
 func (d *generator) between(low, high float64) float64 { return low + (high-low)*d.rng.Float64() }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -57,6 +57,11 @@
 	playScenarios(t, PacedScenario, 7)
 }
 
+// Guards against the same beside floods of sound requests, before routers that share a processor.
+func TestSoakKeepsTheRulesBesideFloodsOfRequests(t *testing.T) {
+	playScenarios(t, FloodedScenario, 3)
+}
+
 // playSeeds runs the scenarios of some seeds in parallel with real routers. No run may break a
 // rule.
 func playSeeds(t *testing.T, seeds ...uint64) {
