Pay for what needs no server in fair order, so that a flood holds up nobody else

What callers would see: a client that has sent some 50 refused commands, and then a sound request, has that held up for up to 1 s while another client sends no-operations at full speed.

Cause: one budget and one debt for all connections. Whoever had worked 200 µs rested until the debts of all were paid, at most 1 s; beyond some 250 connections the budget didn't hold, as rests ended before they were paid.

Change: the payments are a fair queue, the same as the requests' (fair_queue.go): a reader that has worked little is paid for next. A rest ends when its own work is paid for, so the share of the time holds for any number of connections.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -50,7 +50,7 @@
 	// balancerClient is what the Balancer knows of the connection. It belongs to the loop.
 	balancerClient decide.Client
 	// turns counts the requests that have begun. It belongs to the reader goroutine.
-	turns requestTurns
+	turns fairTurns
 	// isInputClosed is set when no further input is read from this connection. It belongs to the
 	// reader goroutine.
 	isInputClosed bool
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -78,7 +78,7 @@
 	// inputEnd is closed when inputClosed is set.
 	inputEnd chan struct{}
 	// localWork is the time for commands that need no server.
-	localWork localWorkBudget
+	localWork *localWorkBudget
 	// requests decides when the requests of connections begin.
 	requests *requestScheduler
 	// activeConns counts the open connections that have sent a command.
@@ -104,6 +104,7 @@
 		conns:       map[*clientConn]struct{}{},
 	}
 	s.requests = newRequestScheduler(s.wg.Go)
+	s.localWork = newLocalWorkBudget(s.wg.Go, s.inputEnd)
 	s.readerPool.New = func() any { return bufio.NewReaderSize(nil, maxLineBytes) }
 	return s
 }
@@ -241,7 +242,7 @@
 		reader:     reader,
 		idleStart:  time.Now(),
 		unwritable: make(chan struct{}),
-		turn:       readerTurn{budget: &s.localWork, end: s.inputEnd},
+		turn:       readerTurn{budget: s.localWork},
 	}
 	reader.Reset(c)
 	c.commandDeadline = c.idleStart.Add(c.firstCommandTimeout())
--- a/internal/router/request_scheduler.go
+++ b/internal/router/request_scheduler.go
@@ -10,7 +10,6 @@
 // is left unused while requests wait.
 
 import (
-	"container/heap"
 	"log/slog"
 	"sync"
 	"time"
@@ -26,40 +25,19 @@
 	idleCredit = 1
 )
 
-// requestScheduler decides when the requests of connections begin. It is a start-time fair queue: the
-// start tag of a request is the finish tag of its connection's last one, or idleCredit before the
-// current virtual time if that is later, and the lowest start tag begins first. Any goroutine may use it.
+// requestScheduler decides when the requests of connections begin. Any goroutine may use it.
 type requestScheduler struct {
 	// start runs a function on a goroutine that is waited for.
 	start func(rounds func())
 	// poll separates the rounds.
 	poll *pollSignal
 
+	// mu guards the fields below.
 	mu sync.Mutex
 	// remaining is the number of requests that may still begin in the current round.
 	remaining int
-	// virtualTime is the largest start tag of the requests that have begun.
-	virtualTime float64
-	// lastSequence numbers the waiting requests, so that equal tags begin in the order of arrival.
-	lastSequence uint64
 	// waiting holds the requests that have to wait: one for each connection at most.
-	waiting waitingRequests
-}
-
-// requestTurns is what a scheduler knows of a connection; it belongs to the connection's reader.
-type requestTurns struct {
-	// finishTag is the virtual time at which the connection has used up what it has begun.
-	finishTag float64
-}
-
-// waitingRequest is a request that waits for its turn.
-type waitingRequest struct {
-	startTag float64
-	sequence uint64
-	// giveUpAt is when the request has waited too long to be served in time.
-	giveUpAt time.Time
-	// mayBegin receives whether the request may begin, once. Its capacity is 1.
-	mayBegin chan bool
+	waiting fairQueue
 }
 
 // newRequestScheduler returns a scheduler. start has to run a function on a goroutine that is waited
@@ -69,7 +47,12 @@
 	if err != nil {
 		slog.Warn("the requests of clients begin in rounds of the run queue only", "error", err)
 	}
-	return &requestScheduler{start: start, poll: poll, remaining: requestsPerRound}
+	return &requestScheduler{
+		start:     start,
+		poll:      poll,
+		remaining: requestsPerRound,
+		waiting:   fairQueue{credit: idleCredit},
+	}
 }
 
 // close releases the scheduler's descriptor.
@@ -80,46 +63,31 @@
 func turnCost(valueBytes int) float64 { return 1 + float64(valueBytes)/bytesPerTurn }
 
 // charge counts a request that begins without waiting for its turn.
-func (s *requestScheduler) charge(turns *requestTurns, cost float64) {
+func (s *requestScheduler) charge(turns *fairTurns, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	turns.finishTag = s.startTag(turns) + cost
-}
-
-// startTag returns the start tag of a connection's next request. The caller holds mu.
-func (s *requestScheduler) startTag(turns *requestTurns) float64 {
-	return max(turns.finishTag, s.virtualTime-idleCredit)
+	s.waiting.take(turns, cost)
 }
 
 // await waits for a request's turn. It reports false if that has not come after maxWait.
-func (s *requestScheduler) await(turns *requestTurns, cost float64, maxWait time.Duration) bool {
-	waiting := s.begin(turns, cost, maxWait)
-	return waiting == nil || <-waiting.mayBegin
+func (s *requestScheduler) await(turns *fairTurns, cost float64, maxWait time.Duration) bool {
+	waiter := s.begin(turns, cost, maxWait)
+	return waiter == nil || <-waiter.mayBegin
 }
 
 // begin begins a request, or adds it to those that wait and returns it.
-func (s *requestScheduler) begin(turns *requestTurns, cost float64, maxWait time.Duration) *waitingRequest {
+func (s *requestScheduler) begin(turns *fairTurns, cost float64, maxWait time.Duration) *fairWaiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	startTag := s.startTag(turns)
-	turns.finishTag = startTag + cost
-	if s.remaining > 0 {
-		s.virtualTime = max(s.virtualTime, startTag)
-		s.remaining--
-		if s.remaining == 0 {
-			s.start(s.runRounds)
-		}
-		return nil
+	if s.remaining == 0 {
+		return s.waiting.add(turns, cost, time.Now().Add(maxWait))
 	}
-	s.lastSequence++
-	waiting := &waitingRequest{
-		startTag: startTag,
-		sequence: s.lastSequence,
-		giveUpAt: time.Now().Add(maxWait),
-		mayBegin: make(chan bool, 1),
+	s.waiting.charge(turns, cost)
+	s.remaining--
+	if s.remaining == 0 {
+		s.start(s.runRounds)
 	}
-	heap.Push(&s.waiting, waiting)
-	return waiting
+	return nil
 }
 
 // runRounds runs rounds until one ends in which not all requests that might begin did.
@@ -136,56 +104,15 @@
 func (s *requestScheduler) beginRound() (isFull bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.giveUpOverdue(time.Now())
+	s.waiting.giveUpOverdue(time.Now())
 	s.remaining = requestsPerRound
-	for s.remaining > 0 && len(s.waiting) > 0 {
-		next := heap.Pop(&s.waiting).(*waitingRequest)
-		s.virtualTime = max(s.virtualTime, next.startTag)
+	for s.remaining > 0 {
+		next := s.waiting.next()
+		if next == nil {
+			return false
+		}
 		s.remaining--
 		next.mayBegin <- true
 	}
-	return s.remaining == 0
-}
-
-// giveUpOverdue ends the waits that have lasted too long. The caller holds mu.
-func (s *requestScheduler) giveUpOverdue(now time.Time) {
-	kept := s.waiting[:0]
-	for _, w := range s.waiting {
-		if now.Before(w.giveUpAt) {
-			kept = append(kept, w)
-		} else {
-			w.mayBegin <- false
-		}
-	}
-	if len(kept) < len(s.waiting) {
-		clear(s.waiting[len(kept):])
-		s.waiting = kept
-		heap.Init(&s.waiting)
-	}
-}
-
-// waitingRequests is a heap; the request that begins next is the first.
-type waitingRequests []*waitingRequest
-
-func (w waitingRequests) Len() int { return len(w) }
-
-func (w waitingRequests) Less(i, j int) bool {
-	if w[i].startTag != w[j].startTag {
-		return w[i].startTag < w[j].startTag
-	}
-	return w[i].sequence < w[j].sequence
-}
-
-func (w waitingRequests) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
-
-// Push is called by container/heap.
-func (w *waitingRequests) Push(x any) { *w = append(*w, x.(*waitingRequest)) }
-
-// Pop is called by container/heap.
-func (w *waitingRequests) Pop() any {
-	old := *w
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*w = old[:len(old)-1]
-	return last
+	return true
 }
--- a/internal/router/request_scheduler_test.go
+++ b/internal/router/request_scheduler_test.go
@@ -15,7 +15,7 @@
 }
 
 // beginsNow reports whether a request has got its turn.
-func beginsNow(w *waitingRequest) bool {
+func beginsNow(w *fairWaiter) bool {
 	if w == nil {
 		return true
 	}
@@ -33,8 +33,8 @@
 	for _, flooding := range []int{1, 8, 100, 1000} {
 		t.Run(fmt.Sprint(flooding), func(t *testing.T) {
 			s := newTestScheduler(t)
-			flood := make([]requestTurns, flooding)
-			waits := make([]*waitingRequest, flooding)
+			flood := make([]fairTurns, flooding)
+			waits := make([]*fairWaiter, flooding)
 			warmUp := 2 + 2*flooding/requestsPerRound // the first request of each connection is as new as the other's
 			for round := range warmUp + 50 {
 				for i := range flood {
@@ -42,9 +42,9 @@
 						waits[i] = s.begin(&flood[i], 1, time.Hour)
 					}
 				}
-				var other *waitingRequest
+				var other *fairWaiter
 				if round >= warmUp {
-					other = s.begin(&requestTurns{}, 1, time.Hour)
+					other = s.begin(&fairTurns{}, 1, time.Hour)
 				}
 				s.beginRound()
 				if !beginsNow(other) {
@@ -64,8 +64,8 @@
 func TestFloodingConnectionsHaveEqualTurns(t *testing.T) {
 	s := newTestScheduler(t)
 	const connections, rounds = 20, 200
-	var turns [connections]requestTurns
-	var waits [connections]*waitingRequest
+	var turns [connections]fairTurns
+	var waits [connections]*fairWaiter
 	var begun [connections]int
 	for range rounds {
 		total := 0
@@ -101,7 +101,7 @@
 // A long value must cost its connection as many turns as its processing takes.
 func TestLongValuesCostMoreTurns(t *testing.T) {
 	s := newTestScheduler(t)
-	var long, short requestTurns
+	var long, short fairTurns
 	s.charge(&long, turnCost(maxBufferedValue))
 	s.remaining = 0
 	next := s.begin(&long, 1, time.Hour)
@@ -116,10 +116,10 @@
 func TestRequestThatWaitsTooLongIsGivenUp(t *testing.T) {
 	s := newTestScheduler(t)
 	for range requestsPerRound {
-		s.begin(&requestTurns{}, 1, time.Hour)
+		s.begin(&fairTurns{}, 1, time.Hour)
 	}
-	overdue := s.begin(&requestTurns{}, 1, 0)
-	inTime := s.begin(&requestTurns{}, 1, time.Hour)
+	overdue := s.begin(&fairTurns{}, 1, 0)
+	inTime := s.begin(&fairTurns{}, 1, time.Hour)
 	time.Sleep(time.Millisecond)
 	s.beginRound()
 	if mayBegin := receive(t, overdue.mayBegin, "end of the wait"); mayBegin {
@@ -144,7 +144,7 @@
 	const requests = 5*requestsPerRound - 1
 	for range requests {
 		go func() {
-			var turns requestTurns
+			var turns fairTurns
 			if s.await(&turns, 1, time.Hour) {
 				begun <- struct{}{}
 			}
