--- a/cmd/dockhinge/request_flood_test.go
+++ b/cmd/dockhinge/request_flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -434,3 +435,99 @@
 		})
 	}
 }
+
+// Guards against a router that, once it runs again after it was held up in a flood, serves what has come
+// meanwhile in its order, and so everybody late.
+func TestRouterAnswersInTimeRightAfterItWasHeldUp(t *testing.T) {
+	if runtime.NumCPU() < 3 {
+		t.Skip("the router, its clients and its servers need a processor each")
+	}
+	const floodName = "writes of new keys, 32, 3 busy loops"
+	program := buildRouter(t)
+	for _, heldUp := range []time.Duration{200 * time.Millisecond, 1300 * time.Millisecond} {
+		t.Run(heldUp.String(), func(t *testing.T) {
+			f := requestFloods()[floodName]
+			address, pid := f.startSharedRouter(t, program)
+			stop := f.startProcess(t, floodName, address)
+			askOrdinarily(address, "before", 500*time.Millisecond)
+			var running sync.WaitGroup
+			unix.Kill(pid, unix.SIGSTOP)
+			running.Go(func() { askOrdinarily(address, "during", heldUp) })
+			time.Sleep(heldUp)
+			unix.Kill(pid, unix.SIGCONT)
+			result := askOrdinarily(address, "after", time.Second)
+			running.Wait()
+			stop()
+			t.Logf("%v", result)
+			if late := result.later(ordinaryWait - otherClientWait + lateAfter); late > 0 || result.unanswered > 0 {
+				t.Errorf("%d of the answers after the stop were late, %d never came", late, result.unanswered)
+			}
+			if all := len(result.took); float64(result.served) < minServedShare*float64(all) {
+				t.Errorf("%d of %d ordinary clients were served after the stop", result.served, all)
+			}
+		})
+	}
+}
+
+// Guards against a flood that keeps a router from its signals: it must take new settings and end in time.
+func TestFloodKeepsRouterFromNoSignal(t *testing.T) {
+	if runtime.NumCPU() < 3 {
+		t.Skip("the router, its clients and its servers need a processor each")
+	}
+	const (
+		floodName = "all kinds in turn, 32, 3 busy loops"
+		// killAfter is when the platform would kill the router: its longest deadline and 0.7 s after SIGTERM.
+		killAfter = 1700 * time.Millisecond
+		// latestKill is the same for the longest deadline that a deployment may have.
+		latestKill = 3700 * time.Millisecond
+	)
+	f := requestFloods()[floodName]
+	address, pid := f.startSharedRouter(t, buildRouter(t))
+	stop := f.startProcess(t, floodName, address)
+	defer stop()
+	kept, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	for range 3 {
+		unix.Kill(pid, unix.SIGHUP)
+		askOrdinarily(address, fmt.Sprint("reload", time.Now().UnixNano()), 300*time.Millisecond)
+	}
+	endAt := time.Now()
+	unix.Kill(pid, unix.SIGTERM)
+	late := 0
+	answers := bufio.NewReader(kept)
+	for n := 0; time.Since(endAt) < killAfter; n++ {
+		askedAt := time.Now()
+		name := "kept" + strconv.Itoa(n)
+		kept.SetDeadline(askedAt.Add(testTimeout))
+		metadata := fmt.Sprintf("c=fetch,d=%d", ordinaryWait.Milliseconds())
+		if _, err := kept.Write(appendRequest(nil, "mg ", "stored", name, metadata, "")); err != nil {
+			break // closed between two requests
+		}
+		line, err := answers.ReadString('\n')
+		if err != nil {
+			break
+		}
+		if strings.HasPrefix(line, "VA ") {
+			answers.ReadString('\n')
+		}
+		if time.Since(askedAt) > ordinaryWait+lateAfter {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d answers on the open connection were late", late)
+	}
+	stop()
+	await(t, "end of the router", func() error {
+		if _, err := os.Stat(fmt.Sprintf("/proc/%d/task", pid)); err == nil && time.Since(endAt) > latestKill {
+			t.Fatalf("the router runs %v after SIGTERM", time.Since(endAt))
+		}
+		if threads, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); len(threads) > 0 {
+			return errors.New("it still has descriptors")
+		}
+		return nil
+	})
+}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -107,7 +107,7 @@
 		return err
 	}
 	var cmd *exec.Cmd
-	err = onLastProcessors(r.processors, func() (err error) {
+	err = onFirstProcessors(r.processors, func() (err error) {
 		cmd, err = Spawn(command, append([]string{"GW_CONFIG=" + r.configFile(), "TMPDIR=" + tmp}, env...),
 			filepath.Join(r.dir, "log"))
 		return err
--- a/lab/fleet/processors.go
+++ b/lab/fleet/processors.go
@@ -7,24 +7,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// onLastProcessors calls start, so that the processes that it starts run on the last few processors of the
+// onFirstProcessors calls start, so that the processes that it starts run on the first few processors of the
 // machine only. 0 processors stand for all.
-func onLastProcessors(processors int, start func() error) error {
+func onFirstProcessors(processors int, start func() error) error {
 	if processors == 0 {
 		return start()
 	}
 	runtime.LockOSThread() // a process inherits the processors of the thread that starts it
 	defer runtime.UnlockOSThread()
-	var before, last unix.CPUSet
+	var before, first unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &before); err != nil {
 		return fmt.Errorf("processors: %w", err)
 	}
-	for processor := runtime.NumCPU() - 1; processor >= 0 && last.Count() < processors; processor-- {
+	for processor := 0; first.Count() < min(processors, before.Count()); processor++ {
 		if before.IsSet(processor) {
-			last.Set(processor)
+			first.Set(processor)
 		}
 	}
-	if err := unix.SchedSetaffinity(0, &last); err != nil {
+	if err := unix.SchedSetaffinity(0, &first); err != nil {
 		return fmt.Errorf("processors: %w", err)
 	}
 	startErr := start()
