Evict the connection with most turns, also if it waits for no turn just then

Cause: only connections whose request waited for its turn could be evicted; a flood of reads mostly waits for the answer before it, and one of writes for room among its 16.

Change: evictBusiest chooses among all connections by the turns that they have had beyond their share; the chosen one reads no further, and is closed once what was read is answered. A connection with a single request has none beyond its share, so nobody is evicted for a slow server.

TestFloodOverAllConnectionsGivesWayToNewClients fails without the eviction. A unit test of the former choice, which no longer exists, went with it.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -49,11 +49,8 @@
 	turn readerTurn
 	// balancerClient is what the Balancer knows of the connection. It belongs to the loop.
 	balancerClient decide.Client
-	// turns counts the requests that have begun. It belongs to the reader goroutine.
+	// turns counts the requests that have begun. It belongs to the requests' scheduler.
 	turns fairTurns
-	// isEvicted is set when the connection gives way to a new one though commands are unanswered: it is
-	// closed once they are answered. It belongs to the reader goroutine.
-	isEvicted bool
 	// isInputClosed is set when no further input is read from this connection. It belongs to the
 	// reader goroutine.
 	isInputClosed bool
@@ -67,6 +64,9 @@
 	// attempt of its requests may be written.
 	hasDisconnected atomic.Bool
 
+	// isEvicted is set when the connection gives way to a new one though commands are unanswered. No
+	// further input is read, and it is closed once what has been read is answered.
+	isEvicted atomic.Bool
 	// isBrokenOff is set when a value was written in part and can't be completed. Nothing is read or
 	// written any more, but the client still receives the answers before the value.
 	isBrokenOff atomic.Bool
@@ -174,6 +174,14 @@
 	}
 }
 
+// evict closes the connection once what has been read is answered.
+func (c *clientConn) evict() {
+	c.isEvicted.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.SetReadDeadline(expiredDeadline)
+}
+
 // disconnected reports whether the client is known to have disconnected.
 func (c *clientConn) disconnected() bool { return c.hasDisconnected.Load() || hasEnded(c.Conn) }
 
@@ -246,7 +254,7 @@
 	if isRejected || c.hasMoreInput() {
 		lingerUntil = time.Now().Add(lingerTimeout)
 	}
-	if c.isOverflow || c.isEvicted { // other connections wait for its descriptor
+	if c.isOverflow || c.isEvicted.Load() { // other connections wait for its descriptor
 		lingerUntil = time.Time{}
 	}
 	if hasDisconnected || isUnwritable {
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -121,7 +121,7 @@
 // acceptsInput reports whether further input is read. Commands that the buffer holds are read even
 // if it is not.
 func (c *clientConn) acceptsInput() bool {
-	return !c.isInputClosed && !c.isBrokenOff.Load() && !c.clients.inputClosed.Load()
+	return !c.isInputClosed && !c.isBrokenOff.Load() && !c.isEvicted.Load() && !c.clients.inputClosed.Load()
 }
 
 // hasMoreInput reports whether input behind the last command has been received.
@@ -262,7 +262,7 @@
 	if c.isOverflow {
 		return
 	}
-	if c.isEvicted {
+	if c.isEvicted.Load() {
 		c.reject(received)
 		return
 	}
@@ -275,16 +275,9 @@
 	l := c.clients.loop
 	remaining := min(l.clientWaitMillis(&received.command), l.answerDeadline.load()-l.now())
 	c.turn.pause()
-	mayBegin, isEvicted := requests.await(&c.turns, cost, ms(remaining/2))
+	mayBegin := requests.await(&c.turns, cost, ms(remaining/2))
 	c.turn.resume()
-	switch {
-	case isEvicted:
-		slog.Warn("closing the connection that has had most turns, as a new client waits",
-			"client", c.RemoteAddr().String())
-		c.isEvicted = true
-		c.isInputClosed = true
-		c.reject(received)
-	case !mayBegin:
+	if !mayBegin {
 		slog.Warn("rejecting a request that had no turn within half of its time", "request", received.id,
 			"waited", ms(l.now()-received.receivedAt))
 		c.reject(received)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -154,7 +154,7 @@
 func (s *clients) acquireConnection() *descriptorQuota {
 	for !s.connections.tryAcquire() {
 		if !s.evictIdle(false) {
-			s.requests.evictLast() // frees a descriptor once its commands are answered
+			s.evictBusiest() // frees a descriptor once its commands are answered
 			if s.overflow.tryAcquire() {
 				return &s.overflow
 			}
@@ -194,6 +194,29 @@
 		evict(s.longestIdle(0, orInPart), true)
 }
 
+// evictBusiest evicts the connection that has had most turns, if it has had more than its share: a client
+// that floods over as many connections as there are descriptors must not keep new clients out.
+func (s *clients) evictBusiest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var busiest *clientConn
+	most := 0.0
+	for c := range s.conns {
+		if c.isOverflow || c.isEvicted.Load() {
+			continue
+		}
+		if ahead := s.requests.turnsAhead(&c.turns); ahead > most {
+			most = ahead
+			busiest = c
+		}
+	}
+	if busiest != nil {
+		slog.Warn("closing the connection that has had most turns, as a new client waits",
+			"client", busiest.RemoteAddr().String())
+		busiest.evict()
+	}
+}
+
 // evict closes a connection if it is still idle, and reports whether there is one.
 func evict(c *clientConn, mayDropCommand bool) bool {
 	if c == nil {
--- a/internal/router/fair_queue.go
+++ b/internal/router/fair_queue.go
@@ -18,6 +18,9 @@
 	waiters      fairWaiters
 }
 
+// newFairQueue returns a queue at a virtual time that gives the first connections the credit too.
+func newFairQueue(credit float64) fairQueue { return fairQueue{credit: credit, virtualTime: credit} }
+
 // fairTurns is what a queue knows of a connection.
 type fairTurns struct {
 	// finishTag is the virtual time at which the connection has used up the turns that it has asked for.
@@ -34,8 +37,6 @@
 	giveUpAt time.Time
 	// mayBegin receives whether the turn may begin, once. Its capacity is 1.
 	mayBegin chan bool
-	// isEvicted is set before that if the connection has to give way to a new one.
-	isEvicted bool
 }
 
 // charge begins a turn without a wait.
@@ -74,24 +75,6 @@
 	return w
 }
 
-// evictLast ends the wait of the turn that would begin last, and reports whether there was one whose
-// connection has had more turns than a new one.
-func (q *fairQueue) evictLast() bool {
-	last := -1
-	for i := range q.waiters {
-		if last < 0 || q.waiters.Less(last, i) {
-			last = i
-		}
-	}
-	if last < 0 || q.waiters[last].startTag <= q.virtualTime-q.credit {
-		return false
-	}
-	w := heap.Remove(&q.waiters, last).(*fairWaiter)
-	w.isEvicted = true
-	w.mayBegin <- false
-	return true
-}
-
 // giveUpOverdue ends the waits that have lasted too long.
 func (q *fairQueue) giveUpOverdue(now time.Time) {
 	kept := q.waiters[:0]
--- a/internal/router/local_work.go
+++ b/internal/router/local_work.go
@@ -47,7 +47,7 @@
 }
 
 func newLocalWorkBudget(start func(payments func()), end <-chan struct{}) *localWorkBudget {
-	return &localWorkBudget{start: start, end: end, unpaid: fairQueue{credit: maxTurnTime.Seconds()}}
+	return &localWorkBudget{start: start, end: end, unpaid: newFairQueue(maxTurnTime.Seconds())}
 }
 
 // spend takes a reader's work from the budget. If the budget is overdrawn, it returns what the reader
--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -94,3 +94,44 @@
 	}
 	t.Error("the connection is still open")
 }
+
+// Guards against a flood that keeps new clients out for as long as it lasts, as it holds all connections and none
+// of them is ever idle.
+func TestFloodOverAllConnectionsGivesWayToNewClients(t *testing.T) {
+	const maxConns = 3
+	server := startFakeServer(t, hitAnswer)
+	silent := startFakeServer(t, func(string) string { return "" })
+	_, _, addr := startLoopAndClients(t, 64, maxConns, cacheEntry("s-0000000b", server.addr), originEntry(silent.addr))
+	for i := range maxConns {
+		flooding := dialClient(t, addr)
+		go func() {
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("f%d.%d", i, n)
+				_, err := fmt.Fprintf(flooding, "ms %016x 3 O%s Pc=%s,t=t,k=%s,d=300\r\nabc\r\n", n, id, keyed, id)
+				if err != nil {
+					return
+				}
+			}
+		}()
+		receive(t, silent.received, "request at the silent origin")
+	}
+	for end := time.Now().Add(testTimeout); ; time.Sleep(20 * time.Millisecond) {
+		asking := dialClient(t, addr)
+		line, err := asking.answers(readCommandOfKey(1, fmt.Sprint("r", time.Now().UnixNano()), 2000))
+		if err == nil && strings.HasPrefix(line, "VA ") {
+			return
+		}
+		asking.Close()
+		if time.Now().After(end) {
+			t.Fatal("no new client was served")
+		}
+	}
+}
+
+// answers sends a command and returns the first line of the answer.
+func (c *client) answers(command string) (line string, err error) {
+	if _, err := c.Write([]byte(command + "\r\n")); err != nil {
+		return "", err
+	}
+	return c.r.ReadString('\n')
+}
--- a/internal/router/request_scheduler.go
+++ b/internal/router/request_scheduler.go
@@ -51,7 +51,7 @@
 		start:     start,
 		poll:      poll,
 		remaining: requestsPerRound,
-		waiting:   fairQueue{credit: idleCredit},
+		waiting:   newFairQueue(idleCredit),
 	}
 }
 
@@ -69,25 +69,17 @@
 	s.waiting.take(turns, cost)
 }
 
-// await waits for a request's turn. It reports false if that has not come after maxWait, or if the
-// connection is evicted.
-func (s *requestScheduler) await(
-	turns *fairTurns, cost float64, maxWait time.Duration,
-) (mayBegin, isEvicted bool) {
+// await waits for a request's turn. It reports false if that has not come after maxWait.
+func (s *requestScheduler) await(turns *fairTurns, cost float64, maxWait time.Duration) bool {
 	waiter := s.begin(turns, cost, maxWait)
-	if waiter == nil {
-		return true, false
-	}
-	mayBegin = <-waiter.mayBegin
-	return mayBegin, waiter.isEvicted
+	return waiter == nil || <-waiter.mayBegin
 }
 
-// evictLast evicts the connection whose waiting request would begin last, and reports whether there was
-// one that has had more turns than a new connection.
-func (s *requestScheduler) evictLast() bool {
+// turnsAhead returns how many turns a connection has had more than its share.
+func (s *requestScheduler) turnsAhead(turns *fairTurns) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waiting.evictLast()
+	return turns.finishTag - s.waiting.virtualTime
 }
 
 // begin begins a request, or adds it to those that wait and returns it.
--- a/internal/router/request_scheduler_test.go
+++ b/internal/router/request_scheduler_test.go
@@ -145,7 +145,7 @@
 	for range requests {
 		go func() {
 			var turns fairTurns
-			if mayBegin, _ := s.await(&turns, 1, time.Hour); mayBegin {
+			if s.await(&turns, 1, time.Hour) {
 				begun <- struct{}{}
 			}
 		}()
@@ -155,28 +155,3 @@
 	}
 	receive(t, running, "end of the rounds")
 }
-
-// Guards against a flood that holds all descriptors: the connection that would begin last must give way to a
-// new one, and only if it has had more turns than that.
-func TestConnectionWithMostTurnsGivesWayToANewOne(t *testing.T) {
-	s := newTestScheduler(t)
-	var flooding, polite fairTurns
-	for range requestsPerRound {
-		s.begin(&flooding, 1, time.Hour)
-	}
-	politeWait := s.begin(&polite, 1, time.Hour)
-	if s.evictLast() {
-		t.Error("a connection with one request was evicted")
-	}
-	floodWait := s.begin(&flooding, 1, time.Hour)
-	if !s.evictLast() {
-		t.Fatal("no connection was evicted")
-	}
-	if mayBegin := receive(t, floodWait.mayBegin, "end of the wait"); mayBegin || !floodWait.isEvicted {
-		t.Error("the flooding connection was not evicted")
-	}
-	s.beginRound()
-	if !beginsNow(politeWait) {
-		t.Error("the other connection's request did not begin")
-	}
-}
