Evict no connection whose client has sent its only command, or is still sending it

Cause: the turns of a write grow with its value, so a client with a single write of over 16 KiB had had more than a new one, and could be evicted while it was sending it.

Change: only a connection whose client sends on though a command is unanswered may be evicted.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -174,6 +174,17 @@
 	}
 }
 
+// mayEvictBusy reports whether the client sends further commands though one is unanswered. A client that
+// waits for the answer to its only command, or that is still sending it, is not evicted.
+func (c *clientConn) mayEvictBusy() bool {
+	if c.isOverflow || c.isEvicted.Load() || c.isReceivingLargeValue.Load() || !hasInput(c.Conn) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered() > 0
+}
+
 // evict closes the connection once what has been read is answered.
 func (c *clientConn) evict() {
 	c.isEvicted.Store(true)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -196,18 +196,16 @@
 		evict(s.longestIdle(0, orInPart), true)
 }
 
-// evictBusiest evicts the connection that has had most turns, if it has had more than its share: a client
-// that floods over as many connections as there are descriptors must not keep new clients out.
+// evictBusiest evicts the connection that has had most turns, if it has had more than its share and its
+// client sends on: a client that floods over as many connections as there are descriptors must not keep
+// new clients out.
 func (s *clients) evictBusiest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var busiest *clientConn
 	most := 0.0
 	for c := range s.conns {
-		if c.isOverflow || c.isEvicted.Load() {
-			continue
-		}
-		if ahead := s.requests.turnsAhead(&c.turns); ahead > most {
+		if ahead := s.requests.turnsAhead(&c.turns); ahead > most && c.mayEvictBusy() {
 			most = ahead
 			busiest = c
 		}
--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -135,3 +135,28 @@
 	}
 	return c.r.ReadString('\n')
 }
+
+// Guards against a sound write that is cut off to make room: a client that is still sending its only command, or
+// waits for the answer to it, must keep its connection, whatever the command's length.
+func TestClientWithOneCommandIsNotEvicted(t *testing.T) {
+	silent := startFakeServer(t, func(string) string { return "" })
+	_, s, addr := startLoopAndClients(t, 64, 2, cacheEntry("s-0000000b", silent.addr), originEntry(silent.addr))
+	head := func(id string) string {
+		return fmt.Sprintf("ms 7 %d O%s Pc=%s,t=t,k=%s,d=9000\r\n", maxBufferedValue, id, keyed, id)
+	}
+	waiting := dialClient(t, addr)
+	waiting.send(head("w1") + strings.Repeat("v", maxBufferedValue) + "\r\n")
+	receive(t, silent.received, "write at the silent origin")
+	sending := dialClient(t, addr)
+	sending.send(head("w2") + strings.Repeat("v", maxBufferedValue/2))
+	for range 3 {
+		dialClient(t, addr).answers(readCommandOfKey(1, fmt.Sprint("r", time.Now().UnixNano()), 2000))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.isEvicted.Load() {
+			t.Errorf("the connection of %v is evicted", c.RemoteAddr())
+		}
+	}
+}
