Read a connection beyond the limit for 0.3 s again: all that was sent with a command is answered

What callers would see: of 400 commands sent at once over a connection beyond the limit only 251 were answered.

Cause: stopped reading such a connection 20 ms after its first command.

Change: it is read for 0.3 s after its start, as before.

Measured: the tests of connections beyond the limit with the race detector, three times: passed.

--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -146,7 +146,7 @@
 // readCommands reads commands until the client disconnects, sends invalid input or quit, or the
 // connection's time is up. It reports whether the client was rejected, which includes quit.
 func (c *clientConn) readCommands() (isRejected bool) {
-	overflowEnd := time.Time{}
+	overflowEnd := time.Now().Add(overflowCommandTimeout)
 	for isFirst := true; ; isFirst = false {
 		if err := c.awaitFirstByte(); err != nil {
 			c.endReading(err)
@@ -166,9 +166,6 @@
 			c.turn.endLocal()
 		}
 		if c.isOverflow {
-			if isFirst {
-				overflowEnd = time.Now().Add(overflowReadTime)
-			}
 			c.isInputClosed = time.Now().After(overflowEnd)
 			if !c.hasMoreInput() {
 				return false
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -54,11 +54,9 @@
 	// maxOverflowConns is the maximum number of open connections beyond the limit, which only have
 	// their commands rejected. Their descriptors are part of fdReserve.
 	maxOverflowConns = 8
-	// overflowCommandTimeout is how long a command of such a connection may take to be complete.
+	// overflowCommandTimeout is how long a command of such a connection may take to be complete, and
+	// how long after its start the connection is read.
 	overflowCommandTimeout = 300 * time.Millisecond
-	// overflowReadTime is how long after its first command such a connection is read, if its client goes
-	// on sending.
-	overflowReadTime = 20 * time.Millisecond
 )
 
 // clients serves the client connections. Its goroutines are accept, one reader for each connection,
