--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -290,8 +290,9 @@
 // checkAttemptPair checks an attempt against an earlier one of the same request.
 func checkAttemptPair(id string, before, a *attempt, class Class, r Rules, add reportFunc) {
 	if before.endedAt > a.receivedAt+r.SlackMS {
-		add("copies", a.receivedAt, "request %s: sent to server %s while an attempt was in progress at server %s",
-			id, a.server, before.server)
+		add("copies", a.receivedAt, "request %s: sent to server %s while an attempt was in progress at server %s, "+
+			"first bytes at %.1f and %.1f ms, ends at %.1f and %.1f ms",
+			id, a.server, before.server, a.beganAt, before.beganAt, a.endedAt, before.endedAt)
 	}
 	if before.end == Missed || before.end == Rejected {
 		return
--- a/lab/fleet/end_routers.go
+++ b/lab/fleet/end_routers.go
@@ -112,6 +112,8 @@
 			}
 		case <-time.After(fl.killAfter()):
 			problem = "router " + r.name + " did not exit by itself before it was due to be killed"
+			r.signal(p, syscall.SIGQUIT) // its log then shows what each goroutine waits for
+			<-p.done
 		}
 		mu.Lock()
 		defer mu.Unlock()
--- a/lab/fleet/faults.go
+++ b/lab/fleet/faults.go
@@ -80,7 +80,7 @@
 			fl.origin.SetFaults(map[bool]fakes.Faults{true: {ReadBytesPerS: f.BytesS}}[on])
 		})
 	case "flood":
-		fl.flood(ctx, f)
+		fl.localFlood(ctx, f)
 	case "request-flood":
 		fl.requestFlood(ctx, f)
 	case "discovery-down":
