--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -95,6 +95,36 @@
 	t.Error("the connection is still open")
 }
 
+// Guards against new clients that have no answer in their time, as connections of a flood stand before them in
+// the listener's queue and each holds a descriptor beyond the limit while it is read.
+func TestFloodsBeyondTheLimitHoldUpNoNewClient(t *testing.T) {
+	const floodConns = 12 * maxOverflowConns
+	silent := startFakeServer(t, func(string) string { return "" })
+	_, _, addr := startLoopAndClients(t, 192, 1, cacheEntry("s-0000000b", silent.addr), originEntry(silent.addr))
+	busy := dialClient(t, addr)
+	busy.send(readCommandOfKey(1, "busy", 20000) + "\r\n")
+	receive(t, silent.received, "request at the silent server")
+	commands := pipelineOf(100)
+	for range floodConns {
+		flooding := dialClient(t, addr)
+		go io.Copy(io.Discard, flooding)
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(flooding, commands)
+			}
+		}()
+	}
+	const wait = time.Second
+	askedAt := time.Now()
+	got := dialClient(t, addr).exchange(readCommandOfKey(2, "more", int(wait.Milliseconds())))
+	if !strings.HasPrefix(got, "SERVER_ERROR busy") {
+		t.Errorf("beside a flood beyond the limit: got %q", got)
+	}
+	if took := time.Since(askedAt); took > wait {
+		t.Errorf("the answer took %v, the client waits %v", took, wait)
+	}
+}
+
 // Guards against a flood that keeps new clients out for as long as it lasts, as it holds all connections and none
 // of them is ever idle.
 func TestFloodOverAllConnectionsGivesWayToNewClients(t *testing.T) {
