Let floods beyond the limit of connections give way to a client that waits

What callers saw: no answer in their time while a client opened some 100 connections and sent at full speed.

Cause: once no descriptor is left, a new connection has its commands rejected over one of eight more, and was read for 0.3 s while its client sent on. The listener's queue moved by 27 such connections a second, with ordinary clients behind them. Their end also waited 20 ms for the first look at what is acknowledged.

Change: while a new client waits, such a connection is read no further after 128 commands; what was read is answered. Acknowledgements are looked at after 1, 2, 4, 8, 16, then each 20 ms.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -297,11 +297,13 @@
 		return
 	}
 	discardBytes := lingerBytes
+	interval := deliveryCheckMinInterval
 	for c.mustLinger(until) {
-		c.SetReadDeadline(time.Now().Add(deliveryCheckInterval))
+		c.SetReadDeadline(time.Now().Add(interval))
 		if awaitDisconnect(c.Conn, &discardBytes) {
 			return
 		}
+		interval = min(2*interval, deliveryCheckInterval)
 	}
 }
 
--- a/internal/router/client_read.go
+++ b/internal/router/client_read.go
@@ -147,7 +147,8 @@
 // connection's time is up. It reports whether the client was rejected, which includes quit.
 func (c *clientConn) readCommands() (isRejected bool) {
 	overflowEnd := time.Now().Add(overflowCommandTimeout)
-	for isFirst := true; ; isFirst = false {
+	for commands := 1; ; commands++ {
+		isFirst := commands == 1
 		if err := c.awaitFirstByte(); err != nil {
 			c.endReading(err)
 			return false
@@ -166,7 +167,8 @@
 			c.turn.endLocal()
 		}
 		if c.isOverflow {
-			c.isInputClosed = time.Now().After(overflowEnd)
+			isFlooding := commands >= overflowFloodCommands
+			c.isInputClosed = time.Now().After(overflowEnd) || isFlooding && c.clients.isClientWaiting.Load()
 			if !c.hasMoreInput() {
 				return false
 			}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -57,6 +57,9 @@
 	// overflowCommandTimeout is how long a command of such a connection may take to be complete, and
 	// how long after its start the connection is read.
 	overflowCommandTimeout = 300 * time.Millisecond
+	// overflowFloodCommands is the number of commands after which such a connection gives way to a new
+	// client. It is well above the length of usual pipelines.
+	overflowFloodCommands = 128
 )
 
 // clients serves the client connections. Its goroutines are accept, one reader for each connection,
@@ -81,6 +84,8 @@
 	localWork *localWorkBudget
 	// requests decides when the requests of connections begin.
 	requests *requestScheduler
+	// isClientWaiting is set while a new client waits for a descriptor.
+	isClientWaiting atomic.Bool
 	// activeConns counts the open connections that have sent a command.
 	activeConns atomic.Int64
 	// acceptDone is closed when accept has ended.
@@ -152,6 +157,7 @@
 // command, one that floods. While that is being answered, a new one could wait past its client's
 // deadline. It then gets a descriptor from overflow, and its commands are rejected.
 func (s *clients) acquireConnection() *descriptorQuota {
+	defer s.isClientWaiting.Store(false)
 	for !s.connections.tryAcquire() {
 		if !s.evictIdle(false) {
 			s.evictBusiest() // frees a descriptor once its commands are answered
@@ -159,6 +165,7 @@
 				return &s.overflow
 			}
 		}
+		s.isClientWaiting.Store(true)
 		select {
 		case <-s.connections.released:
 		case <-s.overflow.released:
--- a/internal/router/delivery.go
+++ b/internal/router/delivery.go
@@ -16,6 +16,9 @@
 	// deliveryCheckInterval is how often a connection that waits for its end is checked for
 	// unacknowledged bytes. The system reports no event for it.
 	deliveryCheckInterval = 20 * time.Millisecond
+	// deliveryCheckMinInterval is the time until the first of these checks: most clients acknowledge at
+	// once, and another client may wait for the descriptor.
+	deliveryCheckMinInterval = time.Millisecond
 	// writeCheckInterval is how often a blocked write is checked for progress of the client.
 	writeCheckInterval = time.Second
 	// clientProgressTimeout is how long a client may take until it acknowledges further bytes.
--- a/internal/router/overflow_test.go
+++ b/internal/router/overflow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +108,7 @@
 	commands := pipelineOf(100)
 	for range floodConns {
 		flooding := dialClient(t, addr)
+		flooding.Conn.(*net.TCPConn).SetWriteBuffer(32 << 10) // a larger one only takes time to fill
 		go io.Copy(io.Discard, flooding)
 		go func() {
 			for err := error(nil); err == nil; {
