Tell the checker which router a flood of requests is sent to

Need: a collapse of a cold server counted work of a flood as that of a router informed of the start, as nobody recorded which router it was.

Change: the laboratory records each flood with its router; a flood that is not recorded counts as before.

--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -38,6 +38,7 @@
 	DiscoveryMoved                   // lab: sent a router a configuration with another discovery address (Router)
 	DescriptorsExhausted             // lab: idle clients use up a router's file descriptors (Router) for Deadline ms
 	RouterPaused                     // lab: suspended a router's process (Router) for Deadline ms
+	FloodStarted                     // lab: a client floods a router (Router); its ids begin with Request
 )
 
 // Answer is the outcome of a request as its client saw it.
--- a/lab/checker/checker_test.go
+++ b/lab/checker/checker_test.go
@@ -76,6 +76,8 @@
 			e.Kind = RouterKilled
 		case "collapsed":
 			e.Kind, e.Server = ServerCollapsed, word(2)
+		case "flood":
+			e.Kind, e.Request = FloodStarted, word(2)
 		case "malformed":
 			e.Kind, e.Server = Malformed, word(2)
 		case "server-started":
--- a/lab/checker/history.go
+++ b/lab/checker/history.go
@@ -29,6 +29,8 @@
 type request struct {
 	// isOfFlood says that a client sent it whose requests are not recorded.
 	isOfFlood bool
+	// floodRouter is the router that the flood is sent to; "" if the flood is not recorded.
+	floodRouter string
 
 	sent     Event
 	isSent   bool // whether sent is set
@@ -66,6 +68,7 @@
 	effects      map[string][]Event // by request
 	starts       []*start           // in the order of time
 	discovery    discoveryHistory
+	floods       []Event // beginnings of floods
 	malformed    []Event
 	collapses    []Event
 	serverStarts map[string][]float64 // by server
@@ -121,6 +124,8 @@
 		k := routerServer{e.Router, e.Server}
 		h.drains[k] = drainSpans(h.drains[k], e)
 		h.sentStarts[k] = append(h.sentStarts[k], sentStart{e.At, e.ServerStartedAt})
+	case FloodStarted:
+		h.floods = append(h.floods, e)
 	case Malformed:
 		h.malformed = append(h.malformed, e)
 	case ServerCollapsed:
@@ -134,12 +139,30 @@
 func (h *history) request(id string) *request {
 	q := h.byID[id]
 	if q == nil {
-		q = &request{isOfFlood: strings.HasPrefix(id, FloodPrefix)}
+		q = &request{isOfFlood: strings.HasPrefix(id, FloodPrefix), floodRouter: h.floodRouterOf(id)}
 		h.byID[id], h.requests = q, append(h.requests, q)
 	}
 	return q
 }
 
+// floodRouterOf returns the router that the flood with a request is sent to; "" if there is none.
+func (h *history) floodRouterOf(id string) string {
+	for _, flood := range h.floods {
+		if strings.HasPrefix(id, flood.Request) {
+			return flood.Router
+		}
+	}
+	return ""
+}
+
+// router returns the router that the request was sent to; "" if it is not known.
+func (q *request) router() string {
+	if q.isSent {
+		return q.sent.Router
+	}
+	return q.floodRouter
+}
+
 func (q *request) add(e Event) {
 	switch e.Kind {
 	case Sent:
--- a/lab/checker/slow_start.go
+++ b/lab/checker/slow_start.go
@@ -35,7 +35,7 @@
 				continue
 			}
 			total += a.work
-			if !q.isSent || h.wasInformedOfStart(q.sent.Router, collapse, a.beganAt, r) {
+			if router := q.router(); router == "" || h.wasInformedOfStart(router, collapse, a.beganAt, r) {
 				informed += a.work
 			}
 		}
--- a/lab/checker/slow_start_test.go
+++ b/lab/checker/slow_start_test.go
@@ -1,6 +1,9 @@
 package checker
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 func TestCollapseCausedByInformedRoutersIsReported(t *testing.T) {
 	const (
@@ -8,9 +11,14 @@
 		informed  = "2000 sent read request=i{n} router=informed\n2000 received s1 request=i{n} router=informed work=10\n2010 ended s1 dropped request=i{n}\n2010 disconnected request=i{n}"
 		unaware   = "2000 sent read request=u{n} router=unaware\n2000 received s1 request=u{n} router=unaware work=10\n2010 ended s1 dropped request=u{n}\n2010 disconnected request=u{n}"
 		heavy     = "2000 sent read request=h{n} router=unaware\n2000 received s1 request=h{n} router=unaware work=60\n2010 ended s1 dropped request=h{n}\n2010 disconnected request=h{n}"
+		flood     = "2000 received s1 request=flood-%s-{n} work=10\n2010 ended s1 dropped request=flood-%s-{n}"
 		fell      = "2005 collapsed s1 since=1005\n"
 	)
+	floodOf := func(name string) string { return repeat(6, strings.ReplaceAll(flood, "%s", name)) }
 	expectRules(t, rules, []ruleCase{
+		{"a flood to a router that was not informed", "", restarted + "1900 flood flood-a- router=unaware\n" + floodOf("a") + fell},
+		{"a flood to an informed router", "cold", restarted + "1900 flood flood-a- router=unaware\n1900 flood flood-b- router=informed\n" + floodOf("b") + fell},
+		{"a flood to a router that is not known", "cold", restarted + "1900 flood flood-a- router=unaware\n" + floodOf("c") + fell},
 		{"two thirds of informed routers", "", restarted + repeat(4, informed) + repeat(2, unaware) + fell},
 		{"over two thirds", "cold", restarted + repeat(5, informed) + repeat(2, unaware) + fell},
 		{"by work, not by number", "", restarted + repeat(5, informed) + repeat(1, heavy) + fell},
--- a/lab/fleet/flood.go
+++ b/lab/fleet/flood.go
@@ -38,6 +38,7 @@
 		DeadlineMillis: class.LimitMS,
 		Names:          fmt.Sprintf("%s%x-", checker.FloodPrefix, fl.draw(1<<30)),
 	}
+	fl.journal.Add(checker.Event{At: fl.clock.Now(), Kind: checker.FloodStarted, Router: name, Request: requests.Names})
 	fl.mark("a client sends requests of class %s at full speed over %d connections to %s", class.Name, f.Count, name)
 	fl.playFlood(ctx, f, flood.Plan{Address: address, Connections: f.Count, Requests: &requests})
 	fl.mark("the flood of requests to %s is over", name)
