Add a failing test of the slow-start budget when only cold servers report

Trace: two warm servers of four crash while two others are cold; the capacity that routers assume goes from 100 to 1,383 a second within 0.2 s, as the cold ones answer misses in a fraction of a request's work, and the budget with it.

--- a/decide/slow_start_test.go
+++ b/decide/slow_start_test.go
@@ -259,3 +259,96 @@
 		}
 	}
 }
+
+// Guards against a slow-start budget that grows many times over once no warm server is left: cold servers
+// answer misses at a fraction of a request's work, and so report many times their capacity.
+func TestReportsOfColdServersDoNotRaiseTheSlowStartBudget(t *testing.T) {
+	const (
+		restartAt      = 200000.0 // ms
+		warmPerSecond  = 100.0    // capacity
+		missesPerOther = 15       // a cold server answers as many misses in the time of another request
+	)
+	tests := map[string]struct {
+		hasWarmServers bool // servers that were warm have reported to the router
+		isHandedOver   bool // the router is the successor of the process that got the reports
+		restarted      int
+		listedAfter    float64 // ms from the restart until the list shows it
+	}{
+		"warm servers reported and are gone": {hasWarmServers: true, restarted: 2},
+		"all restarted":                      {hasWarmServers: true, restarted: 4},
+		"the successor of that router":       {hasWarmServers: true, isHandedOver: true, restarted: 2},
+		"a router that knows no warm server": {restarted: 4},
+		"listed late":                        {hasWarmServers: true, restarted: 4, listedAfter: 1500},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Routers = 1
+			endpoints := readyEndpoints(4)
+			b, _ := newTestBalancer(t, cfg, endpoints)
+			if test.hasWarmServers {
+				reportAll(b, 150000, endpoints, warmPerSecond)
+			} else {
+				servedReads(b, 150000, 40)
+			}
+			restarted := endpoints[:test.restarted]
+			for i := range restarted {
+				restarted[i].StartedAt = restartAt
+			}
+			for now := restartAt; now < restartAt+test.listedAfter; now += 250 {
+				reportAll(b, now, restarted, missesPerOther*warmPerSecond)
+			}
+			listedAt := restartAt + test.listedAfter
+			b.UpdateEndpoints(listedAt, AllEndpoints, restarted)
+			if test.isHandedOver {
+				b = successorOf(t, b, cfg, listedAt+1)
+				b.UpdateEndpoints(listedAt+1, AllEndpoints, restarted)
+			}
+			reportAll(b, listedAt+500, restarted, missesPerOther*warmPerSecond)
+			s := b.membership.servers[restarted[0].ID]
+			sent := 0
+			for end := b.now + cfg.OverloadMillis; b.now < end; b.now += 5 {
+				for b.hasSlowStartBudget(s, 1) {
+					s.slowStart.budget.requests--
+					sent++
+				}
+			}
+			n := cfg.OverloadFactor * warmPerSecond * b.warmShare(s) * cfg.OverloadMillis / 1000
+			if limit := n + 2*math.Sqrt(n) + 2; float64(sent) > limit || float64(sent) < n/8 {
+				t.Errorf("%d requests in a window, the limit is %.0f", sent, limit)
+			}
+		})
+	}
+}
+
+// reportAll has all servers report a capacity, and the placement use it.
+func reportAll(b *Balancer, now float64, endpoints []Endpoint, capacityPerSecond float64) {
+	const utilization = 0.5
+	for i, e := range endpoints {
+		at := now + float64(i)
+		distinct := math.Mod(at, 1000) / 1000 // a repeated report is ignored
+		b.HealthCheckEnded(at, e.ID, OK, loadReport(utilization*capacityPerSecond+distinct, utilization))
+	}
+	b.solve()
+}
+
+// servedReads has a new router learn how long servers take for a read, in ms.
+func servedReads(b *Balancer, now, latencyMillis float64) {
+	b.now = now
+	for range 20 {
+		b.serviceTime.add(latencyMillis)
+	}
+}
+
+// successorOf returns a Balancer that has taken over the state of another.
+func successorOf(t *testing.T, from *Balancer, cfg Config, now float64) *Balancer {
+	t.Helper()
+	b, err := New(cfg, 8, newFakeHost())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.TakeOver(now, from.HandOver(now)); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
