Work the slow-start budget out from what warm servers carry

Cause: cold servers answer misses at a fraction of a request's work and report many times their capacity. Once no warm server was left in the list, the budget followed: 100 to 1,383 requests a second in the trace.

Change: the budget uses reports of servers that were warm, kept while there is none and handed over in an upgrade; it rises slowly, as a restart may be listed late. Without any, the time of answers bounds it.

In handover_continued.json two figures are new, as the budget is another one: the cold server's, and WarmCapacities.

--- a/decide/handover.go
+++ b/decide/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -46,6 +47,9 @@
 	ToleratedWaitShare float64 `json:"Bear"`
 	// IdleTimeoutMillis is how long idle connections are kept open.
 	IdleTimeoutMillis float64 `json:"Keep"`
+	// WarmCapacities are the capacities per unit of size of warm servers, requests per second, by
+	// kind. They are absent in the state of earlier releases.
+	WarmCapacities map[string]float64 `json:"WarmCapacities,omitempty"`
 }
 
 // ServerSnapshot is the record of one server. Its fields correspond to those of the server type.
@@ -161,6 +165,7 @@
 		FetchLimit:         b.originFetches.limit,
 		ToleratedWaitShare: b.toleratedWaitShare,
 		IdleTimeoutMillis:  b.idleTimeoutMillis,
+		WarmCapacities:     maps.Clone(b.capacities.warmByKind),
 	}
 	for id, at := range b.membership.disabledAt {
 		state.DisabledAt[id] = at
@@ -238,6 +243,7 @@
 	b.originFetches.limit = state.FetchLimit
 	b.toleratedWaitShare = state.ToleratedWaitShare
 	b.idleTimeoutMillis = min(state.IdleTimeoutMillis, b.cfg.IdleTimeoutMillis)
+	b.capacities.restoreWarm(now, state.WarmCapacities)
 	b.placement.isStale = true
 	return nil
 }
--- a/decide/handover_fixture_test.go
+++ b/decide/handover_fixture_test.go
@@ -10,7 +10,9 @@
 // The files in testdata were written by a release with other Go names. handover.json is a state
 // handed over at fixtureHandOverMillis, with servers that are disabled, ejected, cold, draining and
 // removed. handover_continued.json is what a process of that release did after it took over that
-// state: where it sent the requests of playFixture, and the state that it handed over in turn.
+// state: where it sent the requests of playFixture, and the state that it handed over in turn. Two
+// figures of that state are of a later release, which works the slow-start budget out from what warm
+// servers carry: the budget of the cold server, and WarmCapacities.
 const (
 	fixtureHandOverMillis  = 110000.0
 	fixtureContinuedMillis = 114000.0
--- a/decide/slow_start.go
+++ b/decide/slow_start.go
@@ -31,6 +31,11 @@
 	return min(1, initialShare+(1-initialShare)*max(0, ageMillis)/duration)
 }
 
+// isInSlowStart reports whether the slow-start budget applies to a server.
+func (b *Balancer) isInSlowStart(s *server) bool {
+	return b.now < s.slowStart.startedAt+warmAgeFactor*b.cfg.SlowStartMillis
+}
+
 // hasSlowStartBudget reports whether this router's equal part of a cold server's slow-start budget
 // allows a request of the given work: the budget must hold 1 + windowRequests*(1 - 1/work)
 // requests, where work is at least 1. All routers together may send fleetPerSecond, and each
@@ -46,13 +51,10 @@
 // heavy request may only use budget that is about to lapse, as the same work serves more light
 // requests.
 func (b *Balancer) hasSlowStartBudget(s *server, work float64) bool {
-	if b.now >= s.slowStart.startedAt+warmAgeFactor*b.cfg.SlowStartMillis {
+	if !b.isInSlowStart(s) {
 		return true
 	}
-	// The typical capacity of the kind, as a report made during cheap misses overstates the
-	// capacity.
-	capacity := b.capacities.typicalPerSecond(s, coldCapacityPerSecond)
-	fleetPerSecond := coldLimitShare * b.cfg.OverloadFactor * capacity * b.warmShare(s)
+	fleetPerSecond := coldLimitShare * b.cfg.OverloadFactor * b.slowStartPerSecond(s) * b.warmShare(s)
 	requestsPerMilli := fleetPerSecond / b.fleetProcesses() / millisPerSecond
 	windowRequests := requestsPerMilli * b.cfg.OverloadMillis
 	s.slowStart.budget.refill(b.now, requestsPerMilli, windowRequests)
