Keep the reason of a permit whose holder has gone when its drain is complete

What operators saw: a permit in use with no reason why, until the next change.

Cause: completeDrains deletes the reason that removeFinishedPermits has written in the same reconcile, which so was not idempotent.

Change: only a permit with a holder loses its reason then.

--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -178,7 +178,9 @@
 		switch {
 		case senders.total == 0:
 			p.IsDrained = true
-			p.WaitReason = ""
+			if p.Session != "" { // without a holder it waits for a restart, whose reason stays
+				p.WaitReason = ""
+			}
 			s.Version++
 		case p.Session != "":
 			p.WaitReason = fmt.Sprintf("until nothing more is sent to it by %s", senders.text())
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -453,6 +453,21 @@
 	}
 }
 
+// Guards against a permit without a reason: its holder has gone, and in the event that completes the drain the
+// reason that the operator needs was deleted until the next change.
+func TestOrphanedPermitKeepsItsReasonWhenDrained(t *testing.T) {
+	f := newFleetInService(Budget{Name: "s", Kind: KindServer, MaxOut: 1})
+	f.beginServer("sa1", "ann")
+	f.endSession("ann")
+	for _, router := range []string{"r1", "r2", "r3"} {
+		f.acknowledge(router, f.state.DrainVersion)
+	}
+	p := f.permit(KindServer, "sa1")
+	if !p.IsDrained || !strings.Contains(p.WaitReason, "its holder ann is gone") {
+		t.Errorf("drained %v, reason %q", p.IsDrained, p.WaitReason)
+	}
+}
+
 // Guards against a server that counts as drained while a router without a session still sends to
 // it. The routers with a session acknowledge the drain. The one without a session only stops
 // because of the endpoint list, within the grace period after the list marks the server as
