Take the hand-over path back when a successor has died

What operators saw: a server left out by hand got requests again after an upgrade whose first new process was killed.

Cause: a new process replaces the old one's socket at the path; once it has died nobody listens there, and the next process starts alone.

Change: a process whose successor has gone listens at the path again if nobody does; a new process that finds a dead socket tries again for 30 ms. Serving moves to a file of its own.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -3,8 +3,8 @@
 // A peer that is absent, dead or silent, or has another version, blocks neither: each step has a
 // timeout, and a process that can't join a predecessor starts alone.
 //
-// link.go has the messages of a link, and socket.go the Unix socket through which the processes
-// connect and the transfer of the listening socket's descriptor.
+// serve.go waits for successors, link.go has the messages of a link, and socket.go the path through which
+// the processes connect and the transfer of the listening socket's descriptor.
 package handover
 
 import (
@@ -15,8 +15,6 @@
 	"io"
 	"net"
 	"os"
-	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -34,8 +32,13 @@
 	stateTimeout = 2 * stepTimeout
 	// maxConcurrentJoins bounds the number of peers that are joining or have joined.
 	maxConcurrentJoins = 4
-	// acceptRetryInterval is the time between two attempts to accept when no descriptor is free.
+	// acceptRetryInterval is the time between two attempts to accept when no descriptor is free, or to
+	// listen when the directory can't be written.
 	acceptRetryInterval = 100 * time.Millisecond
+	// connectAttempts and connectRetryInterval bound how long a new process tries to connect to a path
+	// at which nobody listens: its predecessor may just be taking the path back.
+	connectAttempts      = 4
+	connectRetryInterval = 10 * time.Millisecond
 	// socketMode permits connections only from processes of the same user.
 	socketMode = 0o600
 )
@@ -73,8 +76,7 @@
 		return nil, nil, nil, err
 	}
 	defer folder.Close()
-	dialer := net.Dialer{Timeout: stepTimeout}
-	conn, err := dialer.DialContext(ctx, "unix", path)
+	conn, err := connect(ctx, path)
 	if opError := (*net.OpError)(nil); errors.As(err, &opError) {
 		err = opError.Err // without the path, which contains a descriptor number
 	}
@@ -90,6 +92,19 @@
 	return l, ln, state, nil
 }
 
+// connect connects to the process that listens at path. If there is a socket that nobody listens at, it
+// tries a few times.
+func connect(ctx context.Context, path string) (conn net.Conn, err error) {
+	dialer := net.Dialer{Timeout: stepTimeout}
+	for attempt := 1; ; attempt++ {
+		conn, err = dialer.DialContext(ctx, "unix", path)
+		if !errors.Is(err, syscall.ECONNREFUSED) || attempt == connectAttempts {
+			return conn, err
+		}
+		time.Sleep(connectRetryInterval)
+	}
+}
+
 // join sends the hello message, and receives the listening socket and the state.
 func (l *Link) join() (net.Listener, []byte, error) {
 	if err := l.send(Message{Kind: helloKind, Version: Version}, nil); err != nil {
@@ -117,79 +132,6 @@
 	return ln, m.Body, nil
 }
 
-// Serve waits for successor processes until ctx ends. Each one with the same version receives ln
-// and the result of State; then RunLink runs the link to it. Serve replaces the socket at the path,
-// whichever process created it, so the file of a dead process does no harm. Serve returns after all
-// calls of RunLink have returned.
-func Serve(ctx context.Context, dir, addr string, ln syscall.Conn, peer Peer) error {
-	path, folder, err := socketPath(dir, addr)
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	listener, err := listenAt(path)
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
-	var joined sync.WaitGroup
-	defer joined.Wait()
-	slots := make(chan struct{}, maxConcurrentJoins)
-	for {
-		conn, err := listener.AcceptUnix()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil { // no descriptor is free, for example
-			select {
-			case <-time.After(acceptRetryInterval):
-				continue
-			case <-ctx.Done():
-				return nil
-			}
-		}
-		select {
-		case slots <- struct{}{}:
-		default: // more successors at once than a router ever has
-			conn.Close()
-			continue
-		}
-		joined.Go(func() {
-			defer func() { <-slots }()
-			l := newLink(conn)
-			defer l.Close()
-			if err := l.handOver(ctx, ln, peer); err != nil {
-				return // the other process continues alone
-			}
-			peer.RunLink(ctx, l)
-		})
-	}
-}
-
-// listenAt listens at path and replaces the socket of another process there. The socket is created
-// next to the path and then renamed, so that a successor always finds either the old or the new
-// one.
-func listenAt(path string) (*net.UnixListener, error) {
-	temporary := fmt.Sprintf("%s.%d", path, os.Getpid())
-	os.Remove(temporary) //nolint:errcheck // left over by a dead process with the same process ID, if any
-	listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: temporary, Net: "unix"})
-	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	listener.SetUnlinkOnClose(false) // by then another process may have replaced the file
-	if err := os.Chmod(temporary, socketMode); err != nil {
-		listener.Close()
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		listener.Close()
-		return nil, fmt.Errorf("handover: %s: %w", filepath.Base(path), err)
-	}
-	return listener, nil
-}
-
 // handOver reads the hello message of a connected process, and sends it the listening socket and
 // the state.
 func (l *Link) handOver(ctx context.Context, ln syscall.Conn, peer Peer) error {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -163,6 +163,52 @@
 	join(t, dir, "a:1", "second")
 }
 
+// Guards against an old process that no later one finds: a new process has replaced its socket at the path, and
+// has died, at any step of joining. A later process would start alone, without the old one's disabled servers.
+func TestOldProcessIsFoundAfterItsSuccessorDied(t *testing.T) {
+	dir := t.TempDir()
+	old, _ := serve(t, dir, "a:1", "old")
+	for round := range 3 {
+		link, _ := join(t, dir, "a:1", "old")
+		<-old.joined
+		ln, err := Listen(t.Context(), "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, kill := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() {
+			served <- Serve(ctx, dir, "a:1", ln.(*net.TCPListener), &process{ln: ln, state: "new", joined: make(chan *Link, 10)})
+		}()
+		awaitState(t, dir, "a:1", "new")
+		kill() // its listener and its link are closed, its file stays
+		if err := <-served; err != nil {
+			t.Fatal(err)
+		}
+		ln.Close()
+		link.Close()
+		if got := awaitState(t, dir, "a:1", "old"); got != "old" {
+			t.Fatalf("round %d: joined %q", round, got)
+		}
+		(<-old.joined).Close()
+	}
+}
+
+// awaitState joins until the state is want, and returns the last one.
+func awaitState(t *testing.T, dir, addr, want string) (got string) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); got != want && time.Now().Before(end); {
+		l, ln, text, err := Join(t.Context(), dir, addr)
+		if err != nil {
+			continue
+		}
+		got = strings.Trim(string(text), `"`)
+		l.Close()
+		ln.Close()
+	}
+	return got
+}
+
 // The peer at the path sends nothing, has another version, sends no socket, or is not a router.
 // Join must return an error within its timeouts, so that the new process can start alone.
 func TestJoinFailsWithUnsuitablePeer(t *testing.T) {
