Send calls to the old process as soon as its state is taken over

What operators saw: a server left out through a new process that was just ready still got requests of the old one.

Cause: the link was known only once its goroutine had begun to run.

Change: Inherit records the link.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -178,7 +178,8 @@
 		ctx, kill := context.WithCancel(t.Context())
 		served := make(chan error, 1)
 		go func() {
-			served <- Serve(ctx, dir, "a:1", ln.(*net.TCPListener), &process{ln: ln, state: "new", joined: make(chan *Link, 10)})
+			next := &process{ln: ln, state: "new", joined: make(chan *Link, 10)}
+			served <- Serve(ctx, dir, "a:1", ln.(*net.TCPListener), next)
 		}()
 		awaitState(t, dir, "a:1", "new")
 		kill() // its listener and its link are closed, its file stays
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -174,8 +174,12 @@
 // Inherit sets the state received from the previous process and the link to that process. It must
 // be called before Run. If the state is invalid, it returns an error and nothing of the state is
 // used.
+//
+// From then on the previous process gets the calls that this one receives: a call may arrive before
+// the link runs.
 func (r *Router) Inherit(text []byte, link *handover.Link) error {
 	r.link = link
+	r.peers.add(link, true)
 	state := new(handoverState)
 	if err := json.Unmarshal(text, state); err != nil {
 		return fmt.Errorf("handover: %w", err)
--- a/internal/router/handover_test.go
+++ b/internal/router/handover_test.go
@@ -17,15 +17,30 @@
 func startSuccessor(t *testing.T, old *runningRouter, cfg *Config) (successor *runningRouter, end context.CancelFunc) {
 	t.Helper()
 	dir := t.TempDir()
+	end = serveHandover(t, old, dir)
+	r, ln := joinRouter(t, dir, cfg)
+	return runRouter(t, r, ln), end
+}
+
+// serveHandover waits for successors of a router in dir until the test ends or the returned function is
+// called.
+func serveHandover(t *testing.T, old *runningRouter, dir string) (end context.CancelFunc) {
+	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if err := handover.Serve(ctx, dir, "x", old.router.clients.listener.(*net.TCPListener),
-			old.router); err != nil {
+		listener := old.router.clients.listener.(*net.TCPListener)
+		if err := handover.Serve(ctx, dir, "x", listener, old.router); err != nil {
 			t.Error(err)
 		}
 	})
 	t.Cleanup(func() { stop(); wg.Wait() })
+	return stop
+}
+
+// joinRouter creates a router that takes over from the process that serves in dir.
+func joinRouter(t *testing.T, dir string, cfg *Config) (*Router, net.Listener) {
+	t.Helper()
 	for {
 		link, ln, state, err := handover.Join(t.Context(), dir, "x")
 		if err != nil {
@@ -38,7 +53,25 @@
 		if err := r.Inherit(state, link); err != nil {
 			t.Fatal(err)
 		}
-		return runRouter(t, r, ln), stop
+		return r, ln
+	}
+}
+
+// Guards against a call of an operator that the old process doesn't get, as it arrived at the new one before
+// that had begun to run the link.
+func TestCallReachesOldProcessBeforeTheLinkRuns(t *testing.T) {
+	a, o := startFakeServer(t, hitAnswer), startFakeServer(t, originAnswer)
+	d := startFakeDiscovery(t, completeList(cacheEntry("s-0000000b", a.addr), originEntry(o.addr)))
+	old := startRouter(t, testConfig(t, d.Listener.Addr().String(), endpointList{}))
+	for !old.router.Ready() {
+	}
+	dir := t.TempDir()
+	serveHandover(t, old, dir)
+	successor, ln := joinRouter(t, dir, testConfig(t, "127.0.0.1:1", endpointList{}))
+	defer ln.Close()
+	defer successor.link.Close()
+	if links := successor.peers.open(); len(links) != 1 || links[0] != successor.link {
+		t.Errorf("calls go to %d processes, want the old one", len(links))
 	}
 }
 
