Tell the other process of an upgrade which requests must not run twice

Cause: each process knew only its own requests. Change: notices over the link when such a request begins and when it ends, and those known in the state for a successor. In flight elsewhere: rejected as busy; may have run: refused.

No cost with one process.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -109,6 +109,9 @@
 		l.trace.Event(now, "send", "r=%d n=%d s=%08x origin=%t started=%.0f key=%x",
 			r.id, a.index, server, t.isOrigin, t.startedAt, keyID(r.command.key))
 	}
+	if a.index == 0 {
+		l.notify(r, requestBegun)
+	}
 	client := r.response
 	l.background.Go(func() {
 		defer cancel()
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dockhinge.example/dockhinge/decide"
@@ -35,6 +36,8 @@
 	DisabledByOperator []string `json:"ByHand,omitempty"`
 	// DisabledByFleet holds the names of the servers disabled by the fleet.
 	DisabledByFleet []string `json:"Agreed,omitempty"`
+	// Requests are those of the old process that must not run twice.
+	Requests []requestNotice `json:"Requests,omitempty"`
 }
 
 // disableCall disables or enables one cache server, on behalf of an operator or of the fleet. In
@@ -57,6 +60,8 @@
 	disableKind = "ban"
 	// listKind is an endpointList received from discovery. It is not answered.
 	listKind = "list"
+	// requestsKind is a list of requestNotice. It is not answered.
+	requestsKind = "requests"
 )
 
 // disableTimeout is how long another process may take for a disableCall. The operator's client
@@ -67,6 +72,8 @@
 type peers struct {
 	// onProcessCount is set before the first peer joins, if at all.
 	onProcessCount func(processes int)
+	// hasAny is set while there are links.
+	hasAny *atomic.Bool
 
 	// mu guards links.
 	mu sync.Mutex
@@ -83,12 +90,14 @@
 		p.links = map[*handover.Link]bool{}
 	}
 	p.links[link] = hasJoined
+	p.hasAny.Store(true)
 }
 
 func (p *peers) remove(link *handover.Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.links, link)
+	p.hasAny.Store(len(p.links) > 0)
 }
 
 // open returns the open links, and removes the closed ones.
@@ -102,6 +111,7 @@
 			links = append(links, link)
 		}
 	}
+	p.hasAny.Store(len(p.links) > 0)
 	return links
 }
 
@@ -163,6 +173,7 @@
 		ServerIDs:          l.serverIDs.clone(),
 		DisabledByOperator: slices.Collect(maps.Keys(l.disabledByOperator)),
 		DisabledByFleet:    slices.Collect(maps.Keys(l.disabledByFleet)),
+		Requests:           l.knownRequests(),
 	}
 	if l.admission != nil {
 		snapshot := l.admission.admission.Snapshot(l.now())
@@ -217,6 +228,7 @@
 	addNames(l.disabledByOperator, state.DisabledByOperator)
 	addNames(l.disabledByFleet, state.DisabledByFleet)
 	l.staleGuard.raise(state.List.Version)
+	l.applyNotices(state.Requests)
 }
 
 // addNames adds at most maxServerIDs names to a set.
@@ -252,6 +264,12 @@
 			return fmt.Errorf("handover: %w", err)
 		}
 		r.loop.post(func() { r.loop.applyPeerList(list) })
+	case requestsKind:
+		var notices []requestNotice
+		if err := json.Unmarshal(m.Body, &notices); err != nil {
+			return fmt.Errorf("handover: %w", err)
+		}
+		r.loop.post(func() { r.loop.applyNotices(notices) })
 	}
 	return nil
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -66,6 +66,13 @@
 	endedInFlight map[string]*request
 	// pastRequests are the requests that may have run and must not run twice.
 	pastRequests pastRequests
+	// peerRequests are the requests of other processes of this router that must not run twice and have
+	// not ended.
+	peerRequests pastRequests
+	// notices tells the other processes of such requests of this one.
+	notices *noticeQueue
+	// hasPeers is set while this router has other processes.
+	hasPeers atomic.Bool
 	// memoryBytes is the memory limit of the router, shared by all its processes.
 	memoryBytes int64
 	// requestBytes is the memory budget for the heads and values of requests. Any goroutine may use
@@ -123,6 +130,7 @@
 		events:         make(chan func(), maxEvents),
 		priorityEvents: make(chan func(), maxPriorityEvents),
 		done:           make(chan struct{}),
+		notices:        newNoticeQueue(),
 		requests:       map[uint32]*request{},
 		unanswered:     map[string]*request{},
 		endedInFlight:  map[string]*request{},
--- a/internal/router/past_requests.go
+++ b/internal/router/past_requests.go
@@ -1,5 +1,7 @@
 package router
 
+import "slices"
+
 // pastRequests remembers requests that have ended and may have run, and must not run twice, by their
 // client-assigned ids. A client never uses an id again, but a request may come again: a bad client
 // leaves and sends it once more. It belongs to the loop.
@@ -35,3 +37,23 @@
 
 // contains reports whether a request is remembered.
 func (p *pastRequests) contains(id string, now float64) bool { return p.expiry[id] > now }
+
+// remove forgets a request.
+func (p *pastRequests) remove(id string) {
+	if _, isKnown := p.expiry[id]; !isKnown {
+		return
+	}
+	delete(p.expiry, id)
+	i := slices.Index(p.order, id)
+	p.order = slices.Delete(p.order, i, i+1)
+}
+
+// ids returns the ids of the remembered requests.
+func (p *pastRequests) ids(now float64) (ids []string) {
+	for _, id := range p.order {
+		if p.contains(id, now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -90,6 +90,12 @@
 		l.rejectCommand(&cmd, client, "the id of a request that may have run")
 		return
 	}
+	if l.peerRequests.contains(cmd.id, l.now()) { // if it has not run after all, its client may send it again
+		l.releaseRequest(&cmd)
+		l.metrics.Class(cmd.class).CountOutcome(metrics.Overload)
+		client.answer(rejectedAnswer(l.rules.Load().retryAfterMillis))
+		return
+	}
 	rules := l.rules.Load()
 	rule := rules.classes[cmd.class]
 	// checkCommand has accepted the command, but the settings may have changed since.
@@ -302,8 +308,12 @@
 // rememberIfRun remembers a request that may have run and must not run twice.
 func (l *loop) rememberIfRun(r *request) {
 	mayHaveRun := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun })
-	if mayHaveRun && r.rule.Effect != decide.Idempotent {
+	switch {
+	case mayHaveRun && r.rule.Effect != decide.Idempotent:
 		l.pastRequests.add(r.command.id, l.now())
+		l.notify(r, requestMayHaveRun)
+	case len(r.attempts) > 0:
+		l.notify(r, requestNeverRan)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.peers.hasAny = &r.loop.hasPeers
 	if cfg.Coordination != nil && cfg.Coordination.SharesHealthChecks {
 		r.loop.healthReports = healthcheck.NewReportCache(float64(cfg.Coordination.MaxHealthReportAge.Milliseconds()))
 	}
@@ -93,6 +94,7 @@
 	isHandover := r.inherited != nil
 	wg.Go(func() { r.loop.run(work) })
 	wg.Go(func() { r.upstreams.sweep(work) })
+	wg.Go(func() { r.sendNotices(work) })
 	if r.link != nil {
 		wg.Go(func() { r.RunLink(work, r.link) })
 	}
