--- a/internal/router/peer_requests_test.go
+++ b/internal/router/peer_requests_test.go
@@ -66,13 +66,16 @@
 				orElse(test.during, nothing)(u)
 				l := u.successor.router.loop
 				eventually(t, l, "the notice", func() bool { return l.peerRequests.contains("held", l.now()) })
-				if got := dialClient(t, u.successor.addr).exchange(held(class)); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+				got := dialClient(t, u.successor.addr).exchange(held(class))
+				if !strings.HasPrefix(got, "SERVER_ERROR busy") {
 					t.Errorf("in flight at the old process: got %q", got)
 				}
 				u.oldClient.disconnect("close")
 				release()
-				eventually(t, l, "the notice of the end", func() bool { return l.pastRequests.contains("held", l.now()) })
-				if got := dialClient(t, u.successor.addr).exchange(held(class)); !strings.HasPrefix(got, "CLIENT_ERROR ") {
+				hasRun := func() bool { return l.pastRequests.contains("held", l.now()) }
+				eventually(t, l, "the notice of the end", hasRun)
+				got = dialClient(t, u.successor.addr).exchange(held(class))
+				if !strings.HasPrefix(got, "CLIENT_ERROR ") {
 					t.Errorf("after it may have run: got %q", got)
 				}
 				if n := len(u.server.received); n != 0 {
