Forward no waiting request of a client whose end of input can't be seen

Cause: the end of the input is not received while the router's socket is full; only a write to the client shows the close, and requests behind the first one were forwarded before any.

Change: over 16 KiB unread, a request that was read over 80 ms ago and isn't the first unanswered one is rejected.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -168,8 +168,11 @@
 
 // startWriting moves an attempt from opening to writing, on the attempt's goroutine just before the
 // first byte, and returns the timeout hint for the server. It returns 0 if nothing may be written:
-// the client has disconnected, the time is up, or the attempt was canceled.
+// the client has disconnected or may have, the time is up, or the attempt was canceled.
 func (l *loop) startWriting(a *attempt, client *response, limits sendLimits) timeoutHint {
+	if client.mayHaveBeenLeft(ms(l.now() - a.request.readAt)) { // before the next check, which sees a failed write
+		return 0
+	}
 	if client.conn.disconnected() { // the loop may not have been notified yet
 		l.post(func() { l.handleDisconnect(client) })
 		return 0
--- a/internal/router/delivery.go
+++ b/internal/router/delivery.go
@@ -119,3 +119,27 @@
 		}
 	}
 }
+
+const (
+	// maxHiddenEndWait is how long a request may have waited when its attempt begins, if the end of its
+	// client's input can't be seen: none may begin 0.1 s after the client has closed.
+	maxHiddenEndWait = 80 * time.Millisecond
+	// hiddenEndBytes is how much unread input may fill the system's buffer, so that what the client sent
+	// after it, the end of the input too, has not arrived.
+	hiddenEndBytes = 16 << 10
+)
+
+// mayHaveBeenLeft reports whether the client of a request that was read some time ago may have closed
+// its connection unseen. Until something is written to it, only the end of its input shows that, which
+// is not received while the client has more unread input than the system holds. The first unanswered
+// request of a connection is carried out all the same: a client that waits for it may send a large
+// value behind it.
+func (r *response) mayHaveBeenLeft(waited time.Duration) bool {
+	c := r.conn
+	if waited <= maxHiddenEndWait || unreadBytes(c.Conn) < hiddenEndBytes {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answersInWrite > 0 || len(c.pending) > 0 && c.pending[0] != r
+}
--- a/internal/router/socket.go
+++ b/internal/router/socket.go
@@ -114,6 +114,10 @@
 // side has no capacity for them. It returns 0 if the system doesn't tell.
 func unsentBytes(c net.Conn) int { return socketQueue(c, unix.SIOCOUTQNSD) }
 
+// unreadBytes returns how many received bytes of a connection have not been read from the system. It
+// returns 0 if the system doesn't tell.
+func unreadBytes(c net.Conn) int { return socketQueue(c, unix.SIOCINQ) }
+
 // socketQueue returns the number of bytes in a connection's queue that an ioctl request asks for.
 func socketQueue(c net.Conn, request uint) (bytes int) {
 	withSocket(c, func(raw syscall.RawConn) {
