--- a/lab/flood/process.go
+++ b/lab/flood/process.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"runtime"
 )
 
 // planVariable is the environment variable that makes a program of the laboratory run as a flood; its
@@ -24,6 +25,7 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", planVariable, err)
 		os.Exit(1)
 	}
+	runtime.GOMAXPROCS(1) // enough to keep a router busy; the rest of the machine is for the laboratory
 	plan.runUntilInputEnds()
 	os.Exit(0)
 }
