Add a failing test of answers lost while thousands of servers are replaced

Need: the incident showed with thousands of servers only, and nothing in the laboratory had more than about ten.

Change: lab/largefleet plays one real router, on a processor that it shares with busy loops, before stand-ins for up to 3,200 cache servers (one listener, an address of 127/8 each) while their list changes in ten ways, beside upgrades, restarts, crashes, SIGHUP, moves and outages of discovery; dockhinge-lab large-fleet plays one run or runs drawn from seeds.

--- a/cmd/dockhinge-lab/main.go
+++ b/cmd/dockhinge-lab/main.go
@@ -61,7 +61,8 @@
 	r.AddCommand(leaseFaultsCommand(), leaseCostCommand(), observerCostCommand(), hollowCommand(),
 		capacityCommand(), holderCommand(), resourceCommand())
 	r.AddCommand(listCommand(), loadCommand(), compareCommand(), sweepCommand(), costCommand(), relayCommand(),
-		traceSummaryCommand(), simulateCommand(), regressionCommand(), soakCommand())
+		traceSummaryCommand(), simulateCommand(), regressionCommand(), soakCommand(),
+		largeFleetCommand())
 	return r
 }
 
--- a/lab/fakes/discovery.go
+++ b/lab/fakes/discovery.go
@@ -168,9 +168,30 @@
 }
 
 // ScheduleChange schedules the publication of an event that happened now.
-func (d *Discovery) ScheduleChange(e model.Entry) {
+func (d *Discovery) ScheduleChange(e model.Entry) { d.ScheduleChanges([]model.Entry{e}) }
+
+// ReplaceList publishes changes at once. Callers then get the whole list, as after a restart of discovery.
+func (d *Discovery) ReplaceList(changes []model.Entry) {
+	d.mu.Lock()
+	now := d.clock.Now()
+	for _, e := range changes {
+		d.directory.ScheduleChange(now, e)
+	}
+	previous := d.directory.Version()
+	d.directory.Advance(now)
+	d.recordListed(now, d.directory.ChangesAfter(previous))
+	d.directory.ForgetChanges()
+	d.wakeWatches()
+	d.mu.Unlock()
+}
+
+// ScheduleChanges schedules the publication of events that happened together now.
+func (d *Discovery) ScheduleChanges(changes []model.Entry) {
 	d.mu.Lock()
-	d.directory.ScheduleChange(d.clock.Now(), e)
+	now := d.clock.Now()
+	for _, e := range changes {
+		d.directory.ScheduleChange(now, e)
+	}
 	d.mu.Unlock()
 	select {
 	case d.wakeup <- struct{}{}:
--- a/lab/model/directory.go
+++ b/lab/model/directory.go
@@ -133,6 +133,9 @@
 	d.oldestVersion, d.log = d.version, nil
 }
 
+// ForgetChanges drops the log of changes: a call for the changes after an earlier version gets the full list.
+func (d *Directory) ForgetChanges() { d.oldestVersion, d.log = d.version, nil }
+
 // FullList returns the full list.
 func (d *Directory) FullList() List {
 	l := List{Version: d.version, Full: true, Servers: []Entry{}}
