Change only what a changed server touches in the decisions' membership

Cause: each update of the list, of one server too, built the hash table of 8,192 buckets anew from 64 claims of each server, sorted and classified all servers; each failed attempt copied and sorted the failure shares of all; counts for the metrics and for ejections walked all, five times a second and at each stall; the housekeeping walked all, ten times a second, though nothing was due.

Change: the table keeps the claims of each bucket and changes only those of the server that joins or leaves; servers and failure shares stay sorted; counts are kept as servers change, in one place (membership.change). The housekeeping ends with the budget of health checks. A hand-over sorts pointers, and selects its keys.

--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -26,7 +26,7 @@
 	firstTryRemainingMillis map[string]float64
 	// quotas are the tenants' quotas and usage (tenant_quota.go).
 	quotas tenantQuotas
-	// membership holds the known servers (endpoints.go).
+	// membership holds the known servers (membership.go).
 	membership membership
 	// discovery schedules the polls for the endpoint list (discovery_backoff.go).
 	discovery discoveryPolling
@@ -91,14 +91,11 @@
 		return nil, err
 	}
 	b := &Balancer{
-		host:      host,
-		rng:       rand.New(rand.NewPCG(seed, 1)),
-		startedAt: -1,
-		quotas:    tenantQuotas{usage: map[string]*decayingSum{}},
-		membership: membership{
-			servers:    map[uint32]*server{},
-			disabledAt: map[uint32]float64{},
-		},
+		host:               host,
+		rng:                rand.New(rand.NewPCG(seed, 1)),
+		startedAt:          -1,
+		quotas:             tenantQuotas{usage: map[string]*decayingSum{}},
+		membership:         newMembership(),
 		discovery:          discoveryPolling{pollAt: math.Inf(1)},
 		placement:          placementState{trafficShare: 1 / float64(cfg.Routers)},
 		keys:               keyTable{byID: map[uint64]*keyTraffic{}},
@@ -230,6 +227,7 @@
 	}
 	r := b.requests[o.RequestID]
 	if a := r.endAttempt(o.Attempt, o.Status); a != nil {
+		b.membership.attemptEnded(a.server)
 		b.attemptEnded(r, a, o)
 	}
 }
--- a/decide/disable.go
+++ b/decide/disable.go
@@ -9,7 +9,7 @@
 	}
 	b.membership.disabledAt[serverID] = now
 	if s := b.membership.servers[serverID]; s != nil {
-		s.isDisabled = true
+		b.membership.setDisabled(s, true)
 		s.connection.mayBeOpen = false
 		b.placement.isStale = true
 		b.host.CloseIdle(serverID)
@@ -28,7 +28,7 @@
 	}
 	delete(b.membership.disabledAt, serverID)
 	if s := b.membership.servers[serverID]; s != nil {
-		s.isDisabled = false
+		b.membership.setDisabled(s, false)
 		b.placement.isStale = true
 		b.resetServer(s, max(s.slowStart.startedAt, now))
 		if s.StartedAt > since {
@@ -44,10 +44,10 @@
 func (b *Balancer) resetServer(s *server, startedAt float64) {
 	s.slowStart.startedAt = startedAt
 	s.slowStart.budget = slowStartBudget{requests: b.rng.Float64(), updatedAt: b.now}
-	s.health.isEjected = false
+	b.membership.setEjected(s, false)
 	s.health.unanswered = 0
 	s.health.acceptedShare = 1
 	s.health.evidence = 0
-	s.health.failureShare = b.usualFailureShare
+	b.membership.setFailureShare(s, b.usualFailureShare)
 	s.health.ejectionMillis = 0
 }
--- a/decide/handover.go
+++ b/decide/handover.go
@@ -170,17 +170,16 @@
 	for id, at := range b.membership.disabledAt {
 		state.DisabledAt[id] = at
 	}
-	for _, s := range b.membership.servers {
+	servers := slices.SortedFunc(maps.Values(b.membership.servers),
+		func(p, q *server) int { return cmp.Compare(p.ID, q.ID) })
+	state.Servers = make([]ServerSnapshot, 0, len(servers))
+	for _, s := range servers {
 		s.slowStart.budget.requests /= 2
 		state.Servers = append(state.Servers, s.snapshot())
 	}
-	slices.SortFunc(state.Servers, func(p, q ServerSnapshot) int { return cmp.Compare(p.ID, q.ID) })
-	var keys []*keyTraffic
-	b.forEachKey(func(k *keyTraffic) { keys = append(keys, k) })
-	slices.SortFunc(keys, func(p, q *keyTraffic) int {
-		return cmp.Or(cmp.Compare(q.arrivals.value, p.arrivals.value), cmp.Compare(p.id, q.id))
-	})
-	for _, k := range keys[:min(len(keys), maxSnapshotKeys)] {
+	hottest := hottestKeys{limit: maxSnapshotKeys, compare: compareArrivals}
+	b.forEachKey(hottest.add)
+	for _, k := range hottest.keys {
 		state.Keys = append(state.Keys, KeySnapshot{k.id, k.arrivals.snapshot(), k.meanWork})
 	}
 	return state
@@ -267,16 +266,16 @@
 	b.UpdateEndpoints(now, RestoredEndpoints, entries)
 	for _, state := range servers {
 		if s := b.membership.servers[state.ID]; s != nil {
-			s.restore(state)
+			b.restoreServer(s, state)
 		}
 	}
 }
 
-func (s *server) restore(state ServerSnapshot) {
-	s.health.isEjected = state.IsEjected
+func (b *Balancer) restoreServer(s *server, state ServerSnapshot) {
+	b.membership.setEjected(s, state.IsEjected)
+	b.membership.setFailureShare(s, state.FailureShare)
 	s.health.acceptedShare = state.AcceptedShare
 	s.health.evidence = state.Evidence
-	s.health.failureShare = state.FailureShare
 	s.health.unanswered = state.Unanswered
 	s.health.probeAt = state.ProbeAt
 	s.health.ejectionMillis = state.EjectionMillis
--- a/decide/health_check.go
+++ b/decide/health_check.go
@@ -38,12 +38,14 @@
 	return max(1-b.capacities.reportingServers/enoughReportingServers, min(1, perServer))
 }
 
+// mayCheckHealth reports whether the settings and the budget allow a health check.
+func (b *Balancer) mayCheckHealth() bool {
+	return b.cfg.LoadByHealthCheck && b.cfg.HealthChecksAllowed && b.healthChecks.budget >= 1
+}
+
 // checkIfDue sends a health check to a server if it is due and allowed, and reports whether it did.
 func (b *Balancer) checkIfDue(s *server) bool {
-	if !b.cfg.LoadByHealthCheck || !b.cfg.HealthChecksAllowed || s.isDisabled {
-		return false
-	}
-	if b.healthChecks.budget < 1 || b.now-s.health.checkedAt < minHealthCheckIntervalMillis {
+	if !b.mayCheckHealth() || s.isDisabled || b.now-s.health.checkedAt < minHealthCheckIntervalMillis {
 		return false
 	}
 	b.healthChecks.budget--
--- a/decide/housekeeping.go
+++ b/decide/housekeeping.go
@@ -46,9 +46,19 @@
 	b.host.SetTimer(housekeepingIntervalMillis, housekeepingToken)
 	b.solveIfDue()
 	b.pollDiscovery()
+	b.visitServers()
+}
+
+// visitServers closes idle connections and sends health checks, beginning at the server to check next.
+// It visits all servers only while the idle timeout is shortened; otherwise it ends with the budget of
+// health checks.
+func (b *Balancer) visitServers() {
 	caches := b.membership.caches
 	first := b.healthChecks.next
 	for i := range caches {
+		if !b.mayCheckHealth() && !b.isIdleTimeoutShortened() {
+			return
+		}
 		s := caches[(first+i)%len(caches)]
 		b.closeIfIdle(s)
 		if b.checkIfDue(s) {
--- a/decide/idle_connections.go
+++ b/decide/idle_connections.go
@@ -24,10 +24,15 @@
 	}
 }
 
+// isIdleTimeoutShortened reports whether servers have made the idle timeout shorter than the settings.
+func (b *Balancer) isIdleTimeoutShortened() bool {
+	return b.idleTimeoutMillis < b.cfg.IdleTimeoutMillis
+}
+
 // closeIfIdle closes the connections to a server that have exceeded the idle timeout. Unless
 // the timeout has been shortened, connections are left to close by themselves.
 func (b *Balancer) closeIfIdle(s *server) {
-	if !s.connection.mayBeOpen || s.attempts.inFlight > 0 || b.idleTimeoutMillis >= b.cfg.IdleTimeoutMillis {
+	if !s.connection.mayBeOpen || s.attempts.inFlight > 0 || !b.isIdleTimeoutShortened() {
 		return
 	}
 	if b.now > s.attempts.lastSentAt+b.idleTimeoutMillis {
--- a/decide/key_table.go
+++ b/decide/key_table.go
@@ -99,24 +99,31 @@
 	}
 }
 
-// hottestKeys are the keys with the highest load, in descending order, up to a limit.
+// hottestKeys are the first keys of an order, up to a limit. Adding a key that is not among them costs
+// one comparison.
 type hottestKeys struct {
-	limit int
-	keys  []*keyTraffic
+	limit   int
+	compare func(p, q *keyTraffic) int
+	keys    []*keyTraffic
 }
 
 // add adds a key if it is among the hottest so far.
 func (h *hottestKeys) add(k *keyTraffic) {
 	if len(h.keys) == h.limit {
-		if compareLoad(k, h.keys[h.limit-1]) > 0 {
+		if h.compare(k, h.keys[h.limit-1]) > 0 {
 			return
 		}
 		h.keys = h.keys[:h.limit-1]
 	}
-	at, _ := slices.BinarySearchFunc(h.keys, k, compareLoad)
+	at, _ := slices.BinarySearchFunc(h.keys, k, h.compare)
 	h.keys = slices.Insert(h.keys, at, k)
 }
 
+// compareArrivals orders keys by descending arrivals.
+func compareArrivals(p, q *keyTraffic) int {
+	return cmp.Or(cmp.Compare(q.arrivals.value, p.arrivals.value), cmp.Compare(p.id, q.id))
+}
+
 // compareLoad orders keys by descending load. Keys with the same load are in the order of their first
 // request, which makes the solver deterministic.
 func compareLoad(p, q *keyTraffic) int {
--- a/decide/origin_fetch_test.go
+++ b/decide/origin_fetch_test.go
@@ -83,9 +83,9 @@
 			t.Fatalf("request %d was sent again", i+1)
 		}
 	}
-	if n := len(h.sends); n < 6 || n > 20 || b.originFetches.limit > 0.5 || countEjected(b.membership.caches) > 0 {
+	if n := len(h.sends); n < 6 || n > 20 || b.originFetches.limit > 0.5 || b.membership.counts.ejectedCaches > 0 {
 		t.Errorf("%d sends for 40 requests, limit %v, %d ejected", n, b.originFetches.limit,
-			countEjected(b.membership.caches))
+			b.membership.counts.ejectedCaches)
 	}
 	n := len(h.sends)
 	for i := range uint32(40) {
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -1,9 +1,6 @@
 package decide
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 const (
 	// minEjectionMillis is the time from the first ejection of a server to its probe. The time
@@ -64,9 +61,10 @@
 	}
 	hasFailed := !status.isAnswer()
 	if hasFailed {
-		b.usualFailureShare = medianFailureShare(b.membership.caches)
+		b.usualFailureShare = b.membership.medianFailureShare()
 	}
 	if status != Timeout {
+		b.membership.setFailureShare(s, s.health.nextFailureShare(hasFailed))
 		s.health.addEvidence(hasFailed, b.usualFailureShare)
 	}
 	if hasFailed {
@@ -122,42 +120,34 @@
 	h.acceptedShare += acceptedWeight * (1 - h.acceptedShare)
 	h.ejectionMillis *= ejectionDecay
 	if h.isEjected {
-		h.isEjected = false
+		b.membership.setEjected(s, false)
 		h.acceptedShare = reinstatedAcceptedShare
 		h.evidence = reinstatedEvidence
 		b.placement.isStale = true
 	}
 }
 
-// addEvidence adds an outcome to the failure share and to the evidence. The evidence is the
+// nextFailureShare returns the failure share after another outcome.
+func (h *serverHealth) nextFailureShare(hasFailed bool) float64 {
+	if hasFailed {
+		return h.failureShare + (1-h.failureShare)/failureShareOutcomes
+	}
+	return h.failureShare - h.failureShare/failureShareOutcomes
+}
+
+// addEvidence adds an outcome to the evidence. The evidence is the
 // statistic of Page's test (CUSUM) for a server that fails every second attempt, compared with one
 // that fails at the usual rate. No other test detects such a change faster at the same rate of
 // false alarms.
 func (h *serverHealth) addEvidence(hasFailed bool, usualShare float64) {
 	usualShare = min(maxUsualFailureShare, max(minUsualFailureShare, usualShare))
 	if hasFailed {
-		h.failureShare += (1 - h.failureShare) / failureShareOutcomes
 		h.evidence += math.Log(outlierFailureShare / usualShare)
 		return
 	}
-	h.failureShare -= h.failureShare / failureShareOutcomes
 	h.evidence = max(0, h.evidence+math.Log(outlierFailureShare/(1-usualShare)))
 }
 
-// medianFailureShare returns the share of failed attempts at the median server, which a few
-// outliers do not change.
-func medianFailureShare(servers []*server) float64 {
-	if len(servers) == 0 {
-		return 0
-	}
-	shares := make([]float64, 0, len(servers))
-	for _, s := range servers {
-		shares = append(shares, s.health.failureShare)
-	}
-	slices.Sort(shares)
-	return shares[(len(shares)-1)/2]
-}
-
 // eject ejects a server, or schedules the next probe after one that failed.
 func (b *Balancer) eject(s *server, isUnresponsive bool) {
 	h := &s.health
@@ -176,23 +166,13 @@
 	if !h.isEjected {
 		b.placement.isStale = true
 	}
-	h.isEjected = true
+	b.membership.setEjected(s, true)
 }
 
 // isFleetUnresponsive reports whether another ejection would remove half of the servers or more
 // from use. If so many servers do not respond, this router's network or the origin is at fault.
 func (b *Balancer) isFleetUnresponsive() bool {
-	return 2*countEjected(b.membership.caches)+2 > len(b.membership.caches)
-}
-
-// countEjected returns the number of ejected servers.
-func countEjected(servers []*server) (n int) {
-	for _, s := range servers {
-		if s.health.isEjected {
-			n++
-		}
-	}
-	return n
+	return 2*b.membership.counts.ejectedCaches+2 > len(b.membership.caches)
 }
 
 // isInUse reports whether the solver may use a server.
--- a/decide/outlier_test.go
+++ b/decide/outlier_test.go
@@ -40,7 +40,7 @@
 		t.Fatal("three unanswered attempts did not eject the server")
 	}
 	for _, o := range b.membership.caches[1:3] {
-		o.health.isEjected = true
+		b.membership.setEjected(o, true)
 	}
 	fourth := b.membership.caches[3]
 	for range 2 * maxUnanswered {
@@ -154,7 +154,9 @@
 	}{{"every second", func(i int) bool { return i%2 == 0 }, 3, 40}, {"dead", func(int) bool { return true }, 4, 10}} {
 		s := b.membership.caches[4]
 		n := 0
-		for s.health.evidence, s.health.isEjected = 0, false; !s.health.isEjected && n < 1000; n++ {
+		s.health.evidence = 0
+		b.membership.setEjected(s, false)
+		for ; !s.health.isEjected && n < 1000; n++ {
 			status := OK
 			if c.fails(n) {
 				status = Reset
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -163,7 +163,7 @@
 	b.placement.solvedAt = b.now
 	b.placement.isStale = false
 	b.prepareModels()
-	hottest := hottestKeys{limit: maxSplitKeys}
+	hottest := hottestKeys{limit: maxSplitKeys, compare: compareLoad}
 	b.forEachKey(func(k *keyTraffic) {
 		k.copies = nil
 		hottest.add(k)
--- a/decide/records.go
+++ b/decide/records.go
@@ -10,6 +10,12 @@
 	Endpoint
 	// isListed says that the endpoint list names it as ready or draining.
 	isListed bool
+	// role is what it is used as while it is listed.
+	role serverRole
+	// lastUpdate is the number of the last update of the endpoint list that named it.
+	lastUpdate int
+	// isNotedUnused says that membership.unused has it.
+	isNotedUnused bool
 	// isDisabled says that an operator has disabled it.
 	isDisabled bool
 	// attempts counts this router's attempts there.
@@ -51,7 +57,7 @@
 	acceptedShare float64
 	// evidence is the CUSUM statistic of a fault of this server; at maxEvidence it is ejected.
 	evidence float64
-	// failureShare is the EWMA of the share of attempts that fail.
+	// failureShare is the EWMA of the share of attempts that fail; membership.setFailureShare sets it.
 	failureShare float64
 	// unanswered is the number of attempts and health checks without an answer since the last
 	// reply.
@@ -60,7 +66,8 @@
 	lastReplyAt float64
 	// latestAnsweredSentAt is when the most recently sent of the answered attempts was sent, ms.
 	latestAnsweredSentAt float64
-	// isEjected says that it gets no requests except probes because of its failures.
+	// isEjected says that it gets no requests except probes because of its failures;
+	// membership.setEjected sets it.
 	isEjected bool
 	// probeAt is when an ejected server may get a single request as a probe (half-open), ms.
 	probeAt float64
--- a/decide/statistics.go
+++ b/decide/statistics.go
@@ -16,7 +16,9 @@
 // add decays the sum to the current time, adds an amount and returns the sum.
 func (s *decayingSum) add(now, timeConstantMillis, amount float64) float64 {
 	if now > s.updatedAt {
-		s.value *= math.Exp((s.updatedAt - now) / timeConstantMillis)
+		if s.value != 0 {
+			s.value *= math.Exp((s.updatedAt - now) / timeConstantMillis)
+		}
 		s.updatedAt = now
 	}
 	s.value += amount
--- a/lab/largefleet/process.go
+++ b/lab/largefleet/process.go
@@ -38,14 +38,14 @@
 
 // usage is what all processes of the router have used.
 type usage struct {
-	mu                   sync.Mutex
-	cpu                  time.Duration
-	peakMB               float64
-	peakFiles            int
-	unexpectedExits      []string
-	readyMillis          []float64
-	sampledMB            map[int]float64
-	sampledFiles         map[int]int
+	mu              sync.Mutex
+	cpu             time.Duration
+	peakMB          float64
+	peakFiles       int
+	unexpectedExits []string
+	readyMillis     []float64
+	sampledMB       map[int]float64
+	sampledFiles    map[int]int
 }
 
 // startProcess starts the router on the processor that it shares with busy loops.
