Find the connection idle longest without a walk over all servers

Seen: with 3,200 servers nearly each request opens a connection at the limit and evicts another one.

Change: idle connections of all servers are in one list by age. Related: closeAllIdle walks that list too; removing a server takes off its own connections.

Result: one eviction is the removal of the first element, whatever the number of servers.

--- a/internal/router/attempts_test.go
+++ b/internal/router/attempts_test.go
@@ -75,7 +75,7 @@
 				if err != nil {
 					panic(err)
 				}
-				c := &upstreamConn{Conn: blockingCloseConn{nc.(*net.TCPConn), closing, allowClose},
+				c := &upstreamConn{Conn: blockingCloseConn{nc.(*net.TCPConn), closing, allowClose}, target: t,
 					idleSince: time.Now()}
 				c.reader = bufio.NewReaderSize(c, maxLineBytes)
 				l.upstreams.mu.Lock()
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -19,12 +19,15 @@
 
 // target is a cache server or the origin at one address.
 type target struct {
+	// id is the Balancer's id of the server. It belongs to the loop.
+	id       uint32
 	addr     string
 	isOrigin bool
 	// startedAt is when the server's process started, in milliseconds on the loop's clock. It
 	// belongs to the loop.
 	startedAt float64
-	// idle holds the idle connections, the one idle for longest first; guarded by upstreams.mu.
+	// idle holds the idle connections, the one idle for longest first; guarded by upstreams.mu. An idle
+	// connection is also in upstreams.idle.
 	idle []*upstreamConn
 	// isRemoved is set once the server was removed from the list: its connections are closed
 	// instead of kept. It is guarded by upstreams.mu.
@@ -54,12 +57,15 @@
 	limit int
 	// openConns counts the connections that are open or being opened.
 	openConns int
-	targets   map[*target]struct{}
+	// idle holds the idle connections to all servers, the one idle for longest first.
+	idle idleList
 }
 
 const (
 	// sweepInterval is how often all idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
+	// sweepBatch is the number of connections that are checked without letting others use the pool.
+	sweepBatch = 16
 	// originIdleMinimum is how long a connection to the origin stays unused after an answer. HTTP
 	// answers carry no request id, so a late duplicate of the last answer would be taken for the
 	// answer to the next request. If it arrives within this time, the connection is closed.
@@ -76,7 +82,7 @@
 
 // newUpstreams returns a pool of at most limit connections. For the durations see setTimeouts.
 func newUpstreams(serverIdleTimeout, connectTimeout time.Duration, limit int) *upstreams {
-	u := &upstreams{limit: limit, routerLimit: limit, targets: map[*target]struct{}{}}
+	u := &upstreams{limit: limit, routerLimit: limit}
 	u.answers.setMemory(math.MaxInt64) // until the router's limit is set
 	u.dialer.KeepAlive = -1
 	u.setTimeouts(serverIdleTimeout, connectTimeout)
@@ -117,11 +123,7 @@
 
 // add registers a server, whose idle connections are kept from now on.
 func (u *upstreams) add(addr string, isOrigin bool) *target {
-	t := &target{addr: addr, isOrigin: isOrigin}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.targets[t] = struct{}{}
-	return t
+	return &target{addr: addr, isOrigin: isOrigin}
 }
 
 // remove unregisters a server and closes its idle connections. Acquired connections are closed when
@@ -129,7 +131,6 @@
 func (u *upstreams) remove(t *target) {
 	u.mu.Lock()
 	t.isRemoved = true
-	delete(u.targets, t)
 	u.mu.Unlock()
 	u.closeIdle(t)
 }
@@ -139,6 +140,9 @@
 	u.mu.Lock()
 	idle := t.idle
 	t.idle = nil
+	for _, c := range idle {
+		u.idle.remove(c)
+	}
 	u.openConns -= len(idle)
 	u.mu.Unlock()
 	closeAll(idle)
@@ -169,29 +173,56 @@
 func (u *upstreams) closeAllIdle() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for t := range u.targets {
-		closeAll(t.idle)
-		t.idle = nil
+	for _, c := range u.idle.all() {
+		u.removeIdle(c)
+		c.Close()
 	}
 }
 
 // takeExpired removes and returns the idle connections that may not be used any more.
 func (u *upstreams) takeExpired() (expired []*upstreamConn) {
+	u.mu.Lock()
+	idle := u.idle.all()
+	u.mu.Unlock()
+	for batch := range slices.Chunk(idle, sweepBatch) {
+		expired = append(expired, u.takeExpiredOf(batch)...)
+	}
+	return expired
+}
+
+// takeExpiredOf is takeExpired for some connections, those of which are passed over that are not idle
+// any more.
+func (u *upstreams) takeExpiredOf(batch []*upstreamConn) (expired []*upstreamConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for t := range u.targets {
-		t.idle = slices.DeleteFunc(t.idle, func(c *upstreamConn) bool {
-			if u.isUsable(c) {
-				return false
-			}
+	for _, c := range batch {
+		if c.idleElement != nil && !u.isUsable(c) {
+			u.removeIdle(c)
+			u.openConns--
 			expired = append(expired, c)
-			return true
-		})
+		}
 	}
-	u.openConns -= len(expired)
 	return expired
 }
 
+// addIdle adds a connection to the idle ones, by idleSince. The caller holds mu.
+func (u *upstreams) addIdle(c *upstreamConn) {
+	idle := c.target.idle
+	at := len(idle)
+	for at > 0 && c.idleSince.Before(idle[at-1].idleSince) {
+		at--
+	}
+	c.target.idle = slices.Insert(idle, at, c)
+	u.idle.add(c)
+}
+
+// removeIdle removes a connection from the idle ones. The caller holds mu.
+func (u *upstreams) removeIdle(c *upstreamConn) {
+	at := slices.Index(c.target.idle, c)
+	c.target.idle = slices.Delete(c.target.idle, at, at+1)
+	u.idle.remove(c)
+}
+
 // isUsable reports whether an idle connection may carry a request. The caller holds mu.
 func (u *upstreams) isUsable(c *upstreamConn) bool {
 	return time.Since(c.idleSince) < u.maxIdle && c.isQuiet()
@@ -238,7 +269,7 @@
 			return nil
 		}
 		c := t.idle[i]
-		t.idle = slices.Delete(t.idle, i, i+1)
+		u.removeIdle(c)
 		if u.isUsable(c) {
 			return c
 		}
@@ -278,7 +309,7 @@
 		u.mu.Unlock()
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	c := &upstreamConn{Conn: conn, idleSince: time.Now()}
+	c := &upstreamConn{Conn: conn, target: t, idleSince: time.Now()}
 	c.reader = bufio.NewReaderSize(c, maxLineBytes)
 	return c, nil
 }
@@ -286,18 +317,13 @@
 // evictIdle closes the connection that has been idle for longest, and reports whether there was
 // one. The caller holds mu.
 func (u *upstreams) evictIdle() bool {
-	var from *target
-	for t := range u.targets {
-		if len(t.idle) > 0 && (from == nil || t.idle[0].idleSince.Before(from.idle[0].idleSince)) {
-			from = t
-		}
-	}
-	if from == nil {
+	c := u.idle.oldest()
+	if c == nil {
 		return false
 	}
-	from.idle[0].Close()
-	from.idle = slices.Delete(from.idle, 0, 1)
+	u.removeIdle(c)
 	u.openConns--
+	c.Close()
 	return true
 }
 
@@ -311,7 +337,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	t.idle = append(t.idle, c)
+	u.addIdle(c)
 }
 
 // releaseUnused returns an acquired connection that nothing was written to. As for its server, its
@@ -324,9 +350,5 @@
 		c.Close()
 		return
 	}
-	i := 0
-	for i < len(t.idle) && t.idle[i].idleSince.Before(c.idleSince) {
-		i++
-	}
-	t.idle = slices.Insert(t.idle, i, c)
+	u.addIdle(c)
 }
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,10 @@
 type upstreamConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// target is the server that it leads to.
+	target *target
+	// idleElement is its place among the idle connections; nil if it is not idle. upstreams.mu guards it.
+	idleElement *list.Element
 	// remainingBytes is how many bytes the current answer may still have.
 	remainingBytes int
 	// idleSince is when the connection was opened or last released.
