Tell changes in quick succession together

Cause: the pause of 50 ms between two watch calls was for answers without changes only.

Change: it is for all. A change after a quiet time is still asked for at once; what happens within the pause comes with the next answer. A watch goes on if the next call comes within 200 ms, and the grace of a drain is seconds.

--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -112,9 +112,9 @@
 const (
 	// dialTimeout is the timeout for connecting to discovery.
 	dialTimeout = time.Second
-	// minWatchInterval is the minimum time between watch calls that are answered without changes,
-	// so that an agent that does not wait isn't called in a tight loop. The next call must follow
-	// within 200 ms.
+	// minWatchInterval is the minimum time between two watch calls, so that changes in quick
+	// succession are told together, and an agent that does not wait isn't called in a tight loop. The
+	// next call must follow within 200 ms.
 	minWatchInterval = 50 * time.Millisecond
 	// maxListBytes limits an answer. An indented list of 2,500 servers takes 0.7 MB.
 	maxListBytes = 2 << 20
@@ -247,12 +247,9 @@
 			d.heldVersion = list.Version
 		}
 		d.onList(list)
-		hasChanges := list.IsComplete || len(list.Servers) > 0
-		if !hasChanges && time.Since(calledAt) < minWatchInterval {
-			select {
-			case <-time.After(minWatchInterval):
-			case <-ctx.Done():
-			}
+		select {
+		case <-time.After(minWatchInterval - time.Since(calledAt)):
+		case <-ctx.Done():
 		}
 		calledAt = time.Now()
 		list, err = d.callWatch(ctx, list.Version, d.watchWait(), d.timing.watchSlack)
