Apply the list of servers in steps, and prepare it off the loop

Cause: one turn of the loop took a whole list. For each new server it looked at all others for its address, and for each name beyond 4,096 at all names for the oldest one, so six in ten of 3,200 servers took 333 to 558 ms of a whole core, in which no answer was written and no deadline met. A list was also parsed twice, 23 ms.

Change: a list is decoded once and prepared by the goroutine that got it, which lets others run every 32 entries. The loop applies it 32 servers a step; between two steps it handles events for up to 1 ms and all due timers. What ends the use of a server comes first. Unchanged entries cost a comparison. Targets are found by address; names in an LRU, in which names in use are not dropped: an operator's call for a listed server no longer fails after 4,096 others. Each source waits for its update, so at most one of each is queued. Invalid entries beyond ten are logged as a count. The version is recorded after the last step: a successor that gets the state between gets the update as well.

--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -168,7 +168,7 @@
 	}
 	old := start()
 	successor := start()
-	old.loop.serverIDs.add("s-0000000b", 11) // a state without names is rejected
+	old.loop.serverIDs.add("s-0000000b", 11, nil) // a state without names is rejected
 	old.loop.admission.admission.ScaleLimit(old.loop.now(), 0.5)
 	snapshot := old.loop.admission.admission.Snapshot(old.loop.now())
 	state := handoverState{
--- a/internal/router/config_update.go
+++ b/internal/router/config_update.go
@@ -89,11 +89,9 @@
 		}
 	}
 	handleList := func(list endpointList) {
-		ifFollowed(func() {
-			if !l.staleGuard.isStale(list.Version) {
-				l.updateEndpoints(list.updateKind(), list)
-			}
-		})
+		update := prepareUpdate(list.updateKind(), list)
+		update.isWanted = func() bool { return l.discovery == d && !l.staleGuard.isStale(list.Version) }
+		l.queueUpdate(update)
 		// onList must come after the loop: a hand-over state taken from now on includes the list,
 		// and a process that got an earlier state receives the list from onList. In the opposite
 		// order a process could miss the list.
@@ -101,7 +99,7 @@
 	}
 	handleFailure := func() {
 		if isPolled {
-			ifFollowed(func() { l.updateEndpoints(decide.WatchFailed, endpointList{}) })
+			ifFollowed(func() { l.balancer.UpdateEndpoints(l.now(), decide.WatchFailed, nil) })
 		}
 	}
 	d = newDiscovery(cfg.Discovery, isPolled, cfg.settings.Config.Routers, handleList, handleFailure)
--- a/internal/router/endpoint_list.go
+++ b/internal/router/endpoint_list.go
@@ -3,10 +3,14 @@
 // The endpoint list in discovery's format, and its conversion to the Balancer's terms.
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"runtime"
+	"strings"
 
 	"dockhinge.example/dockhinge/decide"
 )
@@ -104,23 +108,99 @@
 // parseList parses a list. It rejects JSON without a version, and a complete list without servers:
 // accepted as lists, they would mean "no changes" and "no servers".
 func parseList(body []byte) (endpointList, error) {
-	var present struct {
-		Version *int64            `json:"version"`
-		Full    bool              `json:"full"`
-		Servers []json.RawMessage `json:"servers"`
-	}
-	if err := json.Unmarshal(body, &present); err != nil {
-		return endpointList{}, err
-	}
+	list, hasVersion, err := decodeList(body)
 	switch {
-	case present.Version == nil:
+	case errors.Is(err, io.EOF):
+		return endpointList{}, io.ErrUnexpectedEOF
+	case err != nil:
+		return endpointList{}, err
+	case !hasVersion:
 		return endpointList{}, errors.New("a list without version")
-	case present.Full && present.Servers == nil:
+	case list.IsComplete && list.Servers == nil:
 		return endpointList{}, errors.New("a complete list without servers")
 	}
-	var list endpointList
-	if err := json.Unmarshal(body, &list); err != nil {
-		return endpointList{}, err
-	}
 	return list, nil
 }
+
+// decodeList decodes a list entry by entry, once, and lets other goroutines run in between. JSON null
+// is a list without anything.
+func decodeList(body []byte) (list endpointList, hasVersion bool, err error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	opening, err := decoder.Token()
+	switch {
+	case err != nil || opening == nil:
+		return list, false, err
+	case opening != json.Delim('{'):
+		return list, false, fmt.Errorf("cannot unmarshal %v into a list", opening)
+	}
+	for decoder.More() {
+		field, err := decoder.Token()
+		if err != nil {
+			return list, false, err
+		}
+		name, _ := field.(string)
+		switch {
+		case strings.EqualFold(name, "version"):
+			hasVersion, err = decodeVersion(decoder, &list.Version)
+		case strings.EqualFold(name, "full"):
+			err = decoder.Decode(&list.IsComplete)
+		case strings.EqualFold(name, "servers"):
+			list.Servers, err = decodeEntries(decoder)
+		default:
+			err = decoder.Decode(new(json.RawMessage))
+		}
+		if err != nil {
+			return list, false, fmt.Errorf("%q: %w", name, err)
+		}
+	}
+	if err := expectDelimiter(decoder, '}'); err != nil {
+		return list, false, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return list, false, errors.New("text after the list")
+	}
+	return list, hasVersion, nil
+}
+
+// decodeVersion decodes a version, and reports whether it is there: it may be null.
+func decodeVersion(decoder *json.Decoder, version *int64) (isPresent bool, err error) {
+	var decoded *int64
+	err = decoder.Decode(&decoded)
+	if err != nil || decoded == nil {
+		return false, err
+	}
+	*version = *decoded
+	return true, nil
+}
+
+// decodeEntries decodes the entries of a list; nil for null.
+func decodeEntries(decoder *json.Decoder) (entries []listEntry, err error) {
+	opening, err := decoder.Token()
+	switch {
+	case err != nil || opening == nil:
+		return nil, err
+	case opening != json.Delim('['):
+		return nil, fmt.Errorf("cannot unmarshal %v into the servers of a list", opening)
+	}
+	entries = []listEntry{}
+	for decoder.More() {
+		var e listEntry
+		if err := decoder.Decode(&e); err != nil {
+			return nil, err
+		}
+		entries = append(entries, e)
+		if len(entries)%yieldEntries == 0 {
+			runtime.Gosched()
+		}
+	}
+	return entries, expectDelimiter(decoder, ']')
+}
+
+// expectDelimiter reads the next token, which must be a certain delimiter.
+func expectDelimiter(decoder *json.Decoder, delimiter json.Delim) error {
+	token, err := decoder.Token()
+	if err == nil && token != delimiter {
+		err = fmt.Errorf("%v where %v is expected", token, delimiter)
+	}
+	return err
+}
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -196,7 +196,7 @@
 		return fmt.Errorf("handover: %w", err)
 	}
 	ids := state.ServerIDs
-	if ids.IDs == nil || ids.LastListed == nil || len(ids.IDs) > maxServerIDs {
+	if ids.IDs == nil || ids.LastListed == nil || len(ids.IDs) > maxServerIDs+len(state.List.Servers) {
 		return errors.New("handover: state without server ids")
 	}
 	r.inherited = state
@@ -259,11 +259,11 @@
 		defer cancel()
 		return r.disable(ctx, call, from)
 	case listKind:
-		var list endpointList
-		if err := json.Unmarshal(m.Body, &list); err != nil {
+		list, _, err := decodeList(m.Body)
+		if err != nil {
 			return fmt.Errorf("handover: %w", err)
 		}
-		r.loop.post(func() { r.loop.applyPeerList(list) })
+		r.loop.applyPeerList(list)
 	case requestsKind:
 		var notices []requestNotice
 		if err := json.Unmarshal(m.Body, &notices); err != nil {
@@ -274,14 +274,19 @@
 	return nil
 }
 
-// applyPeerList applies a list that another process of this router received from discovery. Older
-// answers of this process's own discovery are then ignored for a while.
+// applyPeerList applies a list that another process of this router received from discovery, and waits
+// until it has been applied. Older answers of this process's own discovery are then ignored for a
+// while. Any goroutine except the loop's may call it.
 func (l *loop) applyPeerList(list endpointList) {
-	if list.Version <= l.listVersion {
-		return
+	update := prepareUpdate(list.updateKind(), list)
+	update.isWanted = func() bool {
+		isNewer := list.Version > l.listVersion
+		if isNewer {
+			l.staleGuard.raise(list.Version)
+		}
+		return isNewer
 	}
-	l.updateEndpoints(list.updateKind(), list)
-	l.staleGuard.raise(list.Version)
+	l.queueUpdate(update)
 }
 
 // disable applies a call in this process and all other processes of this router except the one that
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -195,31 +195,64 @@
 		l.onStart()
 	}
 	l.reportPeriodically()
-	for {
-		select {
-		case event := <-l.priorityEvents:
-			event()
-			l.runDeferred()
-		default:
-		}
-		if len(l.timers) > 0 {
-			nextTimer.Reset(time.Duration(max(0, l.timers[0].at-l.now()) * float64(time.Millisecond)))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-l.priorityEvents:
-			event()
-		case event := <-l.events:
-			event()
-		case <-nextTimer.C:
-		}
+	for l.runTurn(ctx, nextTimer) {
+	}
+}
+
+// runTurn runs an event or a step of a list update, and then the timers that are due. It reports false
+// once ctx has ended.
+func (l *loop) runTurn(ctx context.Context, nextTimer *time.Timer) bool {
+	select {
+	case event := <-l.priorityEvents:
+		event()
 		l.runDeferred()
-		for len(l.timers) > 0 && l.timers[0].at <= l.now() {
-			heap.Pop(&l.timers).(*timer).do()
-			l.runDeferred()
+	default:
+	}
+	switch {
+	case l.isUpdateOverdue():
+		l.runUpdateStep()
+	case l.hasUpdate():
+		if !l.runEvent(ctx) {
+			l.runUpdateStep()
 		}
+	default:
+		l.awaitEvent(ctx, nextTimer)
+	}
+	l.runDeferred()
+	for len(l.timers) > 0 && l.timers[0].at <= l.now() {
+		heap.Pop(&l.timers).(*timer).do()
+		l.runDeferred()
+	}
+	return ctx.Err() == nil
+}
+
+// awaitEvent waits for an event and runs it, or until a timer is due or ctx has ended.
+func (l *loop) awaitEvent(ctx context.Context, nextTimer *time.Timer) {
+	if len(l.timers) > 0 {
+		nextTimer.Reset(time.Duration(max(0, l.timers[0].at-l.now()) * float64(time.Millisecond)))
+	}
+	select {
+	case <-ctx.Done():
+	case event := <-l.priorityEvents:
+		event()
+	case event := <-l.events:
+		event()
+	case <-nextTimer.C:
+	}
+}
+
+// runEvent runs an event that waits, and reports whether there was one.
+func (l *loop) runEvent(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+	case event := <-l.priorityEvents:
+		event()
+	case event := <-l.events:
+		event()
+	default:
+		return false
 	}
+	return true
 }
 
 // runDeferred runs the actions that Host methods have scheduled.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -4,19 +4,23 @@
 // Balancer.
 
 import (
-	"log/slog"
 	"time"
 
 	"dockhinge.example/dockhinge/decide"
 )
 
 // membership holds the endpoint list and the servers disabled by operators or the fleet. It belongs
-// to the loop.
+// to the loop. Its tables have an entry for each listed server; a change of one server costs the same
+// whatever their number.
 type membership struct {
 	// originKind is the kind of endpoint that is the origin.
 	originKind string
 	// targets holds the listed servers by the Balancer's id.
 	targets map[uint32]*target
+	// addresses finds targets by their addresses.
+	addresses addressIndex
+	// updates are the updates of the list that are being applied.
+	updates updateQueue
 	// entries is the list by server name, kept for a successor process; nil before the first list.
 	entries map[string]listEntry
 	// listVersion is the version of entries.
@@ -34,41 +38,12 @@
 	return membership{
 		originKind:         originKind,
 		targets:            map[uint32]*target{},
+		addresses:          addressIndex{},
 		disabledByOperator: map[string]bool{},
 		disabledByFleet:    map[string]bool{},
 	}
 }
 
-// updateEndpoints applies an update of the endpoint list to the connections, then to the Balancer.
-func (l *loop) updateEndpoints(kind decide.EndpointUpdateKind, update endpointList) {
-	l.recordList(kind, update)
-	endpoints := make([]decide.Endpoint, 0, len(update.Servers))
-	listed := map[uint32]bool{}
-	for _, e := range update.Servers {
-		endpoint, err := e.endpoint()
-		if err != nil {
-			slog.Warn("discovery: invalid entry ignored", "error", err)
-			continue
-		}
-		endpoints = append(endpoints, endpoint)
-		listed[endpoint.ID] = true
-		l.serverIDs.add(e.ID, endpoint.ID)
-		if l.targets[endpoint.ID] == nil && endpoint.State == decide.Ready {
-			endpoints = append(endpoints, l.removeReplaced(endpoint, e.Addr)...)
-		}
-		l.updateTarget(endpoint, e)
-	}
-	if kind == decide.AllEndpoints || kind == decide.RestoredEndpoints {
-		l.removeUnlisted(listed)
-	}
-	l.trace.Event(l.now(), "list", "kind=%d lines=%d version=%d", kind, len(endpoints), update.Version)
-	l.balancer.UpdateEndpoints(l.now(), kind, endpoints)
-	l.publishEndpointCounts()
-	if len(l.targets) > 0 {
-		l.hasEndpoints.Store(true)
-	}
-}
-
 // updateTarget applies a server's list entry to its connections.
 func (l *loop) updateTarget(endpoint decide.Endpoint, e listEntry) {
 	id := endpoint.ID
@@ -79,10 +54,14 @@
 	case t == nil || t.addr != e.Addr:
 		l.removeTarget(id)
 		t = l.upstreams.add(e.Addr, e.Kind == l.originKind)
+		t.id = id
 		t.startedAt = endpoint.StartedAt
 		l.targets[id] = t
+		l.addresses.add(t)
 	case t.startedAt != endpoint.StartedAt: // connections to the previous process may be dead without showing it
+		l.addresses.remove(t)
 		t.startedAt = endpoint.StartedAt
+		l.addresses.add(t)
 		l.upstreams.closeIdle(t)
 	}
 	if endpoint.State == decide.Draining {
@@ -96,50 +75,22 @@
 	l.cancelUnsentTo(id)
 	if t := l.targets[id]; t != nil {
 		delete(l.targets, id)
+		l.addresses.remove(t)
 		l.upstreams.remove(t)
 	}
 }
 
-// removeUnlisted removes the servers that are not on a complete list.
-func (l *loop) removeUnlisted(listed map[uint32]bool) {
-	for id := range l.targets {
-		if !listed[id] {
-			l.removeTarget(id)
-		}
-	}
-}
-
 // removeReplaced removes servers whose address a newer server now has, and returns their removals
 // for the Balancer. Discovery may report the removals later; until then their requests would be
 // sent to the new server, whose cache is cold.
 func (l *loop) removeReplaced(by decide.Endpoint, addr string) (removed []decide.Endpoint) {
-	for id, t := range l.targets {
-		if t.addr == addr && by.StartedAt > t.startedAt {
-			l.removeTarget(id)
-			removed = append(removed, decide.Endpoint{ID: id, State: decide.Removed})
-		}
+	for _, t := range l.addresses.startedBefore(addr, by.StartedAt) {
+		l.removeTarget(t.id)
+		removed = append(removed, decide.Endpoint{ID: t.id, State: decide.Removed})
 	}
 	return removed
 }
 
-// recordList records an update in the list kept for a successor process.
-func (l *loop) recordList(kind decide.EndpointUpdateKind, update endpointList) {
-	if kind == decide.WatchFailed {
-		return
-	}
-	if kind != decide.ChangedEndpoints || l.entries == nil {
-		l.entries = make(map[string]listEntry, len(update.Servers))
-	}
-	l.listVersion = update.Version
-	for _, e := range update.Servers {
-		if e.State == stateRemoved {
-			delete(l.entries, e.ID)
-		} else {
-			l.entries[e.ID] = e
-		}
-	}
-}
-
 // currentList returns the list currently held.
 func (l *loop) currentList() endpointList {
 	list := endpointList{Version: l.listVersion, IsComplete: true}
--- a/internal/router/membership_test.go
+++ b/internal/router/membership_test.go
@@ -8,12 +8,12 @@
 
 func TestLeastRecentlyListedIDIsForgotten(t *testing.T) {
 	var ids serverIDs
-	ids.add("first", 1)
+	ids.add("first", 1, nil)
 	for i := range maxServerIDs - 1 {
-		ids.add(fmt.Sprint("s-", i), uint32(i))
+		ids.add(fmt.Sprint("s-", i), uint32(i), nil)
 	}
-	ids.add("first", 1) // listed again, so it is not the oldest
-	ids.add("one more", 2)
+	ids.add("first", 1, nil) // listed again, so it is not the oldest
+	ids.add("one more", 2, nil)
 	if len(ids.IDs) != maxServerIDs || ids.IDs["first"] != 1 || ids.IDs["one more"] != 2 {
 		t.Errorf("%d ids", len(ids.IDs))
 	}
--- a/internal/router/operations.go
+++ b/internal/router/operations.go
@@ -41,7 +41,7 @@
 	}
 	if !isKnown {
 		id = serverID(call.ServerID)
-		l.serverIDs.add(call.ServerID, id)
+		l.serverIDs.add(call.ServerID, id, l.isNameInUse)
 	}
 	disabled, otherwiseDisabled, by := l.disabledByOperator, l.disabledByFleet, "operator"
 	if call.ByFleet {
