Ask a process's own admin address whether it is ready in the large fleets

Need: during an upgrade the old process answered for the new one, so it was told to end before its successor was ready, always.

Change: an upgrade ends the old process once the new one is ready; hasty-upgrade, 0.5 s after the new one's start.

--- a/lab/largefleet/events.go
+++ b/lab/largefleet/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,8 +16,8 @@
 )
 
 const (
-	// takeoverDelay is how long after its successor is ready the old process of an upgrade gets SIGTERM.
-	takeoverDelay = 500 * time.Millisecond
+	// hastyDelay is how long after the start of its successor the old process of a hasty upgrade gets SIGTERM.
+	hastyDelay = 500 * time.Millisecond
 	// reloads is the number of SIGHUP in a series, reloadGap the time between two.
 	reloads   = 5
 	reloadGap = 20 * time.Millisecond
@@ -132,7 +133,7 @@
 // playEvent carries out the event of the process.
 func (p *player) playEvent(ctx context.Context) error {
 	switch p.params.Event {
-	case Upgrade:
+	case Upgrade, HastyUpgrade:
 		return p.upgrade(ctx)
 	case Restart:
 		p.stop(p.newest())
@@ -164,11 +165,20 @@
 
 func (p *player) upgrade(ctx context.Context) error {
 	old := p.newest()
+	var ending sync.WaitGroup
+	defer ending.Wait()
+	if p.params.Event == HastyUpgrade {
+		ending.Go(func() {
+			pause(ctx, hastyDelay)
+			p.stop(old)
+		})
+	}
 	if err := p.startAgain(); err != nil {
 		return err
 	}
-	pause(ctx, takeoverDelay)
-	p.stop(old)
+	if p.params.Event == Upgrade {
+		p.stop(old)
+	}
 	return nil
 }
 
--- a/lab/largefleet/largefleet.go
+++ b/lab/largefleet/largefleet.go
@@ -57,8 +57,10 @@
 const (
 	// NoEvent lets the process run.
 	NoEvent ProcessEvent = "none"
-	// Upgrade starts a second process that takes over, and ends the first.
+	// Upgrade starts a second process that takes over, and ends the first once the second is ready.
 	Upgrade ProcessEvent = "upgrade"
+	// HastyUpgrade ends the first process some 0.5 s after the start of the second, ready or not.
+	HastyUpgrade ProcessEvent = "hasty-upgrade"
 	// Restart ends the process and starts another one.
 	Restart ProcessEvent = "restart"
 	// Crash kills the process and starts another one.
@@ -70,7 +72,7 @@
 )
 
 // ProcessEvents are all events of the process.
-var ProcessEvents = []ProcessEvent{NoEvent, Upgrade, Restart, Crash, Reload, MoveDiscovery}
+var ProcessEvents = []ProcessEvent{NoEvent, Upgrade, HastyUpgrade, Restart, Crash, Reload, MoveDiscovery}
 
 // Params says what to play.
 type Params struct {
@@ -140,6 +142,7 @@
 	usage     usage
 	listen    string
 	listAt    string
+	adminAt   string
 	// entries is the list, and next the number of the next new server.
 	entries []model.Entry
 	next    int
--- a/lab/largefleet/process.go
+++ b/lab/largefleet/process.go
@@ -1,11 +1,11 @@
 package largefleet
 
 import (
-	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,12 +15,15 @@
 	"syscall"
 	"time"
 
+	"dockhinge.example/dockhinge/internal/admin"
 	"dockhinge.example/dockhinge/lab/fleet"
 )
 
 const (
 	// readyTimeout is how long a router may take until it is ready.
 	readyTimeout = 30 * time.Second
+	// readyInterval is the time between two calls that ask whether it is.
+	readyInterval = 20 * time.Millisecond
 	// killMargin is how long after SIGTERM and the longest deadline a router gets SIGKILL.
 	killMargin = 700 * time.Millisecond
 	// sampleInterval is the time between two samples of a process's memory and descriptors.
@@ -32,6 +35,7 @@
 // process is one run of the router.
 type process struct {
 	command *exec.Cmd
+	admin   string
 	exited  chan struct{}
 	usage   *usage
 }
@@ -55,7 +59,7 @@
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	env := []string{"GW_CONFIG=" + filepath.Join(p.dir, "config.json"), "TMPDIR=" + tmp}
-	started := &process{exited: make(chan struct{}), usage: &p.usage}
+	started := &process{admin: p.adminAt, exited: make(chan struct{}), usage: &p.usage}
 	startedAt := time.Now()
 	err := p.onSharedProcessor(func() (err error) {
 		started.command, err = fleet.Spawn(p.params.Command, env, filepath.Join(p.dir, "log"))
@@ -65,7 +69,7 @@
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	go started.watch()
-	if err := p.awaitReady(started); err != nil {
+	if err := started.awaitReady(); err != nil {
 		return started, err
 	}
 	p.usage.mu.Lock()
@@ -106,33 +110,22 @@
 	return stop, nil
 }
 
-// awaitReady waits until the process answers as ready. During an upgrade the old one may answer.
-func (p *player) awaitReady(started *process) error {
-	giveUpAt := time.Now().Add(readyTimeout)
-	for time.Now().Before(giveUpAt) {
+// awaitReady waits until the process's admin address reports that it is ready.
+func (started *process) awaitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for {
+		if _, err := admin.Call(ctx, started.admin, http.MethodGet, "/-/ready"); err == nil {
+			return nil
+		}
 		select {
 		case <-started.exited:
 			return errors.New("the router has ended before it was ready")
-		default:
+		case <-ctx.Done():
+			return fmt.Errorf("the router was not ready within %v", readyTimeout)
+		case <-time.After(readyInterval):
 		}
-		if isReady(p.listen) {
-			return nil
-		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	return fmt.Errorf("the router was not ready within %v", readyTimeout)
-}
-
-func isReady(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(time.Second))
-	fmt.Fprint(conn, "mn\r\n")
-	line, _ := bufio.NewReader(conn).ReadString('\n')
-	return line == "MN\r\n"
 }
 
 // watch samples the process until it ends, and adds up what it has used.
@@ -209,8 +202,11 @@
 	}
 }
 
-// writeConfig writes the router's configuration with the list that it was last sent.
-func (p *player) writeConfig(discovery string) error {
+// writeConfig writes the configuration of a new process with the list that the router was last sent.
+func (p *player) writeConfig(discovery string) (err error) {
+	if p.adminAt, err = fleet.FreeAddr(); err != nil {
+		return err
+	}
 	known, isKnown := p.discovery.LastSentList(routerName)
 	if !isKnown {
 		p.discovery.RecordConfiguredList(routerName)
@@ -225,7 +221,7 @@
 		distribution = "push"
 	}
 	config := map[string]any{
-		"name": routerName, "listen": p.listen, "discovery": discovery,
+		"name": routerName, "listen": p.listen, "discovery": discovery, "admin_addr": p.adminAt,
 		"seed":   fmt.Sprintf("%016x", p.params.Seed),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": p.params.MemoryMB, "sockets": p.params.Sockets},
 		"known":  known,
