Let input be read while a list is worked on, and report long turns of the loop

Seen: with 3,200 servers all replaced at an eighth of a processor no answer was lost any more, but 571 of 1,300 requests were rejected, for 6 s on end, slowest 219 ms (800 servers: 5, 200: 2).

Cause: the process has one processor, and Go's scheduler asks the poller late, by its monitor thread every 10 ms at best, while any goroutine can run. The decoder only yielded to what could run, and the loop did not yield between two steps, so nothing was read meanwhile; answers seemed late, and the decisions took the router's delay for queues at all servers.

Change: long work (decoding, preparing, the steps) pauses every 32 entries by an event of its own through the poller, so what is ready is found and runs first. It takes a descriptor for as long. Turns of 0.1 s and more are counted (long_turns) and logged with kind, servers, requests and queue, at most once a second.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,6 +50,8 @@
 	ReloadSuccesses atomic.Int64
 	// ReloadFailures counts the configurations that were rejected after SIGHUP.
 	ReloadFailures atomic.Int64
+	// LongTurns counts the turns of the event loop that took 0.1 s or more.
+	LongTurns atomic.Int64
 }
 
 // New returns metrics with all values at 0.
@@ -85,6 +87,7 @@
 	TargetsDisabled int64            `json:"targets_disabled"`
 	ReloadSuccess   int64            `json:"reload_success"`
 	ReloadFailure   int64            `json:"reload_failure"`
+	LongTurns       int64            `json:"long_turns,omitempty"`
 	// ProbeReports is nil if routers do not share health checks.
 	ProbeReports *ProbeReports `json:"probe_reports,omitempty"`
 }
@@ -109,6 +112,7 @@
 		TargetsDisabled: m.TargetsDisabled.Load(),
 		ReloadSuccess:   m.ReloadSuccesses.Load(),
 		ReloadFailure:   m.ReloadFailures.Load(),
+		LongTurns:       m.LongTurns.Load(),
 	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -192,6 +192,7 @@
 // endAttempt records an attempt's outcome, once. Later results reach neither the client nor the
 // Balancer.
 func (l *loop) endAttempt(a *attempt, got reply) {
+	l.turns.kind = turnAttemptEnd
 	if a.isDone {
 		got.memory.release()
 		return
--- a/internal/router/config_update.go
+++ b/internal/router/config_update.go
@@ -89,7 +89,9 @@
 		}
 	}
 	handleList := func(list endpointList) {
-		update := prepareUpdate(list.updateKind(), list)
+		var yield yielder
+		defer yield.close()
+		update := prepareUpdate(list.updateKind(), list, &yield)
 		update.isWanted = func() bool { return l.discovery == d && !l.staleGuard.isStale(list.Version) }
 		l.queueUpdate(update)
 		// onList must come after the loop: a hand-over state taken from now on includes the list,
@@ -132,6 +134,7 @@
 
 // reconfigure applies the settings of a new configuration, or returns why it can't.
 func (l *loop) reconfigure(cfg *Config) error {
+	l.turns.kind = turnSettings
 	if err := l.admission.check(cfg); err != nil {
 		return err
 	}
--- a/internal/router/decision_host.go
+++ b/internal/router/decision_host.go
@@ -75,7 +75,10 @@
 
 // SetTimer calls the Balancer's TimerExpired with token after afterMillis.
 func (l *loop) SetTimer(afterMillis float64, token uint64) {
-	l.after(afterMillis, func() { l.balancer.TimerExpired(l.now(), token) })
+	l.after(afterMillis, func() {
+		l.turns.kind = turnDecisionTimer
+		l.balancer.TimerExpired(l.now(), token)
+	})
 }
 
 // WatchEndpoints requests a watch of discovery.
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -338,7 +338,9 @@
 	if err != nil {
 		return endpointList{}, err
 	}
-	return parseList(body)
+	var yield yielder
+	defer yield.close()
+	return parseList(body, &yield)
 }
 
 // getBody makes a call and returns the body of the answer, which maxListBytes limits.
--- a/internal/router/endpoint_list.go
+++ b/internal/router/endpoint_list.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 
 	"dockhinge.example/dockhinge/decide"
@@ -107,8 +106,8 @@
 
 // parseList parses a list. It rejects JSON without a version, and a complete list without servers:
 // accepted as lists, they would mean "no changes" and "no servers".
-func parseList(body []byte) (endpointList, error) {
-	list, hasVersion, err := decodeList(body)
+func parseList(body []byte, yield *yielder) (endpointList, error) {
+	list, hasVersion, err := decodeList(body, yield)
 	switch {
 	case errors.Is(err, io.EOF):
 		return endpointList{}, io.ErrUnexpectedEOF
@@ -122,9 +121,8 @@
 	return list, nil
 }
 
-// decodeList decodes a list entry by entry, once, and lets other goroutines run in between. JSON null
-// is a list without anything.
-func decodeList(body []byte) (list endpointList, hasVersion bool, err error) {
+// decodeList decodes a list entry by entry, once. JSON null is a list without anything.
+func decodeList(body []byte, yield *yielder) (list endpointList, hasVersion bool, err error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	opening, err := decoder.Token()
 	switch {
@@ -145,7 +143,7 @@
 		case strings.EqualFold(name, "full"):
 			err = decoder.Decode(&list.IsComplete)
 		case strings.EqualFold(name, "servers"):
-			list.Servers, err = decodeEntries(decoder)
+			list.Servers, err = decodeEntries(decoder, yield)
 		default:
 			err = decoder.Decode(new(json.RawMessage))
 		}
@@ -174,7 +172,7 @@
 }
 
 // decodeEntries decodes the entries of a list; nil for null.
-func decodeEntries(decoder *json.Decoder) (entries []listEntry, err error) {
+func decodeEntries(decoder *json.Decoder, yield *yielder) (entries []listEntry, err error) {
 	opening, err := decoder.Token()
 	switch {
 	case err != nil || opening == nil:
@@ -189,9 +187,7 @@
 			return nil, err
 		}
 		entries = append(entries, e)
-		if len(entries)%yieldEntries == 0 {
-			runtime.Gosched()
-		}
+		yield.entryDone()
 	}
 	return entries, expectDelimiter(decoder, ']')
 }
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -62,6 +62,9 @@
 	listKind = "list"
 	// requestsKind is a list of requestNotice. It is not answered.
 	requestsKind = "requests"
+	// servingKind says that the sender serves clients from now on. It has no body and is not answered.
+	// Earlier releases don't send it, and ignore it.
+	servingKind = "serving"
 )
 
 // disableTimeout is how long another process may take for a disableCall. The operator's client
@@ -77,9 +80,17 @@
 
 	// mu guards links.
 	mu sync.Mutex
-	// links holds, for each link, whether its process has joined. Once joined it has its share of
-	// the limits; before that it only receives lists and calls.
-	links map[*handover.Link]bool
+	// links holds the state of each link's process.
+	links map[*handover.Link]peerState
+}
+
+// peerState is what is known of another process of this router.
+type peerState struct {
+	// hasJoined is set once the process has its share of the limits; before that it only receives lists
+	// and calls.
+	hasJoined bool
+	// isServing is set once it has said that it serves clients.
+	isServing bool
 }
 
 // add records a link.
@@ -87,9 +98,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.links == nil {
-		p.links = map[*handover.Link]bool{}
+		p.links = map[*handover.Link]peerState{}
 	}
-	p.links[link] = hasJoined
+	state := p.links[link]
+	state.hasJoined = hasJoined
+	p.links[link] = state
 	p.hasAny.Store(true)
 }
 
@@ -119,14 +132,36 @@
 func (p *peers) count() (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, hasJoined := range p.links {
-		if hasJoined {
+	for _, state := range p.links {
+		if state.hasJoined {
 			n++
 		}
 	}
 	return n
 }
 
+// setServing records that the process of a link serves clients.
+func (p *peers) setServing(link *handover.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state, isOpen := p.links[link]; isOpen {
+		state.isServing = true
+		p.links[link] = state
+	}
+}
+
+// isAnyServing reports whether another process serves clients.
+func (p *peers) isAnyServing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.links {
+		if state.isServing {
+			return true
+		}
+	}
+	return false
+}
+
 // OnProcessCount sets a function that is called with the number of processes that form this router,
 // whenever that changes. It must be called before the first peer joins.
 func (r *Router) OnProcessCount(f func(processes int)) { r.peers.onProcessCount = f }
@@ -167,6 +202,7 @@
 
 // handoverState returns the state for a successor, all of which belongs to the loop.
 func (l *loop) handoverState() handoverState {
+	l.turns.kind = turnHandover
 	state := handoverState{
 		Decisions:          l.balancer.HandOver(l.now()),
 		List:               l.currentList(),
@@ -259,26 +295,44 @@
 		defer cancel()
 		return r.disable(ctx, call, from)
 	case listKind:
-		list, _, err := decodeList(m.Body)
+		var yield yielder
+		defer yield.close()
+		list, _, err := decodeList(m.Body, &yield)
 		if err != nil {
 			return fmt.Errorf("handover: %w", err)
 		}
-		r.loop.applyPeerList(list)
+		r.loop.applyPeerList(list, &yield)
 	case requestsKind:
 		var notices []requestNotice
 		if err := json.Unmarshal(m.Body, &notices); err != nil {
 			return fmt.Errorf("handover: %w", err)
 		}
 		r.loop.post(func() { r.loop.applyNotices(notices) })
+	case servingKind:
+		r.peers.setServing(from)
 	}
 	return nil
 }
 
+// announceServing tells the previous process, if any, that this one serves clients, once its loop has
+// restored its state. Run calls it when connections are accepted.
+func (r *Router) announceServing() {
+	if r.link == nil {
+		return
+	}
+	r.loop.post(func() {
+		r.loop.background.Go(func() {
+			//nolint:errcheck // a process that has ended needs no notice
+			r.link.Send(handover.Message{Kind: servingKind})
+		})
+	})
+}
+
 // applyPeerList applies a list that another process of this router received from discovery, and waits
 // until it has been applied. Older answers of this process's own discovery are then ignored for a
 // while. Any goroutine except the loop's may call it.
-func (l *loop) applyPeerList(list endpointList) {
-	update := prepareUpdate(list.updateKind(), list)
+func (l *loop) applyPeerList(list endpointList, yield *yielder) {
+	update := prepareUpdate(list.updateKind(), list, yield)
 	update.isWanted = func() bool {
 		isNewer := list.Version > l.listVersion
 		if isNewer {
--- a/internal/router/list_update.go
+++ b/internal/router/list_update.go
@@ -7,7 +7,6 @@
 import (
 	"log/slog"
 	"maps"
-	"runtime"
 	"slices"
 	"time"
 
@@ -19,8 +18,6 @@
 	updateStepEntries = 32
 	// maxStepDelayMillis is how long other events may hold up the next step of an update.
 	maxStepDelayMillis = 1
-	// yieldEntries is the number of entries after which the preparation of an update lets the loop run.
-	yieldEntries = 32
 	// maxInvalidLogged is the number of invalid entries of an update that are logged one by one.
 	maxInvalidLogged = 10
 )
@@ -53,17 +50,14 @@
 	entry    listEntry
 }
 
-// prepareUpdate converts a list, and logs its invalid entries. It lets other goroutines run in
-// between. Any goroutine except the loop's may call it.
-func prepareUpdate(kind decide.EndpointUpdateKind, list endpointList) *listUpdate {
+// prepareUpdate converts a list, and logs its invalid entries. Any goroutine may call it.
+func prepareUpdate(kind decide.EndpointUpdateKind, list endpointList, yield *yielder) *listUpdate {
 	u := &listUpdate{kind: kind, version: list.Version, entries: make([]updateEntry, 0, len(list.Servers))}
 	ids := make(map[uint32]struct{}, len(list.Servers))
 	names := make(map[string]struct{}, len(list.Servers))
 	invalid := 0
-	for i, e := range list.Servers {
-		if i%yieldEntries == yieldEntries-1 {
-			runtime.Gosched()
-		}
+	for _, e := range list.Servers {
+		yield.entryDone()
 		endpoint, err := e.endpoint()
 		if err != nil {
 			invalid++
@@ -113,6 +107,8 @@
 	// overdueAt is when the next step must run although other events wait, in milliseconds on the
 	// loop's clock.
 	overdueAt float64
+	// yield lets others run between two steps.
+	yield yielder
 }
 
 // queueUpdate queues an update on the loop and waits until it was applied, or the loop has ended. Any
@@ -153,7 +149,7 @@
 
 // updateEndpoints applies an update of the endpoint list at once: before the router serves.
 func (l *loop) updateEndpoints(kind decide.EndpointUpdateKind, list endpointList) {
-	u := prepareUpdate(kind, list)
+	u := prepareUpdate(kind, list, nil)
 	for !l.applyStep(u) {
 	}
 }
--- a/internal/router/list_update_test.go
+++ b/internal/router/list_update_test.go
@@ -29,7 +29,7 @@
 	applied := make(chan struct{})
 	go func() {
 		defer close(applied)
-		l.queueUpdate(prepareUpdate(decide.AllEndpoints, largeFleet(3200)))
+		l.queueUpdate(prepareUpdate(decide.AllEndpoints, largeFleet(3200), nil))
 	}()
 	(<-l.events)()
 	handled := 0
@@ -60,7 +60,7 @@
 	}
 	list.Servers[999].State = stateDraining
 	list.Servers = list.Servers[:1000]
-	u := prepareUpdate(decide.AllEndpoints, list)
+	u := prepareUpdate(decide.AllEndpoints, list, nil)
 	for l.targets[serverID(removed.ID)] != nil || l.entries[drained.ID].State != stateDraining {
 		if l.applyStep(u) {
 			t.Fatal("the drain or the removal has not been applied")
@@ -165,7 +165,7 @@
 	} {
 		var want endpointList
 		wantErr := json.Unmarshal([]byte(text), &want)
-		got, _, err := decodeList([]byte(text))
+		got, _, err := decodeList([]byte(text), nil)
 		if (err != nil) != (wantErr != nil) {
 			t.Errorf("%s: got error %v, want %v", text, err, wantErr)
 		}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -51,6 +51,7 @@
 	ctx        context.Context
 	background sync.WaitGroup
 	timers     timerHeap
+	turns      turnMonitor
 	// deferred holds actions that Host methods have scheduled. They run after the Balancer's
 	// current call has returned, because the Balancer is not reentrant.
 	deferred []func()
@@ -188,13 +189,14 @@
 // run processes events and timers until ctx ends.
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
+	defer l.updates.yield.close()
 	l.ctx = ctx
 	nextTimer := time.NewTimer(0)
 	defer nextTimer.Stop()
 	if l.onStart != nil {
 		l.onStart()
 	}
-	l.reportPeriodically()
+	l.measure(turnTimer, l.reportPeriodically)
 	for l.runTurn(ctx, nextTimer) {
 	}
 }
@@ -204,24 +206,22 @@
 func (l *loop) runTurn(ctx context.Context, nextTimer *time.Timer) bool {
 	select {
 	case event := <-l.priorityEvents:
-		event()
-		l.runDeferred()
+		l.measure(turnCall, event)
 	default:
 	}
 	switch {
 	case l.isUpdateOverdue():
-		l.runUpdateStep()
+		l.measure(turnListStep, l.runUpdateStep)
 	case l.hasUpdate():
+		l.updates.yield.pause()
 		if !l.runEvent(ctx) {
-			l.runUpdateStep()
+			l.measure(turnListStep, l.runUpdateStep)
 		}
 	default:
 		l.awaitEvent(ctx, nextTimer)
 	}
-	l.runDeferred()
 	for len(l.timers) > 0 && l.timers[0].at <= l.now() {
-		heap.Pop(&l.timers).(*timer).do()
-		l.runDeferred()
+		l.measure(turnTimer, heap.Pop(&l.timers).(*timer).do)
 	}
 	return ctx.Err() == nil
 }
@@ -234,9 +234,9 @@
 	select {
 	case <-ctx.Done():
 	case event := <-l.priorityEvents:
-		event()
+		l.measure(turnCall, event)
 	case event := <-l.events:
-		event()
+		l.measure(turnEvent, event)
 	case <-nextTimer.C:
 	}
 }
@@ -246,9 +246,9 @@
 	select {
 	case <-ctx.Done():
 	case event := <-l.priorityEvents:
-		event()
+		l.measure(turnCall, event)
 	case event := <-l.events:
-		event()
+		l.measure(turnEvent, event)
 	default:
 		return false
 	}
--- a/internal/router/peer_requests.go
+++ b/internal/router/peer_requests.go
@@ -100,6 +100,7 @@
 
 // applyNotices records what another process tells of its requests.
 func (l *loop) applyNotices(notices []requestNotice) {
+	l.turns.kind = turnRequestNotices
 	now := l.now()
 	for _, notice := range notices {
 		switch notice.State {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -82,6 +82,7 @@
 
 // handleArrival accepts a request that was read at readAt, in milliseconds on the loop's clock.
 func (l *loop) handleArrival(cmd command, readAt float64, client *response) {
+	l.turns.kind = turnRequest
 	if l.unanswered[cmd.id] != nil || l.endedInFlight[cmd.id] != nil { // cache servers could not distinguish the two
 		l.rejectCommand(&cmd, client, "the id of an open request")
 		return
