Accept clients until the successor of an upgrade serves them

Seen: with 3,200 servers at an eighth of a processor 16 answers over 0.5 s late where the old process is told to end 0.5 s after its successor's start; none with 200 servers.

Cause: the old process stopped accepting at SIGTERM if another process had joined, and after 0.5 s if one was about to. A successor accepts once it has restored the state, which takes 0.23 s of processor time with 3,200 servers (0.03 s with 200), 2 s there.

Change: the successor says when it serves (a message that earlier releases ignore). Until then, or until all answers are due, the old process goes on accepting. Also where the successor has not joined yet, or dies.

Evidence: TestOldProcessAcceptsUntilItsSuccessorServes fails without the wait (no answer).

--- a/internal/router/handover_test.go
+++ b/internal/router/handover_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"dockhinge.example/dockhinge/internal/admin"
 	"dockhinge.example/dockhinge/internal/handover"
@@ -57,6 +60,35 @@
 	}
 }
 
+// Guards against clients that nobody accepts, because the old process is told to end while its successor still
+// restores the state of a large fleet.
+func TestOldProcessAcceptsUntilItsSuccessorServes(t *testing.T) {
+	s, o := startFakeServer(t, hitAnswer), startFakeServer(t, originAnswer)
+	old, _ := startReadyRouter(t, cacheEntry("s-0000000b", s.addr), originEntry(o.addr))
+	dir := t.TempDir()
+	serveHandover(t, old, dir)
+	successor, ln := joinRouter(t, dir, testConfig(t, "127.0.0.1:1", endpointList{}))
+	eventually(t, old.router.loop, "the link", func() bool { return old.router.peers.count() == 1 })
+	old.stop()
+	for i := range 3 { // beyond acceptAfterStop
+		c := dialClient(t, old.addr)
+		if got := c.exchange(readCommandOf(fmt.Sprint("a", i), 5000)); !strings.HasSuffix(got, "hello") {
+			t.Errorf("got %q", got)
+		}
+		time.Sleep(acceptAfterStop / 2)
+	}
+	startedAt := time.Now()
+	next := runRouter(t, successor, ln)
+	c := dialClient(t, next.addr)
+	if got := c.exchange(readCommandOf("b", 5000)); !strings.HasSuffix(got, "hello") {
+		t.Errorf("from the successor: got %q", got)
+	}
+	receive(t, old.done, "the old process's end")
+	if took := time.Since(startedAt); took > deadlineBound/2 {
+		t.Errorf("the old process ended %v after its successor served", took)
+	}
+}
+
 // Guards against a call of an operator that the old process doesn't get, as it arrived at the new one before
 // that had begun to run the link.
 func TestCallReachesOldProcessBeforeTheLinkRuns(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -107,6 +107,7 @@
 	r.awaitDrains(ctx, drainsKnown)
 	r.isServing.Store(true)
 	r.clients.wg.Go(r.clients.accept) // in wg, so that drain waits for a connection being accepted
+	r.announceServing()
 	slog.Info("listening", "name", r.cfg.Name, "address", r.clients.listener.Addr().String())
 
 	<-ctx.Done()
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -27,6 +27,8 @@
 	inputMargin = 100 * time.Millisecond
 	// closeMargin is the time from the end of the last connections to the latest SIGKILL.
 	closeMargin = 50 * time.Millisecond
+	// servingCheckInterval is the time between two checks whether another process serves clients.
+	servingCheckInterval = 10 * time.Millisecond
 	// acceptAfterStop is how long new connections are accepted; clients still open them for 0.4 s.
 	acceptAfterStop = 500 * time.Millisecond
 )
@@ -55,8 +57,9 @@
 // shutDown performs the shutdown after SIGTERM, by the times of shutdownSchedule:
 //
 //  1. All open and future requests are answered by answersDue.
-//  2. New connections are accepted for acceptAfterStop, then those left in the listener's queue.
-//     This is skipped if another process of this router is running: it accepts from the same queue.
+//  2. New connections are accepted for acceptAfterStop, then those left in the listener's queue. If
+//     another process of this router is running, which accepts from the same queue, they are accepted
+//     until that one serves clients, or answersDue.
 //  3. The listener is closed.
 //  4. Each connection is read until nothing is unanswered on it, and then closed. From answersDue on
 //     every command is answered as soon as it is read, so a connection stays open only for a value
@@ -77,14 +80,23 @@
 	connectionsEnd, cancelConnections := context.WithDeadline(context.Background(),
 		stoppedAt.Add(schedule.connectionsEnd))
 	defer cancelConnections()
+	r.awaitServingPeer(stoppedAt.Add(schedule.answersDue))
 	if r.peers.count() == 0 {
-		time.Sleep(acceptAfterStop)
+		time.Sleep(time.Until(stoppedAt.Add(acceptAfterStop)))
 		r.clients.acceptQueued()
 	}
 	r.clients.listener.Close()
 	r.clients.drain(inputEnd, connectionsEnd)
 }
 
+// awaitServingPeer waits until another process of this router serves clients, none is joining or running, or a
+// time has come. A successor that restores the state of a large fleet may not serve yet.
+func (r *Router) awaitServingPeer(until time.Time) {
+	for r.peers.hasAny.Load() && !r.peers.isAnyServing() && time.Now().Before(until) {
+		time.Sleep(servingCheckInterval)
+	}
+}
+
 // longestDeadline returns the longest deadline of all classes, in milliseconds. Any goroutine may
 // call it.
 func (l *loop) longestDeadline() (longest float64) {
