--- a/decide/balancer.go
+++ b/decide/balancer.go
@@ -46,6 +46,8 @@
 	serviceTime moments
 	// latencyPerWork follows the latency of a unit of work over all servers, ms.
 	latencyPerWork trend
+	// filled is the last result of filledShare (statistics.go).
+	filled cachedShare
 	// meanWait is the cached mean wait over all servers (waiting_time.go).
 	meanWait cachedWait
 	// toleratedWaitShare is the share of the remaining time that a queue may take for a request of
--- a/decide/statistics.go
+++ b/decide/statistics.go
@@ -33,10 +33,27 @@
 // perSecond converts a sum to a rate. It corrects for the time before the first event, when nothing
 // could be added.
 func (b *Balancer) perSecond(s *decayingSum, timeConstantMillis float64) float64 {
-	filled := 1 - math.Exp((b.startedAt-b.now-1)/timeConstantMillis)
+	filled := b.filledShare(timeConstantMillis)
 	return s.decayTo(b.now, timeConstantMillis) * millisPerSecond / timeConstantMillis / filled
 }
 
+// cachedShare is the result of filledShare for a time and a time constant.
+type cachedShare struct {
+	startedAt, now, timeConstantMillis float64
+	share                              float64
+}
+
+// filledShare returns the share that a sum of a constant rate has reached of its final value. The last
+// result is kept: the solver asks for the same one for each server.
+func (b *Balancer) filledShare(timeConstantMillis float64) float64 {
+	c := &b.filled
+	if c.now != b.now || c.startedAt != b.startedAt || c.timeConstantMillis != timeConstantMillis {
+		share := 1 - math.Exp((b.startedAt-b.now-1)/timeConstantMillis)
+		*c = cachedShare{b.startedAt, b.now, timeConstantMillis, share}
+	}
+	return c.share
+}
+
 const (
 	// floorRiseMillis is the time constant of an increasing floor. It is long compared with faults
 	// that increase the value.
