Forget a request that has not run without a look at all remembered ones

Cause: pastRequests.remove searched up to 4,096 ids in a list, for each request that ends during an upgrade and has not run.

Change: the requests are in an LRU of the library that is declared already. A request that is remembered again counts as the newest, as its time does.

Result: the tests of past and other processes' requests pass; the one of the bound reads the same numbers from the LRU.

--- a/internal/router/past_requests.go
+++ b/internal/router/past_requests.go
@@ -1,15 +1,15 @@
 package router
 
-import "slices"
+import "github.com/hashicorp/golang-lru/v2/simplelru"
 
 // pastRequests remembers requests that have ended and may have run, and must not run twice, by their
 // client-assigned ids. A client never uses an id again, but a request may come again: a bad client
-// leaves and sends it once more. It belongs to the loop.
+// leaves and sends it once more. It belongs to the loop. It holds at most maxPastRequests; every
+// operation on one request costs the same whatever their number.
 type pastRequests struct {
-	// expiry is until when a request is remembered, in milliseconds on the loop's clock, by id.
-	expiry map[string]float64
-	// order holds the ids in the order in which they were added.
-	order []string
+	// expiry is until when a request is remembered, in milliseconds on the loop's clock, by id, the one
+	// added first being the oldest; nil before the first.
+	expiry *simplelru.LRU[string, float64]
 }
 
 const (
@@ -23,34 +23,40 @@
 // add remembers a request from now on.
 func (p *pastRequests) add(id string, now float64) {
 	if p.expiry == nil {
-		p.expiry = map[string]float64{}
+		p.expiry, _ = simplelru.NewLRU[string, float64](maxPastRequests, nil) // the size is valid
 	}
-	if _, isKnown := p.expiry[id]; !isKnown {
-		p.order = append(p.order, id)
-	}
-	p.expiry[id] = now + pastRequestMillis
-	for len(p.order) > maxPastRequests || len(p.order) > 0 && p.expiry[p.order[0]] <= now {
-		delete(p.expiry, p.order[0])
-		p.order = p.order[1:]
+	p.expiry.Add(id, now+pastRequestMillis)
+	for {
+		oldest, expiry, isFound := p.expiry.GetOldest()
+		if !isFound || expiry > now {
+			return
+		}
+		p.expiry.Remove(oldest)
 	}
 }
 
 // contains reports whether a request is remembered.
-func (p *pastRequests) contains(id string, now float64) bool { return p.expiry[id] > now }
+func (p *pastRequests) contains(id string, now float64) bool {
+	if p.expiry == nil {
+		return false
+	}
+	expiry, _ := p.expiry.Peek(id)
+	return expiry > now
+}
 
 // remove forgets a request.
 func (p *pastRequests) remove(id string) {
-	if _, isKnown := p.expiry[id]; !isKnown {
-		return
+	if p.expiry != nil {
+		p.expiry.Remove(id)
 	}
-	delete(p.expiry, id)
-	i := slices.Index(p.order, id)
-	p.order = slices.Delete(p.order, i, i+1)
 }
 
 // ids returns the ids of the remembered requests.
 func (p *pastRequests) ids(now float64) (ids []string) {
-	for _, id := range p.order {
+	if p.expiry == nil {
+		return nil
+	}
+	for _, id := range p.expiry.Keys() {
 		if p.contains(id, now) {
 			ids = append(ids, id)
 		}
--- a/internal/router/past_requests_test.go
+++ b/internal/router/past_requests_test.go
@@ -51,14 +51,14 @@
 	for i := range 2 * maxPastRequests {
 		past.add(fmt.Sprint(i), 1)
 	}
-	if len(past.expiry) != maxPastRequests || len(past.order) != maxPastRequests {
-		t.Errorf("%d and %d are remembered", len(past.expiry), len(past.order))
+	if n := past.expiry.Len(); n != maxPastRequests || len(past.ids(1)) != maxPastRequests {
+		t.Errorf("%d and %d are remembered", n, len(past.ids(1)))
 	}
 	if !past.contains(fmt.Sprint(2*maxPastRequests-1), 2) || past.contains("0", 2) {
 		t.Error("the oldest ones were not dropped")
 	}
 	past.add("last", 2+pastRequestMillis)
-	if len(past.expiry) != 1 || past.contains("5000", 2+pastRequestMillis) {
-		t.Errorf("%d are remembered after their time", len(past.expiry))
+	if past.expiry.Len() != 1 || past.contains("5000", 2+pastRequestMillis) {
+		t.Errorf("%d are remembered after their time", past.expiry.Len())
 	}
 }
