Encode and read the state of a large fleet in pieces

Seen: during an upgrade with 3,200 servers, 7 busy loops, requests are rejected by the dozen and answered late.

Cause: the state of 2.2 MB was encoded in one piece and then checked and copied once more as the body of a message, 48 ms of the old process's one processor; the new one checked it twice. Writing it had 150 ms in all and reading it 1 s, so a slower or larger one would have failed the hand-over.

Change: servers and list are encoded 32 at a time with pauses for others; a body is taken and read as it is; the bounds of time are for each part of a message. Lists to another process go the same way.

Evidence: TestStateInPiecesEqualsTheStateAsAWhole and TestMessageIsEncodedAsJSONIs compare with encoding/json; the fixtures of earlier releases pass.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 )
 
 const (
-	// sendTimeout bounds the time for the peer to read a message.
+	// sendTimeout bounds the time for the peer to read a part of a message.
 	sendTimeout = 150 * time.Millisecond
+	// sendPartBytes is the size of a part.
+	sendPartBytes = 64 << 10
 	// maxFrameBytes bounds the size of a message.
 	maxFrameBytes = 4 << 20
 	// frameHeaderBytes is the size of the message length (big-endian) that precedes the text.
@@ -100,8 +103,7 @@
 	}
 }
 
-// Send sends a message. It closes the link if the peer does not read the message within
-// sendTimeout.
+// Send sends a message. It closes the link if the peer does not read a part of it within sendTimeout.
 func (l *Link) Send(m Message) error {
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
@@ -111,7 +113,7 @@
 // send sends a message, with descriptors if rights is not nil. The caller must hold writeMu, unless
 // no other goroutine uses the link yet.
 func (l *Link) send(m Message, rights []byte) error {
-	text, err := json.Marshal(m)
+	text, err := m.encode()
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
@@ -119,7 +121,6 @@
 		return fmt.Errorf("handover: message of %d bytes, at most %d are allowed", len(text), maxFrameBytes)
 	}
 	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
-	l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
 	if err := l.writeFrame(frame, rights); err != nil {
 		l.Close() // part of the frame may have been sent, so no further message can be sent
 		return fmt.Errorf("handover: %w", err)
@@ -127,16 +128,31 @@
 	return nil
 }
 
-// writeFrame writes a frame. Descriptors are sent with its first byte.
+// writeFrame writes a frame in parts. Descriptors are sent with its first byte.
 func (l *Link) writeFrame(frame, rights []byte) error {
+	l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
 	if rights != nil {
 		if _, _, err := l.conn.WriteMsgUnix(frame[:1], rights, nil); err != nil {
 			return err
 		}
 		frame = frame[1:]
 	}
-	_, err := l.conn.Write(frame)
-	return err
+	for part := range slices.Chunk(frame, sendPartBytes) {
+		l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+		if _, err := l.conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// progressReader reads from a connection whose peer must send something within stepTimeout.
+type progressReader struct{ conn *net.UnixConn }
+
+// Read implements io.Reader.
+func (r progressReader) Read(b []byte) (int, error) {
+	r.conn.SetReadDeadline(time.Now().Add(stepTimeout))
+	return r.conn.Read(b)
 }
 
 // Call sends a message and waits until the peer has handled it. It returns ErrPeerClosed if the
@@ -235,7 +251,7 @@
 	if len(text) < int(length) {
 		return m, fmt.Errorf("handover: %w", io.ErrUnexpectedEOF)
 	}
-	if err := json.Unmarshal(text, &m); err != nil {
+	if m, err = decodeMessage(text); err != nil {
 		return m, fmt.Errorf("handover: %w", err)
 	}
 	return m, nil
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -187,17 +187,22 @@
 	slog.Info("processes are this router", "name", r.cfg.Name, "processes", processes)
 }
 
-// State returns the state for a successor, to be encoded as JSON. From then on the successor also
+// State returns the state for a successor as JSON. From then on the successor also
 // receives the lists and calls that this process receives. The error is errLoopBusy if ctx ends
 // first.
-func (r *Router) State(ctx context.Context, link *handover.Link) (any, error) {
+func (r *Router) State(ctx context.Context, link *handover.Link) ([]byte, error) {
 	var state handoverState
 	err := r.loop.call(ctx, func() error {
 		r.peers.add(link, false)
 		state = r.loop.handoverState()
 		return nil
 	})
-	return state, err
+	if err != nil {
+		return nil, err
+	}
+	var yield yielder
+	defer yield.close()
+	return state.encode(&yield)
 }
 
 // handoverState returns the state for a successor, all of which belongs to the loop.
@@ -385,7 +390,9 @@
 	if len(links) == 0 {
 		return
 	}
-	body, err := json.Marshal(list)
+	var yield yielder
+	defer yield.close()
+	body, err := list.encode(&yield)
 	if err != nil {
 		slog.Warn("handover: the list could not be encoded", "error", err)
 		return
