Test that a new server at an old address is not taken for the old one

Change: a test: discovery tells of a new server at the address before it tells of the old one's removal. The connection to the old process ends, the next request opens another one, and the removal told later does not end the new server's use.

Servers that drop repeats by key were not played so.

--- a/internal/router/membership_test.go
+++ b/internal/router/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -67,3 +68,38 @@
 		t.Errorf("closed after %v", took)
 	}
 }
+
+// Guards against a new process at the address of one that has gone being taken for it, while discovery has not
+// told of the removal yet.
+func TestNewServerAtAnOldAddressIsNotTakenForTheOldOne(t *testing.T) {
+	s, o := startFakeServer(t, hitAnswer), startFakeServer(t, originAnswer)
+	gone := cacheEntry("s-0000000b", s.addr)
+	r, d := startReadyRouter(t, gone, originEntry(o.addr))
+	c := dialClient(t, r.addr)
+	c.exchange(readCommandOf("a1", 2000))
+	receive(t, s.received, "request")
+	next := cacheEntry("s-0000000c", s.addr)
+	next.StartedMillis = 1 // after the old one, and warm by now
+	d.publishChange(next)
+	receive(t, s.peerCloses, "end of the connection to the old process")
+	for i := range 5 {
+		if got := c.exchange(readCommandOf(fmt.Sprint("b", i), 5000)); !strings.HasSuffix(got, "hello") {
+			t.Errorf("got %q", got)
+		}
+	}
+	if n := s.connCount.Load(); n != 2 {
+		t.Errorf("%d connections, want one to each process", n)
+	}
+	onLoop(r.router.loop, func() {
+		l := r.router.loop
+		if l.targets[serverID(gone.ID)] != nil || l.targets[serverID(next.ID)] == nil {
+			t.Errorf("targets %v", l.targets)
+		}
+	})
+	gone.State = stateRemoved
+	d.publishChange(gone) // it must not end the use of the new server
+	receive(t, d.calls, "watch after the change")
+	if got := c.exchange(readCommandOf("c", 5000)); !strings.HasSuffix(got, "hello") {
+		t.Errorf("after the removal of the old server: got %q", got)
+	}
+}
