Let servers hang and watches stay silent in the large fleets

Change: shares of servers that never answer, and watches that are never answered from the first change on; both are drawn.

Each router finds each hanging server on its own; that stays open.

--- a/cmd/dockhinge-lab/large_fleet.go
+++ b/cmd/dockhinge-lab/large_fleet.go
@@ -57,6 +57,8 @@
 	f.DurationVar(&o.Wait, "wait", 300*time.Millisecond, "how long a client waits")
 	f.Float64Var(&o.PerSecond, "rate", 100, "requests a second")
 	f.Float64Var(&o.LeaveShare, "leave", 0, "share of the clients that leave within 0.1 s")
+	f.Float64Var(&o.HangShare, "hang", 0, "share of the servers that never answer")
+	f.BoolVar(&o.SilencesWatches, "silent", false, "watches that are open when the list begins to change stay silent")
 	f.BoolVar(&o.IsAgent, "agent", false, "discovery is an agent")
 	f.IntVar(&o.MemoryMB, "memory", 192, "memory of the router, MB")
 	f.IntVar(&o.Sockets, "sockets", 1024, "descriptors of the router")
--- a/lab/largefleet/draw.go
+++ b/lab/largefleet/draw.go
@@ -38,13 +38,15 @@
 	if rng.IntN(4) == 0 {
 		params.Outage = time.Duration(1+rng.IntN(4)) * time.Second
 	}
+	params.HangShare = []float64{0, 0, 0, 0.02, 0.25}[rng.IntN(5)]
+	params.SilencesWatches = rng.IntN(4) == 0
 	return params
 }
 
 // String names the run as the flags of the lab's command do.
 func (p Params) String() string {
 	return fmt.Sprintf("seed %d, %d servers, %d busy, %s, event %s, %v to wait, %g a second, outage %v, "+
-		"%g leave, agent %t, %d MB, %d descriptors",
+		"%g leave, agent %t, %d MB, %d descriptors, %g hang, silent watches %t",
 		p.Seed, p.Servers, p.BusyLoops, p.Change, p.Event, p.Wait, p.PerSecond, p.Outage, p.LeaveShare, p.IsAgent,
-		p.MemoryMB, p.Sockets)
+		p.MemoryMB, p.Sockets, p.HangShare, p.SilencesWatches)
 }
--- a/lab/largefleet/events.go
+++ b/lab/largefleet/events.go
@@ -33,6 +33,9 @@
 		pause(ctx, p.params.Outage)
 		defer p.discovery.SetDown(false)
 	}
+	if p.params.SilencesWatches {
+		p.discovery.SilenceWatches()
+	}
 	count := int(replacedShare * float64(len(p.entries)))
 	switch p.params.Change {
 	case ReplaceAtOnce:
--- a/lab/largefleet/largefleet.go
+++ b/lab/largefleet/largefleet.go
@@ -98,6 +98,10 @@
 	PerSecond float64
 	// LeaveShare is the share of clients that leave within 0.1 s.
 	LeaveShare float64
+	// HangShare is the share of the servers that read requests and never answer.
+	HangShare float64
+	// SilencesWatches is set if the watches that are open when the list begins to change are never answered.
+	SilencesWatches bool
 	// IsAgent is set if discovery is an agent of the router's own.
 	IsAgent bool
 	// MemoryMB and Sockets are the router's limits.
@@ -162,7 +166,7 @@
 	if p.listen, err = fleet.FreeAddr(); err != nil {
 		return result, err
 	}
-	if p.servers, err = startCacheServers(p.clock); err != nil {
+	if p.servers, err = startCacheServers(p.clock, p.params.HangShare); err != nil {
 		return result, err
 	}
 	defer p.servers.close()
--- a/lab/largefleet/servers.go
+++ b/lab/largefleet/servers.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -27,7 +29,9 @@
 type cacheServers struct {
 	clock    *fakes.Clock
 	listener net.Listener
-	running  sync.WaitGroup
+	// hangShare is the share of the servers that never answer.
+	hangShare float64
+	running   sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -44,12 +48,12 @@
 	id       string
 }
 
-func startCacheServers(clock *fakes.Clock) (*cacheServers, error) {
+func startCacheServers(clock *fakes.Clock, hangShare float64) (*cacheServers, error) {
 	listener, err := net.Listen("tcp4", "0.0.0.0:0") // every address in 127.0.0.0/8 leads here
 	if err != nil {
 		return nil, fmt.Errorf("cache servers: %w", err)
 	}
-	s := &cacheServers{clock: clock, listener: listener, conns: map[net.Conn]struct{}{}}
+	s := &cacheServers{clock: clock, listener: listener, hangShare: hangShare, conns: map[net.Conn]struct{}{}}
 	s.running.Go(s.accept)
 	return s, nil
 }
@@ -117,6 +121,7 @@
 		s.mu.Unlock()
 	}()
 	host, _, _ := net.SplitHostPort(conn.LocalAddr().String())
+	hangs := hashShare(host) < s.hangShare
 	lines := bufio.NewScanner(conn)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
@@ -127,10 +132,20 @@
 		s.mu.Lock()
 		s.attempts = append(s.attempts, attempt{s.clock.Now(), host, strings.TrimPrefix(fields[3], "O")})
 		s.mu.Unlock()
+		if hangs {
+			continue
+		}
 		fmt.Fprintf(conn, "VA %d %s h1\r\n%s\r\n", len(fields[1]), fields[3], fields[1])
 	}
 }
 
+// hashShare returns a number from 0 to 1 that depends on a server's address only.
+func hashShare(host string) float64 {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, host) // never fails
+	return float64(h.Sum32()) / math.MaxUint32
+}
+
 // origin answers each write with its receipt.
 type origin struct {
 	server   *http.Server
