Hand the state of a large fleet over without copies of it

Cause: both processes together have 19 MB of Go's memory, and the state of 2.2 MB stood in it up to five times (pieces, joined text, message, frame, decoder's buffer): the garbage collector ran all the time, in both.

Change: the state is encoded into one buffer, a message is written from its parts, a frame is read into one buffer, and a body is taken from it as it is.

Evidence: TestStateInPiecesEqualsTheStateAsAWhole, TestMessageIsEncodedAsJSONIs, the fixtures of earlier releases and the fuzz test's seeds.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -113,34 +113,36 @@
 // send sends a message, with descriptors if rights is not nil. The caller must hold writeMu, unless
 // no other goroutine uses the link yet.
 func (l *Link) send(m Message, rights []byte) error {
-	text, err := m.encode()
+	parts, length, err := m.encode()
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	if len(text) > maxFrameBytes {
-		return fmt.Errorf("handover: message of %d bytes, at most %d are allowed", len(text), maxFrameBytes)
+	if length > maxFrameBytes {
+		return fmt.Errorf("handover: message of %d bytes, at most %d are allowed", length, maxFrameBytes)
 	}
-	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
-	if err := l.writeFrame(frame, rights); err != nil {
+	header := binary.BigEndian.AppendUint32(nil, uint32(length))
+	if err := l.writeFrame(append([][]byte{header}, parts...), rights); err != nil {
 		l.Close() // part of the frame may have been sent, so no further message can be sent
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
 }
 
-// writeFrame writes a frame in parts. Descriptors are sent with its first byte.
-func (l *Link) writeFrame(frame, rights []byte) error {
-	l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+// writeFrame writes a frame, whose header comes first, in parts. Descriptors are sent with its first byte.
+func (l *Link) writeFrame(frame [][]byte, rights []byte) error {
 	if rights != nil {
-		if _, _, err := l.conn.WriteMsgUnix(frame[:1], rights, nil); err != nil {
+		l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+		if _, _, err := l.conn.WriteMsgUnix(frame[0][:1], rights, nil); err != nil {
 			return err
 		}
-		frame = frame[1:]
+		frame[0] = frame[0][1:]
 	}
-	for part := range slices.Chunk(frame, sendPartBytes) {
-		l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
-		if _, err := l.conn.Write(part); err != nil {
-			return err
+	for _, text := range frame {
+		for part := range slices.Chunk(text, sendPartBytes) {
+			l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+			if _, err := l.conn.Write(part); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -234,7 +236,7 @@
 	}
 }
 
-// readMessage reads a frame. Its memory is bounded, whatever length the frame claims.
+// readMessage reads a frame. Its memory is bounded by maxFrameBytes, whatever length the frame claims.
 func readMessage(r io.Reader) (m Message, err error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
@@ -244,13 +246,10 @@
 	if length > maxFrameBytes {
 		return m, fmt.Errorf("handover: message of %d bytes, at most %d are allowed", length, maxFrameBytes)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, int64(length)))
-	if err != nil {
+	text := make([]byte, length)
+	if _, err := io.ReadFull(r, text); err != nil {
 		return m, fmt.Errorf("handover: %w", err)
 	}
-	if len(text) < int(length) {
-		return m, fmt.Errorf("handover: %w", io.ErrUnexpectedEOF)
-	}
 	if m, err = decodeMessage(text); err != nil {
 		return m, fmt.Errorf("handover: %w", err)
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -3,71 +3,40 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 )
 
-// encode returns the message as JSON. The body, which may be megabytes, is taken as it is: a Marshal of
-// the whole message would check and copy it once more.
-func (m Message) encode() ([]byte, error) {
+// encode returns the parts of the message as JSON and their length. The body, which may be megabytes, is
+// a part as it is: a Marshal of the whole message would check and copy it twice more.
+func (m Message) encode() (parts [][]byte, length int, err error) {
 	body := m.Body
 	m.Body = nil
 	text, err := json.Marshal(m)
 	if err != nil || len(body) == 0 {
-		return text, err
+		return [][]byte{text}, len(text), err
 	}
-	text = append(text[:len(text)-1], `,"body":`...)
-	text = append(text, body...)
-	return append(text, '}'), nil
+	last := len(text) - 1
+	head := append(text[:last:last], `,"body":`...)
+	parts = [][]byte{head, body, []byte("}")}
+	return parts, len(head) + len(body) + 1, nil
 }
 
-// decodeMessage decodes a message, and reads its body only once to find its end.
+// Texts of a message: the beginning of the field for the body, and of the one that may follow it.
+const (
+	bodyField  = `,"body":`
+	errorField = `,"error":`
+)
+
+// decodeMessage decodes a message. A body that is the last field, as in all messages that have one, is
+// taken as it is; whether it is valid shows when it is decoded.
 func decodeMessage(text []byte) (m Message, err error) {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	opening, err := decoder.Token()
-	if err != nil {
+	head, rest, hasBody := bytes.Cut(text, []byte(bodyField))
+	if !hasBody || !bytes.HasSuffix(rest, []byte("}")) || bytes.Contains(rest, []byte(errorField)) {
+		err = json.Unmarshal(text, &m)
 		return m, err
 	}
-	if opening != json.Delim('{') {
-		return m, fmt.Errorf("cannot unmarshal %v into a message", opening)
-	}
-	for decoder.More() {
-		field, err := decoder.Token()
-		if err != nil {
-			return m, err
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return m, err
-		}
-		name, _ := field.(string)
-		if err := m.setField(name, value); err != nil {
-			return m, err
-		}
-	}
-	if _, err := decoder.Token(); err != nil { // the closing brace
+	if err := json.Unmarshal(append(head[:len(head):len(head)], '}'), &m); err != nil {
 		return m, err
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return m, errors.New("text after the message")
-	}
+	m.Body = rest[:len(rest)-1]
 	return m, nil
 }
-
-// setField sets the field with a name in JSON; unknown ones are ignored.
-func (m *Message) setField(name string, value json.RawMessage) error {
-	switch name {
-	case "kind":
-		return json.Unmarshal(value, &m.Kind)
-	case "version":
-		return json.Unmarshal(value, &m.Version)
-	case "call":
-		return json.Unmarshal(value, &m.Call)
-	case "error":
-		return json.Unmarshal(value, &m.Error)
-	case "body":
-		m.Body = value
-	}
-	return nil
-}
--- a/internal/handover/message_test.go
+++ b/internal/handover/message_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 	"testing"
@@ -14,10 +15,14 @@
 		{Kind: "answer", Call: 1 << 60, Error: `un"known`},
 		{Kind: "list", Call: 3, Body: json.RawMessage(`null`), Error: "x"},
 	} {
-		text, err := m.encode()
+		parts, length, err := m.encode()
 		if err != nil {
 			t.Fatal(err)
 		}
+		text := bytes.Join(parts, nil)
+		if len(text) != length {
+			t.Errorf("%s: length %d", text, length)
+		}
 		var decoded Message
 		if err := json.Unmarshal(text, &decoded); err != nil || !reflect.DeepEqual(decoded, m) {
 			t.Errorf("%s is read as %+v, %v", text, decoded, err)
@@ -30,7 +35,8 @@
 			t.Errorf("%s is decoded as %+v, %v", whole, decoded, err)
 		}
 	}
-	for _, text := range []string{``, `{`, `[]`, `{"kind":1}`, `{"kind":"a"}x`, `{"kind":"a",}`, `{"body":{}`} {
+	for _, text := range []string{``, `{`, `[]`, `{"kind":1}`, `{"kind":"a"}x`, `{"kind":"a",}`, `{"body":{}`,
+		`x,"body":{}}`, `{"kind":"a","body":}x`} {
 		if m, err := decodeMessage([]byte(text)); err == nil {
 			t.Errorf("%s was decoded as %+v", text, m)
 		}
--- a/internal/router/handover_encoding.go
+++ b/internal/router/handover_encoding.go
@@ -15,57 +15,77 @@
 )
 
 // encode returns the state as JSON. What grows with the fleet, the records of its servers, is encoded in
-// pieces, between which others run.
+// pieces, between which others run, and into one buffer: the state of a large fleet is a good part of a
+// small router's memory.
 func (s handoverState) encode(yield *yielder) ([]byte, error) {
-	snapshots, err := encodeInPieces(s.Decisions.Servers, yield)
+	servers := s.Decisions.Servers
+	list := s.List
+	s.Decisions.Servers = nil
+	s.List = endpointList{}
+	rest, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	beforeServers, rest, err := cutAt(rest, noSnapshots)
 	if err != nil {
 		return nil, err
 	}
-	list, err := s.List.encode(yield)
+	beforeList, rest, err := cutAt(rest, noList)
 	if err != nil {
 		return nil, err
 	}
-	s.Decisions.Servers = nil
-	s.List = endpointList{}
-	text, err := json.Marshal(s)
+	text, err := appendInPieces(beforeServers, servers, yield)
 	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
+		return nil, err
 	}
-	text, err = fillIn(text, noSnapshots, snapshots)
+	text = append(text, beforeList...)
+	text, err = list.appendTo(text, yield)
 	if err != nil {
 		return nil, err
 	}
-	return fillIn(text, noList, list)
+	return append(text, rest...), nil
 }
 
 // encode returns the list as JSON, encoded in pieces like the state.
-func (l endpointList) encode(yield *yielder) ([]byte, error) {
-	entries, err := encodeInPieces(l.Servers, yield)
+func (l endpointList) encode(yield *yielder) ([]byte, error) { return l.appendTo(nil, yield) }
+
+// appendTo appends the list as JSON.
+func (l endpointList) appendTo(text []byte, yield *yielder) ([]byte, error) {
+	entries := l.Servers
+	l.Servers = nil
+	rest, err := json.Marshal(l)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	beforeEntries, rest, err := cutAt(rest, noEntries)
 	if err != nil {
 		return nil, err
 	}
-	l.Servers = nil
-	text, err := json.Marshal(l)
+	text, err = appendInPieces(append(text, beforeEntries...), entries, yield)
 	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
+		return nil, err
 	}
-	return fillIn(text, noEntries, entries)
+	return append(text, rest...), nil
 }
 
-// encodeInPieces returns a slice as JSON.
-func encodeInPieces[T any](elements []T, yield *yielder) ([]byte, error) {
+// appendInPieces appends a slice as JSON.
+func appendInPieces[T any](text []byte, elements []T, yield *yielder) ([]byte, error) {
 	if elements == nil {
-		return []byte("null"), nil
+		return append(text, "null"...), nil
 	}
-	text := []byte{'['}
+	text = append(text, '[')
+	isFirst := true
 	for piece := range slices.Chunk(elements, yieldEntries) {
 		encoded, err := json.Marshal(piece)
 		if err != nil {
 			return nil, fmt.Errorf("handover: %w", err)
 		}
-		if len(text) > 1 {
+		if isFirst {
+			text = slices.Grow(text, len(encoded)*len(elements)/len(piece))
+		} else {
 			text = append(text, ',')
 		}
+		isFirst = false
 		text = append(text, encoded[1:len(encoded)-1]...)
 		if len(piece) == yieldEntries && yield != nil {
 			yield.pause()
@@ -77,13 +97,13 @@
 // absentValue is a field of the state as it is encoded without its value.
 type absentValue struct{ field, value string }
 
-// fillIn replaces the first absent value by its JSON text. Names that clients or discovery choose can't
-// look like one: their quotes are escaped.
-func fillIn(text []byte, absent absentValue, filled []byte) ([]byte, error) {
+// cutAt returns the text up to an absent value and the text after it. Names that clients or discovery
+// choose can't look like one: their quotes are escaped.
+func cutAt(text []byte, absent absentValue) (before, after []byte, err error) {
 	at := bytes.Index(text, []byte(absent.field+absent.value))
 	if at < 0 {
-		return nil, fmt.Errorf("handover: the state has no %s%s", absent.field, absent.value)
+		return nil, nil, fmt.Errorf("handover: the state has no %s%s", absent.field, absent.value)
 	}
-	from := at + len(absent.field)
-	return slices.Concat(text[:from], filled, text[from+len(absent.value):]), nil
+	end := at + len(absent.field)
+	return text[:end:end], text[end+len(absent.value):], nil
 }
